--- /dev/null
+++ b/src/callers/completion_request.cpp
@@ -0,0 +1,60 @@
+/**
+ * @file completion_request.cpp
+ * Reading of completions calls, and the prefixes of their prompts.
+ */
+#include "callers/completion_type.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+
+namespace dunehook {
+
+result<completion_request>
+ParseCompletion(std::string_view aBody, std::string& aDetail)
+{
+  using json = nlohmann::json;
+  constexpr std::uint32_t kMostTokens = 1'000'000;
+  const json body = json::parse(aBody, nullptr, false);
+  if (!body.is_object()) {
+    aDetail = "the body isn't a JSON object";
+    return make_error_code(errc::eBadRequest);
+  }
+  completion_request request;
+  try {
+    request.mModel = body.at("model").get<std::string>();
+    request.mPrompt = body.at("prompt").get<std::string>();
+    request.mMaxTokens = body.value("max_tokens", kDefaultMaxTokens);
+    request.mStream = body.value("stream", false);
+  } catch (const json::exception&) {
+    aDetail = "model and prompt must be texts, max_tokens a number, stream true or false";
+    return make_error_code(errc::eBadRequest);
+  }
+  if (request.mPrompt.empty() || request.mMaxTokens == 0 || request.mMaxTokens > kMostTokens) {
+    aDetail = "the prompt must not be empty and max_tokens must be from 1 to 1000000";
+    return make_error_code(errc::eBadRequest);
+  }
+  return request;
+}
+
+std::uint32_t
+CountTokens(std::string_view aText)
+{
+  return static_cast<std::uint32_t>((aText.size() + kBytesPerToken - 1) / kBytesPerToken);
+}
+
+std::vector<prefix_block>
+PrefixBlocks(std::string_view aPrompt)
+{
+  std::vector<prefix_block> blocks;
+  std::uint64_t hash = 0;
+  const std::size_t count = std::min(aPrompt.size() / kBlockBytes, kMaxBlocks);
+  for (std::size_t index = 0; index < count; ++index) {
+    hash = HashBytes(aPrompt.substr(index * kBlockBytes, kBlockBytes), hash);
+    const auto tokens = static_cast<std::uint32_t>((index + 1) * kBlockBytes / kBytesPerToken);
+    blocks.push_back({ hash, tokens });
+  }
+  return blocks;
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/callers/completion_session.cpp
@@ -0,0 +1,533 @@
+/**
+ * @file completion_session.cpp
+ * One completions call.
+ */
+#include "callers/completion_session.h"
+
+#include "core/log_func.h"
+
+#include <optional>
+
+namespace dunehook {
+
+namespace {
+
+using json = nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr duration kIdleResend = 500ms;  ///< A waiting request is told to the owner again.
+constexpr duration kEngineLimit = 20s;   ///< Longest prefill or piece of a transfer.
+constexpr duration kTokenLimit = 5s;     ///< Longest silence of a token stream.
+constexpr duration kCancelLimit = 500ms; ///< Time limit of a cancel.
+constexpr duration kCancelPause = 200ms; ///< Pause between tries of a cancel.
+constexpr duration kEndLimit = 300ms;    ///< Longest wait for an older attempt to end.
+constexpr duration kRetryLater = 1s;
+constexpr int kCancelTries = 50;
+
+} // namespace
+
+completion_session::completion_session(front_context& aFront,
+                                       exchange_ptr aExchange,
+                                       completion_request aRequest,
+                                       std::string aRouteName,
+                                       const route_spec& aRoute,
+                                       const priority_class_spec& aTargets)
+  : mFront(aFront)
+  , mExchange(std::move(aExchange))
+  , mRequest(std::move(aRequest))
+  , mRouteName(std::move(aRouteName))
+  , mRoute(aRoute)
+  , mTargets(aTargets)
+  , mCell{ aRoute.mPrefillPool, aRoute.mDecodePool, aRoute.mLink }
+  , mAttempt(aFront.NextAttempt())
+  , mArrived(Now())
+  , mDeadline(mArrived + std::chrono::milliseconds(aRoute.mTimeoutMs))
+  , mWake(aFront.mIo)
+{
+}
+
+request_arrived
+completion_session::DescribeRequest() const
+{
+  return { mAttempt,
+           mRoute.mClass,
+           mTargets,
+           CountTokens(mRequest.mPrompt) + mNextIndex,
+           mRequest.mMaxTokens,
+           PrefixBlocks(mRequest.mPrompt) };
+}
+
+asio::awaitable<void>
+completion_session::Run()
+{
+  const auto self = shared_from_this();
+  attempt_entry entry;
+  entry.mCell = mCell;
+  entry.mRequest = DescribeRequest();
+  const std::weak_ptr<completion_session> weak = self;
+  entry.mDeliver = [weak](const addressed_order& aOrder) {
+    if (const auto session = weak.lock()) {
+      session->Post(aOrder);
+    }
+  };
+  entry.mEnd = [weak] {
+    if (const auto session = weak.lock()) {
+      session->Post(taken_over{});
+    }
+  };
+  mFront.mAttempts.Add(mAttempt, std::move(entry));
+  mExchange->OnCallerGone([weak] {
+    if (const auto session = weak.lock()) {
+      session->Post(caller_left{});
+    }
+  });
+  co_await TakeOverKey();
+  co_await Serve();
+  mFront.mAttempts.Remove(mAttempt);
+}
+
+asio::awaitable<void>
+completion_session::TakeOverKey()
+{
+  const std::string key = mExchange->Header("Idempotency-Key");
+  if (key.empty()) {
+    co_return;
+  }
+  const std::string scoped = ScopedKey(TeamOf(*mExchange), mRouteName, key);
+  const member_info owner = mFront.mMembers.OwnerOf("key:" + scoped);
+  std::optional<attempt_id> older;
+  if (owner.mIncarnation == mFront.mMembers.Self().mIncarnation) {
+    older = mFront.mKeys.TakeOver(scoped, mAttempt);
+  } else {
+    const json message{ { "key", scoped }, { "attempt", ToText(mAttempt) } };
+    const result<json> answer = co_await mFront.mPeers.Call(owner, "take_over", message, kEndLimit);
+    if (answer && answer.value().contains("older")) {
+      const auto parsed = ParseAttempt(answer.value().value("older", std::string()));
+      older = parsed ? std::optional(parsed.value()) : std::nullopt;
+    }
+  }
+  if (!older) {
+    co_return;
+  }
+  if (older->mIncarnation == mFront.mMembers.Self().mIncarnation) {
+    if (attempt_entry* const entry = mFront.mAttempts.Find(*older)) {
+      entry->mEnd();
+    }
+    co_return;
+  }
+  if (const member_info* const member = mFront.mMembers.Find(older->mIncarnation)) {
+    const json message{ { "attempt", ToText(*older) } };
+    co_await mFront.mPeers.Call(member_info(*member), "end_attempt", message, kEndLimit);
+  }
+}
+
+asio::awaitable<void>
+completion_session::Serve()
+{
+  co_await Report(DescribeRequest());
+  while (!mEnded) {
+    if (Now() >= mDeadline) {
+      co_await Fail({ 504,
+                      make_error_code(errc::eDeadlinePassed),
+                      "the call's time limit has passed",
+                      OutcomeSoFar(),
+                      kRetryLater });
+      co_return;
+    }
+    if (mInbox.empty()) {
+      co_await mWake.Wait(std::min<duration>(kIdleResend, mDeadline - Now()));
+    }
+    if (mInbox.empty()) {
+      const attempt_entry* const entry = mFront.mAttempts.Find(mAttempt);
+      if (entry->mStage == request_stage::eWaiting) {
+        co_await Report(DescribeRequest()); // An owner that knows it takes no notice.
+      }
+      continue;
+    }
+    session_message message = std::move(mInbox.front());
+    mInbox.pop_front();
+    co_await std::visit([this](auto& aOne) { return Take(std::move(aOne)); }, message);
+  }
+}
+
+void
+completion_session::Post(session_message aMessage)
+{
+  const bool urgent =
+    std::holds_alternative<caller_left>(aMessage) || std::holds_alternative<taken_over>(aMessage);
+  if (urgent && mConnection) {
+    mConnection->Abort();
+  }
+  mInbox.push_back(std::move(aMessage));
+  mWake.Notify();
+}
+
+void
+completion_session::SetStage(request_stage aStage)
+{
+  attempt_entry* const entry = mFront.mAttempts.Find(mAttempt);
+  entry->mStage = aStage;
+  entry->mPrefill = mPrefill.mId;
+  entry->mDecode = mDecode.mId;
+}
+
+call_outcome
+completion_session::OutcomeSoFar() const
+{
+  return mTouchedRunner ? call_outcome::eUnknown : call_outcome::eNotRun;
+}
+
+asio::awaitable<void>
+completion_session::Report(decide_event aEvent)
+{
+  const result<void> sent = co_await mFront.mOwners.Send(mCell, std::move(aEvent));
+  if (!sent && !mEnded) {
+    co_await Fail(
+      { 503, sent.error(), "no host decides for this model now", OutcomeSoFar(), kRetryLater });
+  }
+}
+
+asio::awaitable<void>
+completion_session::ReportFailure(engine_id aEngine, std::error_code aError)
+{
+  const bool refused = aError == errc::eRunnerRefused;
+  const bool lost = aError == errc::eNotFound;
+  const work_failed failed{ mAttempt, aEngine, refused, lost };
+  co_await Report(failed);
+}
+
+asio::awaitable<void>
+completion_session::Take(addressed_order aOrder)
+{
+  if (const auto* const prefill = std::get_if<start_prefill>(&aOrder.mOrder)) {
+    BeginPrefill(*prefill, aOrder.mAddress);
+  } else if (const auto* const chunk = std::get_if<start_chunk>(&aOrder.mOrder)) {
+    BeginChunk(*chunk, aOrder.mAddress);
+  } else if (const auto* const refuse = std::get_if<refuse_request>(&aOrder.mOrder)) {
+    const unsigned status = refuse->mReason == errc::eOverloaded ? 429 : 503;
+    co_await Fail({ status,
+                    make_error_code(refuse->mReason),
+                    "the request can't be served in time now",
+                    OutcomeSoFar(),
+                    refuse->mRetryAfter });
+  }
+}
+
+void
+completion_session::BeginPrefill(const start_prefill& aOrder, const endpoint& aAddress)
+{
+  const attempt_entry* const entry = mFront.mAttempts.Find(mAttempt);
+  if (entry->mStage == request_stage::ePrefilling && mPrefill.mId == aOrder.mEngine) {
+    return; // The order came twice.
+  }
+  FreeEngine(mPrefill);
+  FreeEngine(mDecode);
+  mPrefill = { aOrder.mEngine, aAddress };
+  mTouchedRunner = true;
+  SetStage(request_stage::ePrefilling);
+  Spawn(mFront.mIo, RunPrefill(aOrder, aAddress));
+}
+
+asio::awaitable<void>
+completion_session::RunPrefill(start_prefill aOrder, endpoint aAddress)
+{
+  const auto self = shared_from_this();
+  const prefill_call call{ mAttempt, mRequest.mPrompt, mText, aOrder.mPriority };
+  const result<prefill_answer> answer =
+    co_await mFront.mEngines.Prefill(aAddress, call, kEngineLimit, mConnection);
+  mConnection.reset();
+  Post(prefill_ended{ aOrder.mEngine, answer });
+}
+
+asio::awaitable<void>
+completion_session::Take(prefill_ended aMessage)
+{
+  if (aMessage.mEngine != mPrefill.mId) {
+    co_return;
+  }
+  if (!aMessage.mAnswer) {
+    FreeEngine(mPrefill);
+    SetStage(request_stage::eWaiting);
+    co_await ReportFailure(aMessage.mEngine, aMessage.mAnswer.error());
+    co_return;
+  }
+  mKvBytes = aMessage.mAnswer.value().mKvBytes;
+  SetStage(request_stage::eReady);
+  const prefill_finished finished{ mAttempt, mKvBytes, aMessage.mAnswer.value().mCachedTokens };
+  co_await Report(finished);
+}
+
+void
+completion_session::BeginChunk(const start_chunk& aOrder, const endpoint& aAddress)
+{
+  if (mDecode.mId != aOrder.mEngine) {
+    FreeEngine(mDecode); // An earlier owner had chosen another engine.
+  }
+  mDecode = { aOrder.mEngine, aAddress };
+  SetStage(request_stage::eTransferring);
+  Spawn(mFront.mIo, RunChunk(aOrder, aAddress, mPrefill.mAddress));
+}
+
+asio::awaitable<void>
+completion_session::RunChunk(start_chunk aOrder, endpoint aAddress, endpoint aFrom)
+{
+  const auto self = shared_from_this();
+  const import_call call{ mAttempt, aFrom, aOrder.mOffset, aOrder.mBytes, mKvBytes };
+  const result<void> answer = co_await mFront.mEngines.Import(aAddress, call, kEngineLimit);
+  Post(chunk_ended{ aOrder.mEngine, aOrder.mLast, answer });
+}
+
+asio::awaitable<void>
+completion_session::Take(chunk_ended aMessage)
+{
+  if (aMessage.mEngine != mDecode.mId) {
+    co_return;
+  }
+  if (!aMessage.mAnswer) {
+    const bool lost = aMessage.mAnswer.error() == errc::eNotFound;
+    FreeEngine(mDecode);
+    if (lost) {
+      FreeEngine(mPrefill);
+    }
+    SetStage(lost ? request_stage::eWaiting : request_stage::eReady);
+    co_await ReportFailure(aMessage.mEngine, aMessage.mAnswer.error());
+    co_return;
+  }
+  const chunk_finished finished{ mAttempt };
+  co_await Report(finished);
+  if (aMessage.mLast && !mEnded) {
+    mPrefill = {};
+    SetStage(request_stage::eDecoding);
+    co_await StreamTokens();
+  }
+}
+
+asio::awaitable<void>
+completion_session::StreamTokens()
+{
+  const engine_id engine = mDecode.mId;
+  const decode_call call{ mAttempt, mNextIndex, mRequest.mMaxTokens };
+  const result<http_connection_ptr> connection =
+    co_await mFront.mEngines.Decode(mDecode.mAddress, call, kTokenLimit);
+  result<void> read = boost::outcome_v2::success();
+  if (connection) {
+    mConnection = connection.value();
+    read = co_await ReadTokens(connection.value());
+    mConnection.reset();
+  } else {
+    read = connection.error();
+  }
+  if (mExchange->CallerGone()) {
+    co_return; // The message that says so is in the inbox.
+  }
+  if (read) {
+    mFront.mEngines.Give(mDecode.mAddress, connection.value());
+    co_await Finish();
+    co_return;
+  }
+  if (read.error() == errc::eWrongAnswer) {
+    mFront.mMetrics.CountWrongAnswer();
+  }
+  FreeEngine(mDecode);
+  SetStage(request_stage::eWaiting);
+  mFront.mAttempts.Find(mAttempt)->mRequest = DescribeRequest();
+  const work_failed failed{ mAttempt, engine, read.error() == errc::eRunnerRefused, true };
+  co_await Report(failed);
+}
+
+asio::awaitable<result<void>>
+completion_session::ReadTokens(http_connection_ptr aConnection)
+{
+  token_parser parser(mAttempt);
+  bool more = true;
+  while (more) {
+    std::string bytes;
+    const result<bool> read = co_await aConnection->ReadSome(bytes, kTokenLimit);
+    std::vector<token> tokens;
+    const result<void> parsed = parser.Take(bytes, tokens);
+    if (!parsed) {
+      aConnection->Abort();
+      co_return parsed.error();
+    }
+    if (!co_await WriteTokens(tokens)) {
+      co_return make_error_code(errc::eCallerGone);
+    }
+    if (!read) {
+      co_return read.error();
+    }
+    more = read.value();
+  }
+  if (!parser.Done()) {
+    co_return make_error_code(errc::eConnectionLost);
+  }
+  co_return boost::outcome_v2::success();
+}
+
+std::string
+completion_session::TokenEvent(const token& aToken) const
+{
+  const json event{
+    { "id", ToText(mAttempt) },
+    { "object", "text_completion" },
+    { "model", mRequest.mModel },
+    { "token", aToken.mIndex },
+    { "choices",
+      json::array({ { { "index", 0 }, { "text", aToken.mText }, { "finish_reason", nullptr } } }) }
+  };
+  return "data: " + event.dump(-1, ' ', false, json::error_handler_t::replace) + "\n\n";
+}
+
+asio::awaitable<bool>
+completion_session::WriteTokens(const std::vector<token>& aTokens)
+{
+  std::string events;
+  for (const token& one : aTokens) {
+    if (one.mIndex != mNextIndex) {
+      continue; // Written before, by an earlier attempt.
+    }
+    if (mNextIndex == 0) {
+      mFront.mMetrics.ObserveFirstToken(mRoute.mClass, ToSeconds(Now() - mArrived));
+    }
+    ++mNextIndex;
+    mText += one.mText;
+    if (mRequest.mStream) {
+      events += TokenEvent(one);
+    }
+  }
+  mFront.mMetrics.CountTokens(static_cast<double>(aTokens.size()));
+  if (events.empty()) {
+    co_return !mExchange->CallerGone();
+  }
+  if (!mExchange->Streaming() &&
+      !co_await mExchange->StartStream(200, OutcomeHeaders(call_outcome::eInStream, mAttempt))) {
+    co_return false;
+  }
+  co_return co_await mExchange->Write(events);
+}
+
+asio::awaitable<void>
+completion_session::Finish()
+{
+  mEnded = true;
+  mFront.mMetrics.CountCall("completion", "done");
+  json body{ { "id", ToText(mAttempt) },
+             { "object", "text_completion" },
+             { "model", mRequest.mModel },
+             { "outcome", "done" },
+             { "choices",
+               json::array({ { { "index", 0 },
+                               { "text", mRequest.mStream ? "" : mText },
+                               { "finish_reason", "length" } } }) } };
+  if (!mRequest.mStream) {
+    co_await mExchange->Respond(200, body.dump(), OutcomeHeaders(call_outcome::eDone, mAttempt));
+  } else {
+    if (!mExchange->Streaming()) {
+      co_await mExchange->StartStream(200, OutcomeHeaders(call_outcome::eInStream, mAttempt));
+    }
+    if (co_await mExchange->Write("data: " + body.dump() + "\n\ndata: [DONE]\n\n")) {
+      co_await mExchange->EndStream();
+    }
+  }
+  // The engine has freed the slot itself.
+  const stream_finished finished{ mAttempt, mNextIndex };
+  co_await mFront.mOwners.Send(mCell, finished);
+}
+
+asio::awaitable<void>
+completion_session::Fail(error_answer aAnswer)
+{
+  mEnded = true;
+  mFront.mMetrics.CountCall("completion", std::string(OutcomeName(aAnswer.mOutcome)));
+  co_await GiveUp();
+  if (!mExchange->Streaming()) {
+    co_await RespondError(mExchange, std::move(aAnswer));
+    co_return;
+  }
+  json body = json::parse(ErrorBody(ErrorName(aAnswer.mError), aAnswer.mDetail));
+  body["outcome"] = OutcomeName(aAnswer.mOutcome);
+  body["retry_after_ms"] = aAnswer.mRetryAfter.count() / 1000;
+  if (co_await mExchange->Write("data: " + body.dump() + "\n\n")) {
+    co_await mExchange->EndStream();
+  }
+}
+
+asio::awaitable<void>
+completion_session::Take(caller_left /*aMessage*/)
+{
+  mEnded = true;
+  mFront.mMetrics.CountCall("completion", "caller-gone");
+  LogEvent(log_level::eInfo, "caller_gone", { { "request", ToText(mAttempt) } });
+  co_await GiveUp();
+}
+
+asio::awaitable<void>
+completion_session::Take(taken_over /*aMessage*/)
+{
+  mEnded = true;
+  mFront.mMetrics.CountCall("completion", "taken-over");
+  LogEvent(log_level::eInfo, "taken_over", { { "request", ToText(mAttempt) } });
+  mExchange->Tear();
+  co_await GiveUp();
+}
+
+asio::awaitable<void>
+completion_session::GiveUp()
+{
+  if (mConnection) {
+    mConnection->Abort();
+  }
+  FreeEngine(mPrefill);
+  FreeEngine(mDecode);
+  const request_cancelled cancelled{ mAttempt };
+  co_await mFront.mOwners.Send(mCell, cancelled);
+}
+
+void
+completion_session::FreeEngine(used_engine& aEngine)
+{
+  if (aEngine.mId) {
+    Spawn(mFront.mIo, CancelAt(aEngine.mAddress));
+  }
+  aEngine = {};
+}
+
+asio::awaitable<void>
+completion_session::CancelAt(endpoint aEngine)
+{
+  const auto self = shared_from_this();
+  for (int tries = 0; tries < kCancelTries; ++tries) {
+    if (co_await mFront.mEngines.Cancel(aEngine, mAttempt, kCancelLimit)) {
+      co_return;
+    }
+    co_await Sleep(kCancelPause);
+  }
+}
+
+asio::awaitable<void>
+ServeCompletion(front_context& aFront, exchange_ptr aExchange)
+{
+  std::string detail;
+  result<completion_request> request = ParseCompletion(aExchange->Body(), detail);
+  if (!request) {
+    co_await RespondError(aExchange, { 400, request.error(), detail });
+    co_return;
+  }
+  const fold& state = aFront.mLog.State();
+  for (const auto& [key, one] : state.Resources()) {
+    const auto* const route = std::get_if<route_spec>(&one.mSpec);
+    if (route == nullptr || route->mModel != request.value().mModel) {
+      continue;
+    }
+    const auto* const found =
+      state.FindSpec<priority_class_spec>(resource_kind::ePriorityClass, route->mClass);
+    const priority_class_spec targets = found == nullptr ? priority_class_spec{} : *found;
+    const auto session = std::make_shared<completion_session>(
+      aFront, aExchange, std::move(request.value()), key.mName, *route, targets);
+    co_await session->Run();
+    co_return;
+  }
+  co_await RespondError(aExchange,
+                        { 404, make_error_code(errc::eNotFound), "no route has this model" });
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/callers/service_call.cpp
@@ -0,0 +1,357 @@
+/**
+ * @file service_call.cpp
+ * Calls of plain services. A call that may not be repeated is sent at most once, and its caller
+ * is told exactly one of done, not-run and unknown. "not-run" is said only if no byte of the call
+ * can have reached a runner and this daemon will never send it.
+ */
+#include "callers/front_base.h"
+
+#include "core/log_func.h"
+
+#include <absl/strings/numbers.h>
+
+namespace dunehook {
+
+namespace {
+
+using json = nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr int kMaxTries = 3;
+constexpr duration kConnectLimit = 1s;
+constexpr duration kClaimLimit = 3s;     ///< Longest wait for a claim to show in the fold.
+constexpr duration kStatusLimit = 300ms; ///< Longest wait for the holder of a key.
+constexpr duration kKeyRetry = 1s;
+constexpr duration kNoRunnerRetry = 2s;
+constexpr std::string_view kRefusedHeader = "X-Runner-Refused";
+
+/** What one try at a runner gave. */
+struct send_result
+{
+  bool mSent = false;                 ///< Some byte may have reached the runner.
+  bool mRefused = false;              ///< The runner said that it did not run the call.
+  std::optional<http_answer> mAnswer; ///< The answer, if it came whole.
+};
+
+/** One call of a service. */
+class service_call
+{
+public:
+  service_call(front_context& aFront,
+               exchange_ptr aExchange,
+               const route_spec& aRoute,
+               std::string aName)
+    : mFront(aFront)
+    , mExchange(std::move(aExchange))
+    , mRoute(aRoute)
+    , mName(std::move(aName))
+    , mAttempt(aFront.NextAttempt())
+    , mDeadline(Now() + std::chrono::milliseconds(aRoute.mTimeoutMs))
+  {
+  }
+
+  asio::awaitable<void> Run()
+  {
+    const std::string key = mExchange->Header("Idempotency-Key");
+    if (mRoute.mRepeatable) {
+      co_await SendRepeatable();
+    } else if (key.empty()) {
+      co_await SendOnce("");
+    } else {
+      co_await SendClaimed(key);
+    }
+  }
+
+private:
+  static instant Now() { return steady_clock_source().Now(); }
+
+  http_call BuildCall() const
+  {
+    http_call call;
+    call.mMethod = mExchange->Method();
+    call.mTarget = std::string(mExchange->Target());
+    call.mBody = mExchange->Body();
+    call.mHeaders = { { "Content-Type", mExchange->Header("Content-Type") },
+                      { "X-Dunehook-Attempt", ToText(mAttempt) } };
+    const std::string key = mExchange->Header("Idempotency-Key");
+    if (!key.empty()) {
+      call.mHeaders.emplace_back("Idempotency-Key", key);
+    }
+    return call;
+  }
+
+  /** @return the next runner to try, or null. @param aTry counts the tries from 0. */
+  const host* Choose(std::size_t aTry)
+  {
+    std::vector<const host*> hosts = mFront.mHosts.LiveOf(mRoute.mServicePool);
+    std::erase_if(
+      hosts, [this](const host* aHost) { return mFront.mAvoided.Avoids(aHost->mName, Now()); });
+    if (hosts.empty()) {
+      return nullptr;
+    }
+    const host* const chosen = hosts[(mAttempt.mCounter + aTry) % hosts.size()];
+    LogEvent(log_level::eInfo,
+             "route",
+             { { "request", ToText(mAttempt) },
+               { "route", mName },
+               { "candidates", hosts.size() },
+               { "chosen", chosen->mName },
+               { "reason", aTry == 0 ? "in turn" : "another runner failed" } });
+    return chosen;
+  }
+
+  /** Sends the call to one runner, on a fresh connection so that "not sent" is certain. */
+  asio::awaitable<send_result> Send(host aHost)
+  {
+    send_result sent;
+    const result<http_connection_ptr> connection =
+      co_await http_connection::Connect(aHost.mAddress, kConnectLimit);
+    if (!connection) {
+      mFront.mAvoided.Avoid(aHost.mName, Now());
+      co_return sent;
+    }
+    if (mExchange->CallerGone() || Now() >= mDeadline) {
+      mGivenUp = true; // A daemon that was frozen until now doesn't send.
+      co_return sent;
+    }
+    sent.mSent = true;
+    const result<http_answer> answer =
+      co_await connection.value()->Call(BuildCall(), mDeadline - Now());
+    if (!answer) {
+      co_return sent;
+    }
+    if (!answer.value().Header(kRefusedHeader).empty()) {
+      mFront.mAvoided.Avoid(aHost.mName, Now());
+      sent.mRefused = true;
+      co_return sent;
+    }
+    const std::string echoed = answer.value().Header("X-Dunehook-Attempt");
+    if (!echoed.empty() && echoed != ToText(mAttempt)) {
+      mFront.mMetrics.CountWrongAnswer();
+      co_return sent;
+    }
+    sent.mAnswer = answer.value();
+    co_return sent;
+  }
+
+  asio::awaitable<void> SendRepeatable()
+  {
+    bool maybeRun = false;
+    for (int tries = 0; tries < kMaxTries && Now() < mDeadline; ++tries) {
+      const host* const chosen = Choose(static_cast<std::size_t>(tries));
+      if (chosen == nullptr) {
+        break;
+      }
+      const send_result sent = co_await Send(*chosen);
+      if (sent.mAnswer) {
+        co_await RespondDone(*sent.mAnswer);
+        co_return;
+      }
+      if (mGivenUp) {
+        break;
+      }
+      maybeRun = maybeRun || (sent.mSent && !sent.mRefused);
+    }
+    co_await RespondFailed(maybeRun);
+  }
+
+  /** Sends a call that may not be repeated. @param aKey its claimed key, or empty. */
+  asio::awaitable<void> SendOnce(std::string aKey)
+  {
+    for (int tries = 0; tries < kMaxTries && Now() < mDeadline; ++tries) {
+      const host* const chosen = Choose(static_cast<std::size_t>(tries));
+      if (chosen == nullptr) {
+        break;
+      }
+      const send_result sent = co_await Send(*chosen);
+      if (sent.mAnswer) {
+        NoteState(aKey, keyed_state::eDone, *sent.mAnswer);
+        co_await RespondDone(*sent.mAnswer);
+        co_return;
+      }
+      if (sent.mSent && !sent.mRefused) {
+        NoteState(aKey, keyed_state::eUnknown, {});
+        co_await RespondFailed(true);
+        co_return;
+      }
+      if (mGivenUp) {
+        break;
+      }
+    }
+    Abandon(aKey);
+    co_await RespondFailed(false);
+  }
+
+  void Abandon(const std::string& aKey)
+  {
+    if (!aKey.empty()) {
+      NoteState(aKey, keyed_state::eAbandoned, {});
+      mFront.mLog.Release(aKey, mAttempt);
+    }
+  }
+
+  void NoteState(const std::string& aKey, keyed_state aState, const http_answer& aAnswer)
+  {
+    if (!aKey.empty()) {
+      mFront.mKeys.Calls().Set(aKey, { mAttempt, aState, aAnswer.mStatus, aAnswer.mBody });
+    }
+  }
+
+  /** @return nothing if the key carries an issue time within the window. */
+  result<void> CheckKey(const std::string& aKey) const
+  {
+    std::int64_t issued = 0;
+    const std::size_t dash = aKey.find('-');
+    if (dash == std::string::npos || !absl::SimpleAtoi(aKey.substr(0, dash), &issued)) {
+      return make_error_code(errc::eKeyMalformed);
+    }
+    // The fold's time bounds this host's clock from below: a claim that the fold has dropped
+    // belongs to a key that is refused here, whatever this host's clock says.
+    const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+    const std::int64_t now = std::max(wall.count(), mFront.mLog.State().TimeMs());
+    const std::int64_t age = now - issued * 1000;
+    if (age > kClaimWindowMs) {
+      return make_error_code(errc::eKeyExpired);
+    }
+    if (age < -kClockSkewMs) {
+      return make_error_code(errc::eKeyMalformed);
+    }
+    return boost::outcome_v2::success();
+  }
+
+  asio::awaitable<void> SendClaimed(std::string aKey)
+  {
+    const result<void> checked = CheckKey(aKey);
+    if (!checked && checked.error() == errc::eKeyExpired) {
+      co_await RespondKeyError(409, checked.error(), call_outcome::eUnknown);
+      co_return;
+    }
+    if (!checked) {
+      co_await RespondKeyError(400, checked.error(), call_outcome::eNotRun);
+      co_return;
+    }
+    const std::string key = ScopedKey(TeamOf(*mExchange), mName, aKey);
+    if (const auto held = mFront.mLog.State().ClaimOf(key)) {
+      co_await RespondFromHolder(key, held->mAttempt);
+      co_return;
+    }
+    const keyed_call* const own = mFront.mKeys.Calls().Find(key);
+    if (own != nullptr && own->mState != keyed_state::eAbandoned) {
+      co_await RespondFromHolder(key, own->mAttempt); // Claimed here; the fold will show it.
+      co_return;
+    }
+    mFront.mKeys.Calls().Set(key, { mAttempt, keyed_state::eRunning, 0, "" });
+    const result<claim> claimed = co_await mFront.mLog.Claim(key, mAttempt, kClaimLimit);
+    if (!claimed) {
+      Abandon(key);
+      co_await RespondError(mExchange,
+                            { 503,
+                              claimed.error(),
+                              "the key can't be claimed now; the call was not sent",
+                              call_outcome::eNotRun,
+                              kKeyRetry });
+      Count(call_outcome::eNotRun);
+      co_return;
+    }
+    if (claimed.value().mAttempt != mAttempt) {
+      co_await RespondFromHolder(key, claimed.value().mAttempt);
+      co_return;
+    }
+    co_await SendOnce(key);
+  }
+
+  /** Answers with what the daemon that holds the key says of its call. */
+  asio::awaitable<void> RespondFromHolder(std::string aKey, attempt_id aHolder)
+  {
+    keyed_call call{ aHolder, keyed_state::eUnknown, 0, "" };
+    if (aHolder.mIncarnation == mFront.mMembers.Self().mIncarnation) {
+      const keyed_call* const own = mFront.mKeys.Calls().Find(aKey);
+      call = own == nullptr ? call : *own;
+    } else if (const member_info* const member = mFront.mMembers.Find(aHolder.mIncarnation)) {
+      const json message{ { "key", aKey } };
+      const result<json> answer =
+        co_await mFront.mPeers.Call(member_info(*member), "claim_status", message, kStatusLimit);
+      call = answer ? KeyedCallFromJson(answer.value()) : call;
+    }
+    switch (call.mState) {
+      case keyed_state::eDone: {
+        header_list headers = OutcomeHeaders(call_outcome::eDone, aHolder);
+        headers.emplace_back("X-Dunehook-Replayed", "1");
+        co_await mExchange->Respond(call.mStatus, call.mBody, headers);
+        Count(call_outcome::eDone);
+        break;
+      }
+      case keyed_state::eAbandoned:
+        co_await RespondKeyError(409, make_error_code(errc::eKeyClaimed), call_outcome::eNotRun);
+        break;
+      case keyed_state::eRunning:
+      case keyed_state::eUnknown:
+        co_await RespondKeyError(409, make_error_code(errc::eKeyClaimed), call_outcome::eUnknown);
+        break;
+    }
+  }
+
+  asio::awaitable<void> RespondKeyError(unsigned aStatus,
+                                        std::error_code aError,
+                                        call_outcome aOutcome)
+  {
+    const bool mayRetry = aError == errc::eKeyClaimed;
+    co_await RespondError(mExchange,
+                          { aStatus,
+                            aError,
+                            mayRetry ? "another call holds this key" : "the key can't be used",
+                            aOutcome,
+                            mayRetry ? duration(kKeyRetry) : duration{ 0 } });
+    Count(aOutcome);
+  }
+
+  asio::awaitable<void> RespondDone(http_answer aAnswer)
+  {
+    header_list headers = OutcomeHeaders(call_outcome::eDone, mAttempt);
+    std::string type = aAnswer.Header("Content-Type");
+    if (type.empty()) {
+      type = "application/octet-stream";
+    }
+    co_await mExchange->Respond(aAnswer.mStatus, std::move(aAnswer.mBody), headers, type);
+    Count(call_outcome::eDone);
+  }
+
+  asio::awaitable<void> RespondFailed(bool aMaybeRun)
+  {
+    const call_outcome outcome = aMaybeRun ? call_outcome::eUnknown : call_outcome::eNotRun;
+    co_await RespondError(
+      mExchange,
+      { aMaybeRun ? 502U : 503U,
+        make_error_code(aMaybeRun ? errc::eConnectionLost : errc::eNoRunner),
+        aMaybeRun ? "the connection ended before the answer" : "no runner took the call",
+        outcome,
+        aMaybeRun ? duration{ 0 } : duration(kNoRunnerRetry) });
+    Count(outcome);
+  }
+
+  void Count(call_outcome aOutcome)
+  {
+    mFront.mMetrics.CountCall("service", std::string(OutcomeName(aOutcome)));
+  }
+
+  front_context& mFront;  ///< The daemon.
+  exchange_ptr mExchange; ///< The caller.
+  route_spec mRoute;      ///< The route as it was when the call came.
+  std::string mName;      ///< Name of the route.
+  attempt_id mAttempt;    ///< Identifies the call; the same for every runner tried.
+  instant mDeadline;      ///< Nothing is sent after this.
+  bool mGivenUp = false;  ///< The caller is gone or the deadline has passed.
+};
+
+} // namespace
+
+asio::awaitable<void>
+ServeService(front_context& aFront, exchange_ptr aExchange, std::string aRoute)
+{
+  const auto* route = aFront.mLog.State().FindSpec<route_spec>(resource_kind::eRoute, aRoute);
+  service_call call(aFront, std::move(aExchange), *route, std::move(aRoute));
+  co_await call.Run();
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/control/cell_owner.cpp
@@ -0,0 +1,379 @@
+/**
+ * @file cell_owner.cpp
+ * The owner role.
+ */
+#include "control/cell_owner.h"
+
+#include "core/log_func.h"
+#include "core/text_func.h"
+
+namespace dunehook {
+
+namespace {
+
+using json = nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr duration kTickEvery = 10ms;    ///< Time limits take effect this late at most.
+constexpr duration kWatchEvery = 250ms;  ///< Time between looks at each engine's holds.
+constexpr duration kEngineLimit = 500ms; ///< Time limit of a call to an engine.
+constexpr duration kOrderLimit = 300ms;  ///< Time limit of an order to a front.
+constexpr duration kStrangerGrace = 1s;  ///< A hold unknown here may be news under way.
+constexpr duration kGiveUpAfter = 2s;    ///< A cell that ranks elsewhere is dropped after this.
+constexpr int kOrderTries = 3;
+constexpr int kCancelTries = 5;
+
+instant
+Now()
+{
+  return steady_clock_source().Now();
+}
+
+} // namespace
+
+std::string
+ToText(const cell_key& aKey)
+{
+  return Join("cell:", aKey.mPrefillPool, "|", aKey.mDecodePool, "|", aKey.mLink);
+}
+
+void
+cell_owner::Start()
+{
+  Spawn(mIo, TickLoop());
+  Spawn(mIo, WatchLoop());
+}
+
+cell_owner::cell_entry&
+cell_owner::CellOf(const cell_key& aKey)
+{
+  std::unique_ptr<cell_entry>& slot = mCells[aKey];
+  if (!slot) {
+    slot = std::make_unique<cell_entry>(cell_settings{}, mMembers.Self().mIncarnation.mValue);
+    slot->mOwnedLast = Now();
+    SyncCell(aKey, *slot);
+    LogEvent(log_level::eInfo, "cell_taken", { { "cell", ToText(aKey) } });
+  }
+  return *slot;
+}
+
+void
+cell_owner::Handle(const cell_key& aKey, const decide_event& aEvent)
+{
+  Carry(CellOf(aKey), aEvent);
+}
+
+void
+cell_owner::Carry(cell_entry& aCell, const decide_event& aEvent)
+{
+  Dispatch(aCell.mCore.Handle(aEvent, Now()));
+}
+
+void
+cell_owner::NoteGone(incarnation_id aIncarnation)
+{
+  for (auto& [key, cell] : mCells) {
+    Carry(*cell, incarnation_gone{ aIncarnation });
+  }
+}
+
+void
+cell_owner::Sync()
+{
+  for (auto& [key, cell] : mCells) {
+    SyncCell(key, *cell);
+  }
+}
+
+void
+cell_owner::SyncCell(const cell_key& aKey, cell_entry& aCell)
+{
+  cell_settings settings;
+  const fold& state = mLog.State();
+  if (const auto* pool = state.FindSpec<pool_spec>(resource_kind::ePool, aKey.mPrefillPool)) {
+    settings.mKvLifetime = std::chrono::milliseconds(pool->mKvLifetimeMs);
+    settings.mKvBytesPerToken = pool->mKvBytesPerToken;
+  }
+  if (const auto* link = state.FindSpec<link_spec>(resource_kind::eLink, aKey.mLink)) {
+    settings.mLink = *link;
+  }
+  if (settings != aCell.mCore.State().mSettings) {
+    Carry(aCell, cell_changed{ settings });
+  }
+  std::set<engine_id> seen;
+  SyncEngines(aCell, aKey.mPrefillPool, seen);
+  SyncEngines(aCell, aKey.mDecodePool, seen);
+  std::vector<engine_id> gone;
+  for (const auto& [id, engine] : aCell.mCore.State().mEngines) {
+    if (!seen.contains(id)) {
+      gone.push_back(id);
+    }
+  }
+  for (const engine_id id : gone) {
+    Carry(aCell, engine_gone{ id });
+  }
+}
+
+void
+cell_owner::SyncEngines(cell_entry& aCell, const std::string& aPool, std::set<engine_id>& aSeen)
+{
+  const auto* pool = mLog.State().FindSpec<pool_spec>(resource_kind::ePool, aPool);
+  if (pool == nullptr) {
+    return;
+  }
+  for (const host& one : mHosts.Hosts()) {
+    if (one.mPool != aPool) {
+      continue;
+    }
+    const engine_info info{ EngineIdOf(one.mName),
+                            one.mName,
+                            pool->mRole,
+                            pool->mSlots,
+                            static_cast<double>(pool->mTokensPerSecond),
+                            one.mLeaving };
+    aSeen.insert(info.mId);
+    const auto& engines = aCell.mCore.State().mEngines;
+    const auto known = engines.find(info.mId);
+    if (known == engines.end() || known->second.mInfo != info) {
+      Carry(aCell, engine_seen{ info });
+    }
+  }
+}
+
+void
+cell_owner::Dispatch(const tick_result& aResult)
+{
+  for (const decision_record& record : aResult.mRecords) {
+    LogEvent(log_level::eInfo, "placement", ToJson(record));
+  }
+  for (const decide_order& order : aResult.mOrders) {
+    addressed_order addressed{ order, {} };
+    if (const host* const engine = mHosts.Find(EngineOf(order))) {
+      addressed.mAddress = engine->mAddress;
+    }
+    Deliver(addressed);
+  }
+}
+
+void
+cell_owner::Deliver(const addressed_order& aOrder)
+{
+  const attempt_id attempt = AttemptOf(aOrder.mOrder);
+  if (std::holds_alternative<cancel_work>(aOrder.mOrder)) {
+    if (aOrder.mAddress.mPort != 0) {
+      Spawn(mIo, CancelAt(aOrder.mAddress, attempt));
+    }
+    return;
+  }
+  if (attempt.mIncarnation != mMembers.Self().mIncarnation) {
+    Spawn(mIo, SendOrder(aOrder));
+    return;
+  }
+  if (attempt_entry* const entry = mAttempts.Find(attempt)) {
+    entry->mDeliver(aOrder);
+  }
+}
+
+asio::awaitable<void>
+cell_owner::SendOrder(addressed_order aOrder)
+{
+  const json message = OrderToJson(aOrder);
+  const incarnation_id front = AttemptOf(aOrder.mOrder).mIncarnation;
+  for (int tries = 0; tries < kOrderTries; ++tries) {
+    const member_info* const member = mMembers.Find(front);
+    if (member == nullptr) {
+      co_return; // Its end frees what it had.
+    }
+    const result<json> answer =
+      co_await mPeers.Call(member_info(*member), "order", message, kOrderLimit);
+    if (answer) {
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<void>
+cell_owner::CancelAt(endpoint aEngine, attempt_id aAttempt)
+{
+  for (int tries = 0; tries < kCancelTries; ++tries) {
+    if (co_await mEngines.Cancel(aEngine, aAttempt, kEngineLimit)) {
+      co_return;
+    }
+    co_await Sleep(kWatchEvery);
+  }
+}
+
+asio::awaitable<void>
+cell_owner::TickLoop()
+{
+  for (;;) {
+    co_await Sleep(kTickEvery);
+    for (auto& [key, cell] : mCells) {
+      Dispatch(cell->mCore.Tick(Now()));
+    }
+  }
+}
+
+void
+cell_owner::DropLostCells()
+{
+  for (auto row = mCells.begin(); row != mCells.end();) {
+    const bool owned =
+      mMembers.OwnerOf(ToText(row->first)).mIncarnation == mMembers.Self().mIncarnation;
+    if (owned) {
+      row->second->mOwnedLast = Now();
+    }
+    if (Now() - row->second->mOwnedLast > kGiveUpAfter) {
+      LogEvent(log_level::eInfo, "cell_dropped", { { "cell", ToText(row->first) } });
+      Add(mPast, row->second->mCore.State().mCounters);
+      row = mCells.erase(row);
+    } else {
+      ++row;
+    }
+  }
+}
+
+asio::awaitable<void>
+cell_owner::WatchLoop()
+{
+  for (;;) {
+    co_await Sleep(kWatchEvery);
+    // A cell whose owner ended is taken over here even before a front asks for it.
+    for (const auto& [key, one] : mLog.State().Resources()) {
+      const auto* const route = std::get_if<route_spec>(&one.mSpec);
+      if (route == nullptr || route->mModel.empty()) {
+        continue;
+      }
+      const cell_key cell{ route->mPrefillPool, route->mDecodePool, route->mLink };
+      if (mMembers.OwnerOf(ToText(cell)).mIncarnation == mMembers.Self().mIncarnation) {
+        CellOf(cell);
+      }
+    }
+    DropLostCells();
+    for (const auto& [key, cell] : mCells) {
+      for (const auto& [id, engine] : cell->mCore.State().mEngines) {
+        Spawn(mIo, WatchEngine(key, id));
+      }
+    }
+  }
+}
+
+asio::awaitable<void>
+cell_owner::WatchEngine(cell_key aKey, engine_id aEngine)
+{
+  const host* const at = mHosts.Find(aEngine);
+  if (at == nullptr) {
+    co_return;
+  }
+  const endpoint address = at->mAddress;
+  const bool prefill = at->mPool == aKey.mPrefillPool;
+  const result<std::vector<engine_hold>> holds = co_await mEngines.Holds(address, kEngineLimit);
+  const auto found = mCells.find(aKey);
+  if (found == mCells.end()) {
+    co_return;
+  }
+  cell_entry& cell = *found->second;
+  if (!holds) {
+    Carry(cell, engine_silent{ aEngine });
+    co_return;
+  }
+  load_reported report{ aEngine, 0, 0 };
+  std::vector<std::pair<attempt_id, duration>> strangers;
+  std::map<std::pair<engine_id, attempt_id>, instant> stillStrange;
+  for (const engine_hold& hold : holds.value()) {
+    report.mHeld += hold.mSlot ? 1 : 0;
+    if (cell.mCore.State().mRequests.contains(hold.mAttempt)) {
+      continue;
+    }
+    report.mForeign += hold.mSlot ? 1 : 0;
+    const auto row = std::make_pair(aEngine, hold.mAttempt);
+    const auto since = cell.mStrangers.try_emplace(row, Now()).first->second;
+    stillStrange[row] = since;
+    strangers.emplace_back(hold.mAttempt, Now() - since);
+  }
+  std::erase_if(cell.mStrangers, [&](const auto& aRow) {
+    return aRow.first.first == aEngine && !stillStrange.contains(aRow.first);
+  });
+  Carry(cell, report);
+  for (const auto& [attempt, age] : strangers) {
+    if (co_await IsAbandoned(attempt, age)) {
+      LogEvent(log_level::eWarning,
+               "hold_freed",
+               { { "attempt", ToText(attempt) }, { "engine", ToText(address) } });
+      co_await CancelAt(address, attempt);
+    }
+  }
+  if (prefill) {
+    co_await ReadCacheEvents(aKey, aEngine, address);
+  }
+}
+
+asio::awaitable<bool>
+cell_owner::IsAbandoned(attempt_id aAttempt, duration aAge)
+{
+  if (mMembers.IsKnownGone(aAttempt.mIncarnation)) {
+    co_return true;
+  }
+  if (aAge < kStrangerGrace) {
+    co_return false;
+  }
+  if (aAttempt.mIncarnation == mMembers.Self().mIncarnation) {
+    co_return mAttempts.Find(aAttempt) == nullptr;
+  }
+  const member_info* const front = mMembers.Find(aAttempt.mIncarnation);
+  if (front == nullptr) {
+    co_return true;
+  }
+  const json message{ { "attempt", ToText(aAttempt) } };
+  const result<json> answer =
+    co_await mPeers.Call(member_info(*front), "attempt_active", message, kOrderLimit);
+  co_return answer && !answer.value().value("active", true);
+}
+
+asio::awaitable<void>
+cell_owner::ReadCacheEvents(cell_key aKey, engine_id aEngine, endpoint aAddress)
+{
+  const auto before = mCells.find(aKey);
+  if (before == mCells.end()) {
+    co_return;
+  }
+  const std::uint64_t from = before->second->mCacheNext[aEngine];
+  const result<json> events =
+    co_await mEngines.Get(aAddress, Join("/v1/cache_events?from=", from), kEngineLimit);
+  const auto found = mCells.find(aKey);
+  if (!events || found == mCells.end()) {
+    co_return;
+  }
+  for (const json& event : events.value().value("events", json::array())) {
+    Carry(*found->second,
+          cache_changed{
+            aEngine, event.value("hash", std::uint64_t{ 0 }), event.value("present", false) });
+  }
+  found->second->mCacheNext[aEngine] = events.value().value("next", from);
+}
+
+void
+cell_owner::Add(cell_counters& aTo, const cell_counters& aFrom)
+{
+  aTo.mArrived += aFrom.mArrived;
+  aTo.mAdmitted += aFrom.mAdmitted;
+  aTo.mRefused += aFrom.mRefused;
+  aTo.mRequeued += aFrom.mRequeued;
+  aTo.mFinished += aFrom.mFinished;
+  aTo.mCancelled += aFrom.mCancelled;
+  aTo.mPrefillTokens += aFrom.mPrefillTokens;
+  aTo.mWastedTokens += aFrom.mWastedTokens;
+  aTo.mCancelledTokens += aFrom.mCancelledTokens;
+}
+
+cell_counters
+cell_owner::Totals() const
+{
+  cell_counters totals = mPast;
+  for (const auto& [key, cell] : mCells) {
+    Add(totals, cell->mCore.State().mCounters);
+  }
+  return totals;
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/control/cell_owner.h
@@ -0,0 +1,97 @@
+/**
+ * @file cell_owner.h
+ * The owner role: runs the decision cores of the cells that this daemon owns, gives their orders
+ * to the fronts, and frees what engines hold for attempts that nobody waits for.
+ * Ownership is a hint: an engine's own refusal is the truth, so two owners for a moment cost
+ * refusals, never a wrong answer.
+ */
+#pragma once
+
+#include "control/attempt_registry.h"
+#include "control/host_directory.h"
+#include "control/log_follower.h"
+#include "decide/placement_core.h"
+#include "runners/engine_client.h"
+
+#include <map>
+#include <memory>
+
+namespace dunehook {
+
+/** Owner of cells. */
+class cell_owner
+{
+public:
+  cell_owner(asio::io_context& aIo,
+             const log_follower& aLog,
+             const host_directory& aHosts,
+             const member_table& aMembers,
+             peer_directory& aPeers,
+             engine_client& aEngines,
+             attempt_registry& aAttempts)
+    : mIo(aIo)
+    , mLog(aLog)
+    , mHosts(aHosts)
+    , mMembers(aMembers)
+    , mPeers(aPeers)
+    , mEngines(aEngines)
+    , mAttempts(aAttempts)
+  {
+  }
+
+  /** Starts ticking and watching engines. */
+  void Start();
+  /** Takes an event of a front. */
+  void Handle(const cell_key& aKey, const decide_event& aEvent);
+  /** Frees what a daemon run that ended had under way. */
+  void NoteGone(incarnation_id aIncarnation);
+  /** Brings every cell in line with the configuration and the host list. */
+  void Sync();
+  /** @return totals over the owned cells, those given up included. */
+  cell_counters Totals() const;
+  std::size_t CellCount() const { return mCells.size(); }
+
+private:
+  using core_type = placement_core<cost_chooser>;
+  /** An owned cell. */
+  struct cell_entry
+  {
+    explicit cell_entry(const cell_settings& aSettings, std::uint64_t aSeed)
+      : mCore(aSettings, aSeed)
+    {
+    }
+    core_type mCore;         ///< Decides.
+    instant mOwnedLast{ 0 }; ///< When this daemon last ranked first for the cell.
+    /** Holds at engines that the core doesn't know, with when they were first seen. */
+    std::map<std::pair<engine_id, attempt_id>, instant> mStrangers;
+    std::map<engine_id, std::uint64_t> mCacheNext; ///< Next cache event wanted, by engine.
+  };
+
+  cell_entry& CellOf(const cell_key& aKey);
+  void SyncCell(const cell_key& aKey, cell_entry& aCell);
+  void SyncEngines(cell_entry& aCell, const std::string& aPool, std::set<engine_id>& aSeen);
+  void Carry(cell_entry& aCell, const decide_event& aEvent);
+  void Dispatch(const tick_result& aResult);
+  void Deliver(const addressed_order& aOrder);
+  asio::awaitable<void> SendOrder(addressed_order aOrder);
+  asio::awaitable<void> CancelAt(endpoint aEngine, attempt_id aAttempt);
+  asio::awaitable<void> TickLoop();
+  asio::awaitable<void> WatchLoop();
+  asio::awaitable<void> WatchEngine(cell_key aKey, engine_id aEngine);
+  asio::awaitable<void> ReadCacheEvents(cell_key aKey, engine_id aEngine, endpoint aAddress);
+  asio::awaitable<bool> IsAbandoned(attempt_id aAttempt, duration aAge);
+  void DropLostCells();
+  static void Add(cell_counters& aTo, const cell_counters& aFrom);
+
+  asio::io_context& mIo;                                  ///< Runs the loops.
+  const log_follower& mLog;                               ///< Configuration in force.
+  const host_directory& mHosts;                           ///< Runners.
+  const member_table& mMembers;                           ///< Daemons.
+  peer_directory& mPeers;                                 ///< Carries orders.
+  engine_client& mEngines;                                ///< Carries cancels.
+  attempt_registry& mAttempts;                            ///< Attempts of this daemon.
+  std::map<cell_key, std::unique_ptr<cell_entry>> mCells; ///< Owned cells.
+  cell_counters mPast;                                    ///< Totals of cells given up.
+};
+
+} // namespace dunehook
--- /dev/null
+++ b/src/control/log_follower.cpp
@@ -0,0 +1,383 @@
+/**
+ * @file log_follower.cpp
+ * Following, relaying, appending and snapshots.
+ */
+#include "control/log_follower.h"
+
+#include "core/hash_func.h"
+#include "core/log_func.h"
+#include "core/text_func.h"
+
+#include <algorithm>
+
+namespace dunehook {
+
+namespace {
+
+using json = nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr duration kReadWait = 1s;         ///< How long a read waits for news.
+constexpr duration kRetryPause = 150ms;    ///< Pause after a failed read.
+constexpr duration kRelayPause = 100ms;    ///< Time between looks at who is ahead.
+constexpr duration kAmbiguousWait = 400ms; ///< Wait for a record whose answer was lost.
+constexpr duration kBatchTime = 5ms;       ///< How long a batch gathers records.
+constexpr duration kPeerLimit = 500ms;     ///< Time limit of a relay call.
+constexpr duration kSnapshotPause = 250ms; ///< Spread of snapshot writers, by rank.
+constexpr duration kLongWait = 1h;
+constexpr std::size_t kRelayRecords = 256; ///< Records of one relay call.
+constexpr std::size_t kMaxBatchRecords = 256;
+constexpr std::size_t kMaxBatchBytes = std::size_t{ 512 } << 10U;
+constexpr std::size_t kSnapshotPartBytes = std::size_t{ 256 } << 10U;
+constexpr double kAppendBurst = 5.0;
+
+template<typename Command>
+std::string
+WriteIdOf(const Command& aCommand)
+{
+  if constexpr (requires { aCommand.mWriteId; }) {
+    return aCommand.mWriteId;
+  } else {
+    return {};
+  }
+}
+
+std::vector<log_record>
+ParseRecords(const json& aMessage)
+{
+  std::vector<log_record> records;
+  for (const json& row : aMessage.at("records")) {
+    records.push_back({ row.at(0).get<std::uint64_t>(),
+                        row.at(1).get<std::int64_t>(),
+                        row.at(2).get<std::string>() });
+  }
+  return records;
+}
+
+} // namespace
+
+log_follower::log_follower(asio::io_context& aIo,
+                           endpoint aLog,
+                           const follower_settings& aSettings,
+                           member_table& aMembers,
+                           peer_directory& aPeers)
+  : mIo(aIo)
+  , mLog(std::move(aLog))
+  , mSettings(aSettings)
+  , mMembers(aMembers)
+  , mPeers(aPeers)
+  , mChanged(aIo)
+  , mBatch(std::make_shared<append_batch>(aIo))
+  , mBatchReady(aIo)
+  , mAppendShare(aSettings.mAppendsPerSecond, kAppendBurst)
+{
+}
+
+void
+log_follower::Start()
+{
+  Spawn(mIo, ReadLoop());
+  Spawn(mIo, RelayLoop());
+  Spawn(mIo, AppendLoop());
+  Spawn(mIo, SnapshotLoop());
+}
+
+asio::awaitable<void>
+log_follower::ReadLoop()
+{
+  for (;;) {
+    const result<log_batch> batch = co_await mLog.Read(mFold.Next(), kReadWait);
+    if (batch) {
+      mLogReachable = true;
+      ApplyAll(batch.value().mRecords);
+      mLogHeadReached = mLogHeadReached || mFold.Next() >= batch.value().mNext;
+      NoteProgress();
+      continue;
+    }
+    if (batch.error() == errc::eRetentionPassed && co_await LoadSnapshotFromLog()) {
+      continue;
+    }
+    mLogReachable = false;
+    NoteProgress();
+    co_await Sleep(kRetryPause);
+  }
+}
+
+asio::awaitable<bool>
+log_follower::LoadSnapshotFromLog()
+{
+  // Offset 0 stands for the oldest record kept.
+  snapshot_reader reader;
+  std::uint64_t from = 0;
+  for (;;) {
+    const result<log_batch> batch = co_await mLog.Read(from, 0s);
+    if (!batch || batch.value().mRecords.empty()) {
+      co_return false;
+    }
+    for (const log_record& record : batch.value().mRecords) {
+      std::optional<fold> loaded = reader.Take(record);
+      if (loaded && loaded->Next() >= batch.value().mFirst) {
+        Adopt(std::move(*loaded));
+        co_return true;
+      }
+    }
+    from = batch.value().mRecords.back().mOffset + 1;
+  }
+}
+
+void
+log_follower::Adopt(fold aFold)
+{
+  if (aFold.Next() <= mFold.Next()) {
+    return; // Never back: what is in force stays in force.
+  }
+  LogEvent(log_level::eInfo, "snapshot_loaded", { { "next", aFold.Next() } });
+  mFold = std::move(aFold);
+  mKept.clear();
+  mChanged.Notify();
+  if (mOnApplied) {
+    mOnApplied();
+  }
+}
+
+void
+log_follower::ApplyAll(const std::vector<log_record>& aRecords)
+{
+  bool applied = false;
+  for (const log_record& record : aRecords) {
+    if (record.mOffset != mFold.Next()) {
+      continue; // Folded already, by way of another daemon.
+    }
+    mFold.Apply(record);
+    mKept.push_back(record);
+    applied = true;
+  }
+  while (mKept.size() > kMaxKept) {
+    mKept.pop_front();
+  }
+  if (applied) {
+    mChanged.Notify();
+    if (mOnApplied) {
+      mOnApplied();
+    }
+  }
+}
+
+void
+log_follower::NoteProgress()
+{
+  const bool reachedPeers = mFold.Next() >= mMembers.HighestNext();
+  const bool knowsEnd =
+    mLogHeadReached || (!mLogReachable && !mMembers.Others().empty() && mFold.Next() > 1);
+  mCaughtUp = mCaughtUp || (reachedPeers && knowsEnd);
+}
+
+asio::awaitable<void>
+log_follower::RelayLoop()
+{
+  for (;;) {
+    co_await Sleep(kRelayPause);
+    const std::uint64_t before = mFold.Next();
+    if (mMembers.HighestNext() <= before) {
+      continue;
+    }
+    co_await Sleep(kRelayPause); // The log itself may be about to bring the records.
+    if (mFold.Next() != before) {
+      continue;
+    }
+    const member_info* ahead = nullptr;
+    for (const auto& [incarnation, entry] : mMembers.Others()) {
+      if (entry.mInfo.mNext > before && (ahead == nullptr || entry.mInfo.mNext > ahead->mNext)) {
+        ahead = &entry.mInfo;
+      }
+    }
+    if (ahead != nullptr) {
+      co_await FetchFromPeer(member_info(*ahead));
+      NoteProgress();
+    }
+  }
+}
+
+asio::awaitable<void>
+log_follower::FetchFromPeer(const member_info& aPeer)
+{
+  const json message{ { "from", mFold.Next() }, { "most", kRelayRecords } };
+  const result<json> answer = co_await mPeers.Call(aPeer, "records", message, kPeerLimit);
+  if (!answer) {
+    co_return;
+  }
+  if (!answer.value().contains("records")) {
+    co_await FetchSnapshotFromPeer(aPeer);
+    co_return;
+  }
+  ApplyAll(ParseRecords(answer.value()));
+}
+
+asio::awaitable<void>
+log_follower::FetchSnapshotFromPeer(const member_info& aPeer)
+{
+  constexpr duration kSnapshotLimit = 5s;
+  const result<json> answer =
+    co_await mPeers.Call(aPeer, "snapshot", json::object(), kSnapshotLimit);
+  if (!answer || !answer.value().contains("entries")) {
+    co_return;
+  }
+  result<fold> loaded =
+    fold::FromSnapshot(answer.value().at("at").get<std::uint64_t>(),
+                       answer.value().at("entries").get<std::vector<std::string>>());
+  if (loaded) {
+    Adopt(std::move(loaded.value()));
+  }
+}
+
+result<std::vector<log_record>>
+log_follower::Records(std::uint64_t aFrom, std::size_t aMost) const
+{
+  std::vector<log_record> records;
+  if (aFrom >= mFold.Next()) {
+    return records;
+  }
+  if (mKept.empty() || aFrom < mKept.front().mOffset) {
+    return make_error_code(errc::eRetentionPassed);
+  }
+  const std::size_t skip = aFrom - mKept.front().mOffset;
+  for (std::size_t index = skip; index < mKept.size() && records.size() < aMost; ++index) {
+    records.push_back(mKept[index]);
+  }
+  return records;
+}
+
+asio::awaitable<result<std::uint64_t>>
+log_follower::Append(const command& aCommand)
+{
+  const std::shared_ptr<append_batch> batch = mBatch;
+  batch->mRecords.push_back(EncodeCommand(aCommand));
+  batch->mBytes += batch->mRecords.back().size();
+  const std::size_t index = batch->mRecords.size() - 1;
+  mBatchReady.Notify();
+  if (batch->mRecords.size() >= kMaxBatchRecords || batch->mBytes >= kMaxBatchBytes) {
+    mBatch = std::make_shared<append_batch>(mIo);
+  }
+  while (!batch->mResult) {
+    co_await batch->mDone.Wait(kLongWait);
+  }
+  if (!*batch->mResult) {
+    co_return *batch->mResult;
+  }
+  co_return batch->mResult->value() + index;
+}
+
+asio::awaitable<void>
+log_follower::AppendLoop()
+{
+  for (;;) {
+    if (mBatch->mRecords.empty()) {
+      co_await mBatchReady.Wait(kLongWait);
+      continue;
+    }
+    co_await Sleep(kBatchTime);
+    const instant now = steady_clock_source().Now();
+    if (!mAppendShare.Take(now)) {
+      co_await Sleep(mAppendShare.WaitFor(now));
+      continue;
+    }
+    const std::shared_ptr<append_batch> batch =
+      std::exchange(mBatch, std::make_shared<append_batch>(mIo));
+    batch->mResult = co_await mLog.Append(batch->mRecords);
+    batch->mDone.Notify();
+  }
+}
+
+template<typename Probe>
+asio::awaitable<result<void>>
+log_follower::AppendUntil(command aCommand, duration aLimit, Probe aProbe)
+{
+  const steady_clock_source clock;
+  const instant deadline = clock.Now() + aLimit;
+  bool ambiguous = false;
+  while (clock.Now() < deadline) {
+    const result<std::uint64_t> appended = co_await Append(aCommand);
+    if (!appended && appended.error() == errc::eLogUnavailable && !ambiguous) {
+      co_return make_error_code(errc::eLogUnavailable);
+    }
+    ambiguous = true;
+    // A repeat of the append folds once, so it's safe whatever became of the last one.
+    const instant until = appended ? deadline : std::min(deadline, clock.Now() + kAmbiguousWait);
+    while (!aProbe() && clock.Now() < until) {
+      co_await mChanged.Wait(until - clock.Now());
+    }
+    if (aProbe()) {
+      co_return boost::outcome_v2::success();
+    }
+  }
+  co_return make_error_code(errc::eLogAmbiguous);
+}
+
+asio::awaitable<result<write_outcome>>
+log_follower::Write(command aCommand, duration aLimit)
+{
+  const std::string writeId =
+    std::visit([](const auto& aOne) { return WriteIdOf(aOne); }, aCommand);
+  const auto seen = [this, writeId] { return mFold.OutcomeOf(writeId).has_value(); };
+  BOOST_OUTCOME_CO_TRY(co_await AppendUntil(std::move(aCommand), aLimit, seen));
+  co_return *mFold.OutcomeOf(writeId);
+}
+
+asio::awaitable<result<claim>>
+log_follower::Claim(std::string aKey, attempt_id aAttempt, duration aLimit)
+{
+  const auto seen = [this, aKey] { return mFold.ClaimOf(aKey).has_value(); };
+  if (!seen()) {
+    const claim_command wanted{ aKey, aAttempt };
+    BOOST_OUTCOME_CO_TRY(co_await AppendUntil(wanted, aLimit, seen));
+  }
+  co_return *mFold.ClaimOf(aKey);
+}
+
+asio::awaitable<void>
+log_follower::AppendLater(command aCommand)
+{
+  co_await Append(aCommand);
+}
+
+void
+log_follower::Release(const std::string& aKey, attempt_id aAttempt)
+{
+  Spawn(mIo, AppendLater(release_command{ aKey, aAttempt }));
+}
+
+asio::awaitable<void>
+log_follower::SnapshotLoop()
+{
+  for (;;) {
+    co_await mChanged.Wait(kLongWait);
+    const std::uint64_t covered = mFold.LastSnapshot();
+    const auto due = [this] {
+      return mFold.Next() > mFold.LastSnapshot() + mSettings.mSnapshotEvery;
+    };
+    if (!due() || !mLogReachable) {
+      continue;
+    }
+    // Any daemon may write it; the rank spreads them so that one usually does.
+    const std::string key = Join("snapshot:", covered);
+    const std::uint64_t own = RendezvousRank(key, mMembers.Self().mIncarnation.mValue);
+    std::int64_t ahead = 0;
+    for (const auto& [incarnation, entry] : mMembers.Others()) {
+      ahead += RendezvousRank(key, incarnation.mValue) > own ? 1 : 0;
+    }
+    co_await Sleep(kSnapshotPause * ahead);
+    if (!due()) {
+      continue;
+    }
+    const std::uint64_t at = mFold.Next() - 1;
+    const auto parts = SplitSnapshot(at, mFold.SnapshotEntries(), kSnapshotPartBytes);
+    LogEvent(log_level::eInfo, "snapshot_written", { { "at", at }, { "parts", parts.size() } });
+    for (const command& part : parts) {
+      if (!co_await Append(part)) {
+        break; // The next change tries again.
+      }
+    }
+  }
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/control/model_keeper.h
@@ -0,0 +1,48 @@
+/**
+ * @file model_keeper.h
+ * Orders runners to load the model versions that the configuration names. The fence of an order
+ * is the offset of the resource that it follows from, so a daemon that is behind can't undo a
+ * newer order at runners that check. One runner of a pool loads at a time: the weight store's
+ * rate is limited, and the others go on serving.
+ */
+#pragma once
+
+#include "control/host_directory.h"
+#include "control/log_follower.h"
+#include "runners/engine_client.h"
+
+namespace dunehook {
+
+/** Keeper of the pools that this daemon owns by rank. */
+class model_keeper
+{
+public:
+  model_keeper(asio::io_context& aIo,
+               const log_follower& aLog,
+               const host_directory& aHosts,
+               const member_table& aMembers,
+               engine_client& aEngines)
+    : mIo(aIo)
+    , mLog(aLog)
+    , mHosts(aHosts)
+    , mMembers(aMembers)
+    , mEngines(aEngines)
+  {
+  }
+
+  /** Starts keeping. */
+  void Start() { Spawn(mIo, KeepLoop()); }
+
+private:
+  asio::awaitable<void> KeepLoop();
+  asio::awaitable<void> KeepPool(resource aResource);
+  asio::awaitable<bool> KeepRunner(host aHost, resource aResource);
+
+  asio::io_context& mIo;        ///< Runs the loop.
+  const log_follower& mLog;     ///< Configuration.
+  const host_directory& mHosts; ///< Runners.
+  const member_table& mMembers; ///< Says who owns a pool.
+  engine_client& mEngines;      ///< Carries orders.
+};
+
+} // namespace dunehook
--- /dev/null
+++ b/src/control/owner_router.cpp
@@ -0,0 +1,78 @@
+/**
+ * @file owner_router.cpp
+ * The front's side of ownership.
+ */
+#include "control/owner_router.h"
+
+namespace dunehook {
+
+namespace {
+
+using json = nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr duration kEventLimit = 250ms; ///< Time limit of an event to an owner.
+constexpr duration kWatchEvery = 150ms; ///< Time between looks for changes of owners.
+constexpr int kTries = 4;               ///< Owners tried for one event.
+
+} // namespace
+
+asio::awaitable<result<void>>
+owner_router::Send(cell_key aKey, decide_event aEvent)
+{
+  const attempt_id attempt = AttemptOf(aEvent);
+  for (int tries = 0; tries < kTries; ++tries) {
+    const member_info owner = mMembers.OwnerOf(ToText(aKey));
+    if (attempt_entry* const entry = mAttempts.Find(attempt)) {
+      entry->mOwner = owner.mIncarnation;
+    }
+    if (owner.mIncarnation == mMembers.Self().mIncarnation) {
+      mOwner.Handle(aKey, aEvent);
+      co_return boost::outcome_v2::success();
+    }
+    const json message{ { "prefill", aKey.mPrefillPool },
+                        { "decode", aKey.mDecodePool },
+                        { "link", aKey.mLink },
+                        { "event", EventToJson(aEvent) } };
+    if (co_await mPeers.Call(owner, "event", message, kEventLimit)) {
+      co_return boost::outcome_v2::success();
+    }
+  }
+  co_return make_error_code(errc::eNoRunner);
+}
+
+asio::awaitable<void>
+owner_router::WatchLoop()
+{
+  for (;;) {
+    co_await Sleep(kWatchEvery);
+    std::vector<attempt_id> moved;
+    for (const auto& [attempt, entry] : mAttempts.Entries()) {
+      const incarnation_id owner = mMembers.OwnerOf(ToText(entry.mCell)).mIncarnation;
+      if (entry.mOwner && owner != entry.mOwner) {
+        moved.push_back(attempt);
+      }
+    }
+    for (const attempt_id& attempt : moved) {
+      co_await Reintroduce(attempt);
+    }
+  }
+}
+
+asio::awaitable<void>
+owner_router::Reintroduce(attempt_id aAttempt)
+{
+  const attempt_entry* const entry = mAttempts.Find(aAttempt);
+  if (entry == nullptr) {
+    co_return;
+  }
+  const cell_key cell = entry->mCell;
+  if (entry->mStage == request_stage::eWaiting) {
+    co_await Send(cell, entry->mRequest);
+    co_return;
+  }
+  const request_adopted adopted{ entry->mRequest, entry->mStage, entry->mPrefill, entry->mDecode };
+  co_await Send(cell, adopted);
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/decide/decide_type.h
@@ -0,0 +1,82 @@
+/**
+ * @file decide_type.h
+ * Ids, settings and switches of the decision core. The core is pure: no I/O, no clock, seeded
+ * random numbers; the same events at the same instants give the same orders.
+ */
+#pragma once
+
+#include "core/attempt_type.h"
+#include "core/clock_type.h"
+#include "resources/resource_type.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace dunehook {
+
+struct engine_tag;
+/** A runner, by the hash of its name. */
+using engine_id = strong_id<engine_tag>;
+
+/** A prefix of a prompt. */
+struct prefix_block
+{
+  std::uint64_t mHash = 0;   ///< Hash of the prompt up to the end of the block.
+  std::uint32_t mTokens = 0; ///< Prompt tokens up to the end of the block.
+
+  auto operator<=>(const prefix_block&) const = default;
+};
+
+/** Mechanisms of placement that the bench can switch off one at a time. */
+struct placement_switches
+{
+  bool mDecodePromise = true;    ///< Prefill starts only with a decode slot expected at its end.
+  bool mPrefixAffinity = true;   ///< Prefer the engine that holds the prompt's prefix.
+  bool mChunkedTransfers = true; ///< Large transfers go in pieces.
+  bool mAdmission = true;        ///< Refuse at once what can't be on time.
+  bool mRetryBudget = true;      ///< Bound repeats by a share of the admitted requests.
+  bool mAging = true;            ///< Long waits go before every rank.
+
+  auto operator<=>(const placement_switches&) const = default;
+};
+
+/** Settings of one cell, from its route, pools and link. */
+struct cell_settings
+{
+  duration mKvLifetime = std::chrono::milliseconds(800); ///< Lifetime of a prefill result.
+  std::uint64_t mKvBytesPerToken = 131072;               ///< Size of a prefill result.
+  link_spec mLink;                                       ///< Link between the two pools.
+  placement_switches mSwitches;                          ///< Mechanisms in use.
+
+  auto operator<=>(const cell_settings&) const = default;
+};
+
+/** What the core knows of a runner from the configuration and the host list. */
+struct engine_info
+{
+  engine_id mId;                             ///< Its id.
+  std::string mName;                         ///< Its name, for records.
+  runner_role mRole = runner_role::ePrefill; ///< Prefill or decode.
+  std::uint32_t mSlots = 20;                 ///< Requests held at once; decode only.
+  double mTokensPerSecond = 8000.0;          ///< Prompt tokens read a second; prefill only.
+  bool mLeaving = false;                     ///< Takes no new work.
+
+  auto operator<=>(const engine_info&) const = default;
+};
+
+/** How far a request has come. */
+enum class request_stage
+{
+  eWaiting,      ///< In the queue; no work was done.
+  ePrefilling,   ///< A prefill engine reads the prompt.
+  eReady,        ///< The prefill result waits for a decode slot.
+  eTransferring, ///< A decode slot is held; the result is on its way.
+  eDecoding,     ///< Tokens are generated.
+};
+
+/** @return the stage's name in records. */
+std::string_view
+StageName(request_stage aStage);
+
+} // namespace dunehook
--- /dev/null
+++ b/src/decide/event_type.h
@@ -0,0 +1,158 @@
+/**
+ * @file event_type.h
+ * What the decision core is told. Every change of its tables comes from one of these.
+ */
+#pragma once
+
+#include "decide/decide_type.h"
+
+#include <variant>
+
+namespace dunehook {
+
+/** A request to place. */
+struct request_arrived
+{
+  attempt_id mAttempt;               ///< Identifies the request in the core.
+  std::string mClass;                ///< Name of its priority class.
+  priority_class_spec mTargets;      ///< The class's targets.
+  std::uint32_t mPromptTokens = 0;   ///< Length of the prompt.
+  std::uint32_t mMaxTokens = 0;      ///< Most tokens of the answer; 0 if unknown.
+  std::vector<prefix_block> mBlocks; ///< Prefixes of the prompt, shortest first.
+
+  auto operator<=>(const request_arrived&) const = default;
+};
+
+/** A request that another owner placed, told to the owner that follows it. */
+struct request_adopted
+{
+  request_arrived mRequest;                       ///< The request.
+  request_stage mStage = request_stage::eWaiting; ///< How far it has come.
+  engine_id mPrefill;                             ///< Prefill engine, if any.
+  engine_id mDecode;                              ///< Decode engine, if any.
+
+  auto operator<=>(const request_adopted&) const = default;
+};
+
+/** The prefill engine has read the prompt. */
+struct prefill_finished
+{
+  attempt_id mAttempt;             ///< The request.
+  std::uint64_t mKvBytes = 0;      ///< Size of the result.
+  std::uint32_t mCachedTokens = 0; ///< Prompt tokens found in the engine's cache.
+
+  auto operator<=>(const prefill_finished&) const = default;
+};
+
+/** A piece of a transfer has arrived. */
+struct chunk_finished
+{
+  attempt_id mAttempt; ///< The request.
+
+  auto operator<=>(const chunk_finished&) const = default;
+};
+
+/** The last token was sent. */
+struct stream_finished
+{
+  attempt_id mAttempt;       ///< The request.
+  std::uint32_t mTokens = 0; ///< Tokens generated.
+
+  auto operator<=>(const stream_finished&) const = default;
+};
+
+/** A step of a request failed at an engine. */
+struct work_failed
+{
+  attempt_id mAttempt;   ///< The request.
+  engine_id mEngine;     ///< Where it failed.
+  bool mRefused = false; ///< The engine answered that it takes no work now.
+  bool mKvLost = false;  ///< The prefill result is gone.
+
+  auto operator<=>(const work_failed&) const = default;
+};
+
+/** The caller is gone, or the front ended the request. */
+struct request_cancelled
+{
+  attempt_id mAttempt; ///< The request.
+
+  auto operator<=>(const request_cancelled&) const = default;
+};
+
+/** A runner is in the host list, or what is known of it changed. */
+struct engine_seen
+{
+  engine_info mInfo; ///< What is known.
+
+  auto operator<=>(const engine_seen&) const = default;
+};
+
+/** A runner is no longer in the host list. */
+struct engine_gone
+{
+  engine_id mEngine; ///< The runner.
+
+  auto operator<=>(const engine_gone&) const = default;
+};
+
+/** An engine can't be reached. */
+struct engine_silent
+{
+  engine_id mEngine; ///< The runner.
+
+  auto operator<=>(const engine_silent&) const = default;
+};
+
+/** An engine's report of its load; it lags. */
+struct load_reported
+{
+  engine_id mEngine;          ///< The engine.
+  std::uint32_t mHeld = 0;    ///< Slots held by anybody.
+  std::uint32_t mForeign = 0; ///< Slots held by requests that this core doesn't know.
+
+  auto operator<=>(const load_reported&) const = default;
+};
+
+/** An engine's cache took or dropped a prefix; late, and some reports never come. */
+struct cache_changed
+{
+  engine_id mEngine;       ///< The engine.
+  std::uint64_t mHash = 0; ///< The prefix.
+  bool mPresent = false;   ///< Whether it's there now.
+
+  auto operator<=>(const cache_changed&) const = default;
+};
+
+/** A daemon run has ended; nobody waits for its requests. */
+struct incarnation_gone
+{
+  incarnation_id mIncarnation; ///< The run.
+
+  auto operator<=>(const incarnation_gone&) const = default;
+};
+
+/** The cell's settings changed. */
+struct cell_changed
+{
+  cell_settings mSettings; ///< The new settings.
+
+  auto operator<=>(const cell_changed&) const = default;
+};
+
+using decide_event = std::variant<request_arrived,
+                                  request_adopted,
+                                  prefill_finished,
+                                  chunk_finished,
+                                  stream_finished,
+                                  work_failed,
+                                  request_cancelled,
+                                  engine_seen,
+                                  engine_gone,
+                                  engine_silent,
+                                  load_reported,
+                                  cache_changed,
+                                  incarnation_gone,
+                                  cell_changed>;
+
+} // namespace dunehook
--- /dev/null
+++ b/src/decide/prefix_index.cpp
@@ -0,0 +1,80 @@
+/**
+ * @file prefix_index.cpp
+ * The prefix hints.
+ */
+#include "decide/prefix_index.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dunehook {
+
+namespace {
+
+constexpr double kConfidenceDecaySeconds = 60.0; ///< Confidence falls to 1/e in this time.
+
+} // namespace
+
+void
+prefix_index::NotePresent(engine_id aEngine, std::uint64_t aHash, instant aNow)
+{
+  engine_hints& hints = mByEngine[aEngine];
+  const bool fresh = hints.mSeen.insert_or_assign(aHash, aNow).second;
+  if (!fresh) {
+    return;
+  }
+  hints.mOrder.push_back(aHash);
+  if (hints.mOrder.size() > kMaxPerEngine) {
+    hints.mSeen.erase(hints.mOrder.front());
+    hints.mOrder.pop_front();
+  }
+}
+
+void
+prefix_index::NoteAbsent(engine_id aEngine, std::uint64_t aHash)
+{
+  const auto found = mByEngine.find(aEngine);
+  if (found == mByEngine.end() || found->second.mSeen.erase(aHash) == 0) {
+    return;
+  }
+  std::erase(found->second.mOrder, aHash);
+}
+
+void
+prefix_index::Forget(engine_id aEngine)
+{
+  mByEngine.erase(aEngine);
+}
+
+std::uint32_t
+prefix_index::ExpectedTokens(engine_id aEngine,
+                             const std::vector<prefix_block>& aBlocks,
+                             instant aNow) const
+{
+  const auto found = mByEngine.find(aEngine);
+  if (found == mByEngine.end()) {
+    return 0;
+  }
+  double best = 0.0;
+  for (const prefix_block& block : aBlocks) {
+    const auto seen = found->second.mSeen.find(block.mHash);
+    if (seen == found->second.mSeen.end()) {
+      continue;
+    }
+    const double confidence = std::exp(-ToSeconds(aNow - seen->second) / kConfidenceDecaySeconds);
+    best = std::max(best, confidence * block.mTokens);
+  }
+  return static_cast<std::uint32_t>(best);
+}
+
+std::size_t
+prefix_index::Size() const
+{
+  std::size_t size = 0;
+  for (const auto& [engine, hints] : mByEngine) {
+    size += hints.mSeen.size();
+  }
+  return size;
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/decide/request.cpp
@@ -0,0 +1,128 @@
+/**
+ * @file request.cpp
+ * Steps in the life of a request.
+ */
+#include "decide/request_func.h"
+
+#include "decide/forecast_func.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace dunehook {
+
+void
+Record(tick_result& aOut,
+       const request_entry& aRequest,
+       std::string_view aDecision,
+       std::size_t aCandidates,
+       std::string_view aChosen,
+       std::string_view aReason)
+{
+  aOut.mRecords.push_back({ aRequest.mRequest.mAttempt,
+                            aRequest.mRequest.mClass,
+                            std::string(aDecision),
+                            static_cast<std::uint32_t>(aCandidates),
+                            std::string(aChosen),
+                            std::string(aReason) });
+}
+
+duration
+SpreadRetryAfter(cell_state& aCell, duration aDrain)
+{
+  constexpr duration kShortest = std::chrono::milliseconds(200);
+  const duration base = std::max(aDrain, kShortest);
+  std::uniform_int_distribution<std::int64_t> spread(0, base.count() / 2);
+  return base + duration{ spread(aCell.mRandom) };
+}
+
+void
+ReleaseEngines(cell_state& aCell, request_entry& aRequest)
+{
+  for (const engine_id id : { aRequest.mPrefill, aRequest.mDecode }) {
+    if (engine_entry* const engine = aCell.FindEngine(id)) {
+      engine->mWork.erase(aRequest.mRequest.mAttempt);
+    }
+  }
+  aCell.mChunksUnderWay -= aRequest.mChunksUnderWay;
+  aRequest.mChunksUnderWay = 0;
+}
+
+void
+CountWaste(cell_state& aCell, const request_entry& aRequest)
+{
+  if (aRequest.mStage >= request_stage::eReady) {
+    aCell.mCounters.mWastedTokens += aRequest.mUncachedTokens;
+  }
+}
+
+void
+OrderCancels(const request_entry& aRequest, tick_result& aOut)
+{
+  for (const engine_id id : { aRequest.mPrefill, aRequest.mDecode }) {
+    if (id) {
+      aOut.mOrders.emplace_back(cancel_work{ aRequest.mRequest.mAttempt, id });
+    }
+  }
+}
+
+void
+Refuse(cell_state& aCell, const attempt_id& aAttempt, std::string_view aReason, tick_result& aOut)
+{
+  request_entry& request = *aCell.FindRequest(aAttempt);
+  Record(aOut, request, "refuse", 0, "", aReason);
+  CountWaste(aCell, request);
+  OrderCancels(request, aOut);
+  ReleaseEngines(aCell, request);
+  const duration drain = ForecastWait(aCell, request.mRequest).mWait;
+  aOut.mOrders.emplace_back(
+    refuse_request{ aAttempt, errc::eOverloaded, SpreadRetryAfter(aCell, drain) });
+  ++aCell.mCounters.mRefused;
+  aCell.mRequests.erase(aAttempt);
+}
+
+void
+Requeue(cell_state& aCell, const attempt_id& aAttempt, std::string_view aReason, tick_result& aOut)
+{
+  request_entry& request = *aCell.FindRequest(aAttempt);
+  if (aCell.mSettings.mSwitches.mRetryBudget) {
+    if (aCell.mRetryCredit < 1.0) {
+      Refuse(aCell, aAttempt, "retry budget used up", aOut);
+      return;
+    }
+    aCell.mRetryCredit -= 1.0;
+  }
+  CountWaste(aCell, request);
+  OrderCancels(request, aOut);
+  ReleaseEngines(aCell, request);
+  Record(aOut, request, "requeue", 0, "", aReason);
+  request.mStage = request_stage::eWaiting;
+  request.mPrefill = {};
+  request.mDecode = {};
+  request.mKvBytes = 0;
+  request.mSentBytes = 0;
+  request.mUncachedTokens = request.mRequest.mPromptTokens;
+  ++request.mRepeats;
+  ++aCell.mCounters.mRequeued;
+}
+
+std::vector<attempt_id>
+InOrder(const cell_state& aCell, request_stage aStage)
+{
+  using sort_key = std::tuple<std::int64_t, instant, attempt_id>;
+  std::vector<sort_key> keys;
+  for (const auto& [attempt, request] : aCell.mRequests) {
+    if (request.mStage == aStage) {
+      keys.emplace_back(request.EffectiveRank(), request.mArrived, attempt);
+    }
+  }
+  std::sort(keys.begin(), keys.end());
+  std::vector<attempt_id> ordered;
+  ordered.reserve(keys.size());
+  for (const sort_key& key : keys) {
+    ordered.push_back(std::get<attempt_id>(key));
+  }
+  return ordered;
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/decide/request_func.h
@@ -0,0 +1,60 @@
+/**
+ * @file request_func.h
+ * Steps in the life of a request, shared by the systems: refusing, sending back to the queue,
+ * ending.
+ */
+#pragma once
+
+#include "decide/cell_base.h"
+
+#include <string_view>
+
+namespace dunehook {
+
+/** Repeats granted per admitted request. */
+inline constexpr double kRetryShare = 0.1;
+/** Most repeats saved up. */
+inline constexpr double kMaxRetryCredit = 10.0;
+/** An engine that refused gets no new work for this long. */
+inline constexpr duration kRefusedTime = std::chrono::milliseconds(100);
+/** An engine that failed gets no new work for this long. */
+inline constexpr duration kFailedTime = std::chrono::seconds(1);
+
+/** Adds a decision record. */
+void
+Record(tick_result& aOut,
+       const request_entry& aRequest,
+       std::string_view aDecision,
+       std::size_t aCandidates,
+       std::string_view aChosen,
+       std::string_view aReason);
+
+/** @return when a refused caller may come back: the predicted drain, spread by up to a half. */
+duration
+SpreadRetryAfter(cell_state& aCell, duration aDrain);
+
+/** Removes a request from the engines' tables. */
+void
+ReleaseEngines(cell_state& aCell, request_entry& aRequest);
+
+/** Counts the prompt tokens computed for a request as wasted, if there are any. */
+void
+CountWaste(cell_state& aCell, const request_entry& aRequest);
+
+/** Orders the engines to free what they hold for a request. */
+void
+OrderCancels(const request_entry& aRequest, tick_result& aOut);
+
+/** Refuses a request and removes it. */
+void
+Refuse(cell_state& aCell, const attempt_id& aAttempt, std::string_view aReason, tick_result& aOut);
+
+/** Sends a request back to the queue if the retry budget allows, else refuses it. */
+void
+Requeue(cell_state& aCell, const attempt_id& aAttempt, std::string_view aReason, tick_result& aOut);
+
+/** @return attempts at the given stage, in the order in which they go: rank, then arrival. */
+std::vector<attempt_id>
+InOrder(const cell_state& aCell, request_stage aStage);
+
+} // namespace dunehook
--- /dev/null
+++ b/src/decide/system.cpp
@@ -0,0 +1,158 @@
+/**
+ * @file system.cpp
+ * The systems that don't depend on the chooser.
+ */
+#include "decide/system_func.h"
+
+#include <algorithm>
+
+namespace dunehook {
+
+void
+AgeRequests(cell_state& aCell)
+{
+  if (!aCell.mSettings.mSwitches.mAging) {
+    return;
+  }
+  for (auto& [attempt, request] : aCell.mRequests) {
+    const duration limit = std::chrono::milliseconds(request.mRequest.mTargets.mAgingMs);
+    if (request.mStage == request_stage::eWaiting && aCell.mNow - request.mArrived > limit) {
+      request.mAged = true;
+    }
+  }
+}
+
+void
+ExpireRequests(cell_state& aCell, tick_result& aOut)
+{
+  for (const attempt_id& attempt : InOrder(aCell, request_stage::eWaiting)) {
+    const request_entry& request = *aCell.FindRequest(attempt);
+    const priority_class_spec& targets = request.mRequest.mTargets;
+    const duration needed =
+      TransferTime(aCell, request.mRequest) + std::chrono::milliseconds(targets.mBetweenTokensMs);
+    const duration limit = std::chrono::milliseconds(targets.mFirstTokenMs) - needed;
+    if (aCell.mSettings.mSwitches.mAdmission && aCell.mNow - request.mArrived > limit) {
+      Refuse(aCell, attempt, "first token can't be in time", aOut);
+    }
+  }
+  for (const attempt_id& attempt : InOrder(aCell, request_stage::eReady)) {
+    if (aCell.mNow >= aCell.FindRequest(attempt)->mKvExpires) {
+      Requeue(aCell, attempt, "prefill result lost", aOut);
+    }
+  }
+}
+
+bool
+CanPromiseSlot(const cell_state& aCell, instant aReadyAt)
+{
+  const slot_supply supply = ForecastSlots(aCell);
+  const instant until = aReadyAt + kPromiseSlack;
+  std::uint32_t demand = 1;
+  for (const auto& [attempt, request] : aCell.mRequests) {
+    const bool prefilling =
+      request.mStage == request_stage::ePrefilling && request.mReadyAt <= aReadyAt;
+    if (prefilling || request.mStage == request_stage::eReady) {
+      ++demand;
+    }
+  }
+  const double released = supply.mReleasesPerSecond * ToSeconds(until - aCell.mNow);
+  return demand <= supply.mFree + released;
+}
+
+std::vector<const engine_entry*>
+PrefillCandidates(const cell_state& aCell, const request_entry& aRequest)
+{
+  std::vector<const engine_entry*> candidates;
+  for (const auto& [id, engine] : aCell.mEngines) {
+    if (engine.mInfo.mRole != runner_role::ePrefill || !engine.TakesWork(aCell.mNow)) {
+      continue;
+    }
+    std::size_t sameRank = 0;
+    for (const attempt_id& attempt : engine.mWork) {
+      const auto found = aCell.mRequests.find(attempt);
+      if (found != aCell.mRequests.end() && found->second.mStage == request_stage::ePrefilling &&
+          found->second.mRequest.mTargets.mRank == aRequest.mRequest.mTargets.mRank) {
+        ++sameRank;
+      }
+    }
+    if (sameRank < kPrefillDepth) {
+      candidates.push_back(&engine);
+    }
+  }
+  return candidates;
+}
+
+void
+BeginPrefill(cell_state& aCell,
+             request_entry& aRequest,
+             const engine_entry& aEngine,
+             std::size_t aCandidates,
+             tick_result& aOut)
+{
+  const attempt_id attempt = aRequest.mRequest.mAttempt;
+  aRequest.mUncachedTokens = static_cast<std::uint32_t>(
+    ToSeconds(PrefillTime(aCell, aEngine, aRequest.mRequest)) * aEngine.mInfo.mTokensPerSecond);
+  aRequest.mStage = request_stage::ePrefilling;
+  aRequest.mPrefill = aEngine.mInfo.mId;
+  aCell.FindEngine(aEngine.mInfo.mId)->mWork.insert(attempt);
+  const std::uint32_t priority = aRequest.mAged ? 0 : aRequest.mRequest.mTargets.mRank;
+  aOut.mOrders.emplace_back(start_prefill{ attempt, aEngine.mInfo.mId, priority });
+  Record(aOut,
+         aRequest,
+         "prefill",
+         aCandidates,
+         aEngine.mInfo.mName,
+         aRequest.mUncachedTokens < aRequest.mRequest.mPromptTokens ? "cached prefix"
+                                                                    : "read soonest");
+}
+
+std::vector<const engine_entry*>
+DecodeCandidates(const cell_state& aCell)
+{
+  std::vector<const engine_entry*> candidates;
+  for (const auto& [id, engine] : aCell.mEngines) {
+    if (engine.mInfo.mRole == runner_role::eDecode && engine.TakesWork(aCell.mNow) &&
+        engine.FreeSlots() > 0) {
+      candidates.push_back(&engine);
+    }
+  }
+  return candidates;
+}
+
+void
+BeginTransfer(cell_state& aCell,
+              request_entry& aRequest,
+              const engine_entry& aEngine,
+              std::size_t aCandidates,
+              tick_result& aOut)
+{
+  aRequest.mStage = request_stage::eTransferring;
+  aRequest.mDecode = aEngine.mInfo.mId;
+  aRequest.mSlotSince = aCell.mNow;
+  Record(aOut, aRequest, "decode", aCandidates, aEngine.mInfo.mName, "most free slots");
+  aCell.FindEngine(aEngine.mInfo.mId)->mWork.insert(aRequest.mRequest.mAttempt);
+}
+
+void
+ScheduleLink(cell_state& aCell, tick_result& aOut)
+{
+  const bool chunked = aCell.mSettings.mSwitches.mChunkedTransfers;
+  for (const attempt_id& attempt : InOrder(aCell, request_stage::eTransferring)) {
+    request_entry& request = *aCell.FindRequest(attempt);
+    while (request.mSentBytes < request.mKvBytes) {
+      if (aCell.mChunksUnderWay >= kLinkDepth) {
+        return;
+      }
+      const std::uint64_t left = request.mKvBytes - request.mSentBytes;
+      const std::uint64_t bytes =
+        chunked ? std::min(left, aCell.mSettings.mLink.mChunkBytes) : left;
+      aOut.mOrders.emplace_back(
+        start_chunk{ attempt, request.mDecode, request.mSentBytes, bytes, bytes == left });
+      request.mSentBytes += bytes;
+      ++request.mChunksUnderWay;
+      ++aCell.mChunksUnderWay;
+    }
+  }
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/members/member.cpp
@@ -0,0 +1,281 @@
+/**
+ * @file member.cpp
+ * Heartbeats, failure detection and ownership.
+ */
+#include "members/member_base.h"
+
+#include "core/hash_func.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace dunehook {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::size_t kSignatureBytes = 8;
+constexpr std::size_t kEntryBytes = 90;    ///< About the size of one member in a datagram.
+constexpr std::size_t kMaxDatagram = 1400; ///< Fits one frame.
+constexpr std::size_t kSmallGroup = 8;     ///< Others up to which a heartbeat goes to all.
+
+json
+Encode(const member_info& aInfo)
+{
+  return json::array({ aInfo.mIncarnation.mValue,
+                       aInfo.mName,
+                       aInfo.mHall,
+                       aInfo.mAddress.mAddress,
+                       aInfo.mAddress.mPort,
+                       aInfo.mBeat,
+                       aInfo.mNext,
+                       aInfo.mServing });
+}
+
+member_info
+Decode(const json& aJson)
+{
+  member_info info;
+  info.mIncarnation.mValue = aJson.at(0).get<std::uint64_t>();
+  info.mName = aJson.at(1).get<std::string>();
+  info.mHall = aJson.at(2).get<std::string>();
+  info.mAddress.mAddress = aJson.at(3).get<std::string>();
+  info.mAddress.mPort = aJson.at(4).get<std::uint16_t>();
+  info.mBeat = aJson.at(5).get<std::uint64_t>();
+  info.mNext = aJson.at(6).get<std::uint64_t>();
+  info.mServing = aJson.at(7).get<bool>();
+  return info;
+}
+
+/** Keyed digest of a datagram. It keeps strays and mistakes out; see docs/OPERATIONS.md. */
+std::string
+Sign(std::string_view aData, std::string_view aSecret)
+{
+  std::uint64_t digest = HashBytes(aSecret, HashBytes(aData, HashBytes(aSecret)));
+  std::string signature(kSignatureBytes, '\0');
+  for (char& byte : signature) {
+    byte = static_cast<char>(digest & 0xFFU);
+    digest >>= 8U;
+  }
+  return signature;
+}
+
+} // namespace
+
+void
+member_table::SetSelf(std::uint64_t aNext, bool aServing)
+{
+  mSelf.mNext = std::max(mSelf.mNext, aNext);
+  mSelf.mServing = aServing;
+}
+
+void
+member_table::AddSeed(const endpoint& aAddress)
+{
+  if (aAddress != mSelf.mAddress &&
+      std::find(mSeeds.begin(), mSeeds.end(), aAddress) == mSeeds.end()) {
+    mSeeds.push_back(aAddress);
+  }
+}
+
+std::vector<member_entry*>
+member_table::LeastTold(std::size_t aCount)
+{
+  std::vector<member_entry*> entries;
+  for (auto& [incarnation, entry] : mOthers) {
+    entries.push_back(&entry);
+  }
+  std::stable_sort(entries.begin(), entries.end(), [](const auto* aOne, const auto* aTwo) {
+    return aOne->mTold < aTwo->mTold;
+  });
+  entries.resize(std::min(entries.size(), aCount));
+  return entries;
+}
+
+heartbeat
+member_table::BuildHeartbeat(instant aNow)
+{
+  ++mSelf.mBeat;
+  heartbeat beat;
+  for (const auto& [incarnation, entry] : mOthers) {
+    beat.mTo.push_back(entry.mInfo.mAddress);
+  }
+  std::shuffle(beat.mTo.begin(), beat.mTo.end(), mRandom);
+  // A small group hears every daemon at first hand; a large one by way of others.
+  const std::size_t receivers =
+    beat.mTo.size() <= kSmallGroup ? beat.mTo.size() : mSettings.mFanout;
+  beat.mTo.resize(receivers);
+  const double bytes = mSettings.mBytesPerSecond * ToSeconds(mSettings.mHeartbeat) /
+                       static_cast<double>(std::max<std::size_t>(1, receivers));
+  const std::size_t room = std::min(kMaxDatagram, static_cast<std::size_t>(bytes)) / kEntryBytes;
+  json members = json::array({ Encode(mSelf) });
+  for (member_entry* const entry : LeastTold(room > 1 ? room - 1 : 0)) {
+    entry->mTold = aNow;
+    members.push_back(Encode(entry->mInfo));
+  }
+  const std::vector<std::uint8_t> packed = json::to_cbor(members);
+  beat.mData.assign(packed.begin(), packed.end());
+  beat.mData += Sign(beat.mData, mSecret);
+  std::copy(mSeeds.begin(), mSeeds.end(), std::back_inserter(beat.mTo));
+  return beat;
+}
+
+bool
+member_table::Update(const member_info& aInfo, instant aNow, member_changes& aChanges)
+{
+  if (aInfo.mIncarnation == mSelf.mIncarnation || mGone.contains(aInfo.mIncarnation)) {
+    return false;
+  }
+  const auto [row, fresh] = mOthers.try_emplace(aInfo.mIncarnation);
+  member_entry& entry = row->second;
+  if (!fresh && aInfo.mBeat <= entry.mInfo.mBeat) {
+    return false;
+  }
+  entry.mInfo = aInfo;
+  entry.mHeard = aNow;
+  entry.mSuspected = instant{ 0 };
+  if (fresh) {
+    aChanges.mJoined.push_back(aInfo);
+    std::erase(mSeeds, aInfo.mAddress);
+  }
+  return fresh;
+}
+
+member_changes
+member_table::Receive(std::string_view aDatagram, instant aNow)
+{
+  member_changes changes;
+  if (aDatagram.size() <= kSignatureBytes) {
+    return changes;
+  }
+  const std::string_view data = aDatagram.substr(0, aDatagram.size() - kSignatureBytes);
+  if (Sign(data, mSecret) != aDatagram.substr(data.size())) {
+    return changes;
+  }
+  const json members = json::from_cbor(data.begin(), data.end(), true, false);
+  if (!members.is_array()) {
+    return changes;
+  }
+  try {
+    for (const json& member : members) {
+      const member_info info = Decode(member);
+      if (!Update(info, aNow, changes)) {
+        continue;
+      }
+      // A new run at the same address: the earlier run has ended.
+      for (auto& [incarnation, entry] : mOthers) {
+        if (incarnation != info.mIncarnation && entry.mInfo.mAddress == info.mAddress) {
+          changes.mGone.push_back(entry.mInfo);
+        }
+      }
+    }
+  } catch (const json::exception&) {
+    return changes;
+  }
+  for (const member_info& gone : changes.mGone) {
+    Bury(gone.mIncarnation);
+  }
+  return changes;
+}
+
+void
+member_table::Bury(incarnation_id aIncarnation)
+{
+  mOthers.erase(aIncarnation);
+  mGone[aIncarnation] = ++mGoneCount;
+  if (mGone.size() > kMaxGone) {
+    mGone.erase(
+      std::min_element(mGone.begin(), mGone.end(), [](const auto& aOne, const auto& aTwo) {
+        return aOne.second < aTwo.second;
+      }));
+  }
+}
+
+member_changes
+member_table::Sweep(instant aNow)
+{
+  member_changes changes;
+  for (const auto& [incarnation, entry] : mOthers) {
+    if (aNow - entry.mHeard > mSettings.mFailAfter) {
+      changes.mGone.push_back(entry.mInfo);
+    }
+  }
+  for (const member_info& gone : changes.mGone) {
+    // Not buried: a frozen daemon that wakes is the same run and may come back.
+    mOthers.erase(gone.mIncarnation);
+  }
+  return changes;
+}
+
+void
+member_table::Suspect(incarnation_id aIncarnation, instant aNow)
+{
+  const auto found = mOthers.find(aIncarnation);
+  if (found != mOthers.end()) {
+    found->second.mSuspected = aNow;
+  }
+}
+
+const member_info*
+member_table::Find(incarnation_id aIncarnation) const
+{
+  if (aIncarnation == mSelf.mIncarnation) {
+    return &mSelf;
+  }
+  const auto found = mOthers.find(aIncarnation);
+  return found == mOthers.end() ? nullptr : &found->second.mInfo;
+}
+
+const member_info&
+member_table::OwnerOf(std::string_view aKey) const
+{
+  const member_info* owner = &mSelf;
+  std::uint64_t best =
+    mSelf.mServing ? RendezvousRank(aKey, mSelf.mIncarnation.mValue) : std::uint64_t{ 0 };
+  for (const auto& [incarnation, entry] : mOthers) {
+    if (!entry.mInfo.mServing || entry.mSuspected != instant{ 0 }) {
+      continue;
+    }
+    const std::uint64_t rank = RendezvousRank(aKey, incarnation.mValue);
+    if (rank > best) {
+      best = rank;
+      owner = &entry.mInfo;
+    }
+  }
+  return *owner;
+}
+
+std::size_t
+member_table::CountServing() const
+{
+  std::size_t count = mSelf.mServing ? 1 : 0;
+  for (const auto& [incarnation, entry] : mOthers) {
+    count += entry.mInfo.mServing ? 1 : 0;
+  }
+  return std::max<std::size_t>(1, count);
+}
+
+std::size_t
+member_table::CountInForce(std::uint64_t aOffset) const
+{
+  std::size_t count = mSelf.mNext > aOffset ? 1 : 0;
+  for (const auto& [incarnation, entry] : mOthers) {
+    count += entry.mInfo.mNext > aOffset ? 1 : 0;
+  }
+  return count;
+}
+
+std::uint64_t
+member_table::HighestNext() const
+{
+  std::uint64_t highest = 1;
+  for (const auto& [incarnation, entry] : mOthers) {
+    highest = std::max(highest, entry.mInfo.mNext);
+  }
+  return highest;
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,197 @@
+/**
+ * @file http_client.cpp
+ * The HTTP client.
+ */
+#include "net/http_client.h"
+
+#include <sys/socket.h>
+
+#include <array>
+
+namespace dunehook {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16384;
+constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t{ 256 } << 20U;
+
+std::error_code
+FromBeast(const boost::system::error_code& aError)
+{
+  if (aError == beast::error::timeout) {
+    return make_error_code(errc::eDeadlinePassed);
+  }
+  return make_error_code(errc::eConnectionLost);
+}
+
+http::request<http::string_body>
+BuildRequest(const http_call& aCall)
+{
+  http::request<http::string_body> request(aCall.mMethod, aCall.mTarget, 11);
+  request.set(http::field::host, "dunehook");
+  request.set(http::field::content_type, "application/json");
+  for (const auto& [name, value] : aCall.mHeaders) {
+    request.set(name, value);
+  }
+  request.body() = aCall.mBody;
+  request.prepare_payload();
+  return request;
+}
+
+} // namespace
+
+std::string
+http_answer::Header(std::string_view aName) const
+{
+  for (const auto& [name, value] : mHeaders) {
+    if (beast::iequals(name, aName)) {
+      return value;
+    }
+  }
+  return {};
+}
+
+asio::awaitable<result<http_connection_ptr>>
+http_connection::Connect(const endpoint& aTo, duration aLimit)
+{
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(aTo.mAddress, error);
+  if (error) {
+    co_return make_error_code(errc::eConnectFailed);
+  }
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(aLimit);
+  const tcp::endpoint target(address, aTo.mPort);
+  co_await stream.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return make_error_code(errc::eConnectFailed);
+  }
+  stream.socket().set_option(tcp::no_delay(true), error);
+  co_return std::make_shared<http_connection>(std::move(stream));
+}
+
+asio::awaitable<result<unsigned>>
+http_connection::Start(const http_call& aCall, duration aLimit)
+{
+  mReusable = false;
+  const auto request = BuildRequest(aCall);
+  boost::system::error_code error;
+  mStream.expires_after(aLimit);
+  co_await http::async_write(mStream, request, asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return FromBeast(error);
+  }
+  mParser.emplace();
+  mParser->body_limit(kMaxAnswerBytes);
+  co_await http::async_read_header(
+    mStream, mBuffer, *mParser, asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return FromBeast(error);
+  }
+  co_return mParser->get().result_int();
+}
+
+asio::awaitable<result<bool>>
+http_connection::ReadSome(std::string& aOut, duration aLimit)
+{
+  if (mParser->is_done()) {
+    mReusable = mParser->keep_alive();
+    co_return false;
+  }
+  std::array<char, kReadBytes> bytes;
+  auto& body = mParser->get().body();
+  body.data = bytes.data();
+  body.size = bytes.size();
+  boost::system::error_code error;
+  mStream.expires_after(aLimit);
+  co_await http::async_read_some(
+    mStream, mBuffer, *mParser, asio::redirect_error(asio::use_awaitable, error));
+  if (error && error != http::error::need_buffer) {
+    co_return FromBeast(error);
+  }
+  aOut.append(bytes.data(), bytes.size() - body.size);
+  if (mParser->is_done()) {
+    mReusable = mParser->keep_alive();
+    co_return false;
+  }
+  co_return true;
+}
+
+asio::awaitable<result<http_answer>>
+http_connection::Call(const http_call& aCall, duration aLimit)
+{
+  BOOST_OUTCOME_CO_TRY(const unsigned status, co_await Start(aCall, aLimit));
+  http_answer answer;
+  answer.mStatus = status;
+  for (const auto& field : mParser->get()) {
+    answer.mHeaders.emplace_back(field.name_string(), field.value());
+  }
+  bool more = true;
+  while (more) {
+    BOOST_OUTCOME_CO_TRY(more, co_await ReadSome(answer.mBody, aLimit));
+  }
+  co_return answer;
+}
+
+void
+http_connection::Abort()
+{
+  mReusable = false;
+  boost::system::error_code ignored;
+  mStream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+  mStream.close();
+}
+
+bool
+http_connection::Stale()
+{
+  char byte = 0;
+  const ssize_t got = ::recv(mStream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+std::string
+http_connection::Header(std::string_view aName) const
+{
+  return std::string(mParser->get()[aName]);
+}
+
+asio::awaitable<result<http_connection_ptr>>
+http_pool::Take(const endpoint& aTo, duration aLimit)
+{
+  auto& idle = mIdle[aTo];
+  while (!idle.empty()) {
+    http_connection_ptr connection = std::move(idle.back());
+    idle.pop_back();
+    if (!connection->Stale()) {
+      co_return connection;
+    }
+  }
+  co_return co_await http_connection::Connect(aTo, aLimit);
+}
+
+void
+http_pool::Give(const endpoint& aTo, http_connection_ptr aConnection)
+{
+  auto& idle = mIdle[aTo];
+  if (aConnection->Reusable() && idle.size() < kMaxIdle) {
+    idle.push_back(std::move(aConnection));
+  }
+}
+
+asio::awaitable<result<http_answer>>
+http_pool::Call(const endpoint& aTo, const http_call& aCall, duration aLimit)
+{
+  BOOST_OUTCOME_CO_TRY(http_connection_ptr connection, co_await Take(aTo, aLimit));
+  result<http_answer> answer = co_await connection->Call(aCall, aLimit);
+  if (!answer && answer.error() == errc::eConnectionLost) {
+    BOOST_OUTCOME_CO_TRY(connection, co_await http_connection::Connect(aTo, aLimit));
+    answer = co_await connection->Call(aCall, aLimit);
+  }
+  if (answer) {
+    Give(aTo, std::move(connection));
+  }
+  co_return answer;
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/net/net.cpp
@@ -0,0 +1,114 @@
+/**
+ * @file net.cpp
+ * Endpoints, sleeping, spawning and waking of coroutines.
+ */
+#include "net/net_type.h"
+
+#include "core/log_func.h"
+
+#include <charconv>
+#include <cstdlib>
+#include <exception>
+
+namespace dunehook {
+
+namespace {
+
+constexpr int kBacklog = 1024; ///< Connections that wait to be accepted.
+
+} // namespace
+
+result<tcp::acceptor>
+OpenAcceptor(asio::io_context& aIo, const endpoint& aAt)
+{
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(aAt.mAddress, error);
+  const tcp::endpoint local(address, aAt.mPort);
+  tcp::acceptor acceptor(aIo);
+  if (!error) {
+    acceptor.open(local.protocol(), error);
+  }
+  if (!error) {
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    acceptor.bind(local, error);
+  }
+  if (!error) {
+    acceptor.listen(kBacklog, error);
+  }
+  if (error) {
+    return make_error_code(errc::eConnectFailed);
+  }
+  return acceptor;
+}
+
+endpoint
+AddressOf(const tcp::acceptor& aAcceptor)
+{
+  boost::system::error_code ignored;
+  const tcp::endpoint local = aAcceptor.local_endpoint(ignored);
+  return { local.address().to_string(), local.port() };
+}
+
+result<endpoint>
+ParseEndpoint(std::string_view aText)
+{
+  const std::size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return make_error_code(errc::eBadRequest);
+  }
+  endpoint parsed;
+  parsed.mAddress = std::string(aText.substr(0, colon));
+  boost::system::error_code error;
+  asio::ip::make_address(parsed.mAddress, error);
+  const std::string_view port = aText.substr(colon + 1);
+  const auto number = std::from_chars(port.data(), port.data() + port.size(), parsed.mPort);
+  if (error || number.ec != std::errc{} || number.ptr != port.data() + port.size()) {
+    return make_error_code(errc::eBadRequest);
+  }
+  return parsed;
+}
+
+asio::awaitable<void>
+Sleep(duration aSpan)
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_after(aSpan);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void
+Spawn(asio::io_context& aIo, asio::awaitable<void> aTask)
+{
+  asio::co_spawn(aIo, std::move(aTask), [](const std::exception_ptr& aError) {
+    if (!aError) {
+      return;
+    }
+    try {
+      std::rethrow_exception(aError);
+    } catch (const std::exception& error) {
+      LogEvent(log_level::eError, "task_failed", { { "what", error.what() } });
+    }
+    std::abort();
+  });
+}
+
+void
+wake_list::Notify()
+{
+  for (asio::steady_timer* const waiter : mWaiters) {
+    waiter->cancel();
+  }
+}
+
+asio::awaitable<void>
+wake_list::Wait(duration aLimit)
+{
+  asio::steady_timer timer(mIo, aLimit);
+  const auto place = mWaiters.insert(mWaiters.end(), &timer);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  mWaiters.erase(place);
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/net/net_type.h
@@ -0,0 +1,105 @@
+/**
+ * @file net_type.h
+ * Short names for Asio and Beast, endpoints, and coroutine helpers. All sockets of a process run
+ * on one thread, so none of this code locks.
+ */
+#pragma once
+
+#include "core/clock_type.h"
+#include "core/error_type.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <string>
+
+namespace dunehook {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+/** Where a process listens: an IP number, never a name. */
+struct endpoint
+{
+  std::string mAddress;    ///< IPv4 or IPv6 number.
+  std::uint16_t mPort = 0; ///< TCP or UDP port.
+
+  auto operator<=>(const endpoint&) const = default;
+};
+
+/** @return "address:port". */
+inline std::string
+ToText(const endpoint& aEndpoint)
+{
+  return aEndpoint.mAddress + ":" + std::to_string(aEndpoint.mPort);
+}
+
+/** @return the endpoint written as "address:port", or eBadRequest. */
+result<endpoint>
+ParseEndpoint(std::string_view aText);
+
+/** @return a listening socket; port 0 lets the kernel choose. eConnectFailed if it can't be had. */
+result<tcp::acceptor>
+OpenAcceptor(asio::io_context& aIo, const endpoint& aAt);
+
+/** @return the address and port that a listening socket has. */
+endpoint
+AddressOf(const tcp::acceptor& aAcceptor);
+
+/** Suspends the calling coroutine for @p aSpan. */
+asio::awaitable<void>
+Sleep(duration aSpan);
+
+/** Starts a coroutine that nobody waits for; an exception that leaves it ends the process. */
+void
+Spawn(asio::io_context& aIo, asio::awaitable<void> aTask);
+
+/**
+ * A list of waiting coroutines that are woken together.
+ * Invariant: a waiter is woken by the first Notify() after its Wait(), or by its time limit. The
+ * list outlives its waiters.
+ */
+class wake_list
+{
+public:
+  explicit wake_list(asio::io_context& aIo)
+    : mIo(aIo)
+  {
+  }
+
+  /** Wakes every waiter. */
+  void Notify();
+
+  /** Waits for the next Notify(), at most @p aLimit. */
+  asio::awaitable<void> Wait(duration aLimit);
+
+private:
+  asio::io_context& mIo;                   ///< Runs the timers.
+  std::list<asio::steady_timer*> mWaiters; ///< One timer for each waiter, owned by it.
+};
+
+} // namespace dunehook
+
+template<>
+struct std::hash<dunehook::endpoint>
+{
+  std::size_t operator()(const dunehook::endpoint& aEndpoint) const noexcept
+  {
+    return std::hash<std::string>{}(aEndpoint.mAddress) * 31U + aEndpoint.mPort;
+  }
+};
--- /dev/null
+++ b/src/platform/log_client.h
@@ -0,0 +1,82 @@
+/**
+ * @file log_client.h
+ * Client of the platform's log service. Published protocol: POST /log/append with
+ * {"records":[text]} answers {"offset":first}; GET /log/read?from=N&wait_ms=W answers
+ * {"first","next","records":[{"offset","time","data"}]}, or 410 if N is no longer kept.
+ */
+#pragma once
+
+#include "net/http_client.h"
+#include "platform/platform_type.h"
+
+#include <concepts>
+
+namespace dunehook {
+
+/** Anything that can be read and appended to like the log; fakes in tests satisfy it too. */
+template<typename T>
+concept log_service =
+  requires(T& aLog, std::uint64_t aFrom, duration aWait, const std::vector<std::string>& aRecords)
+{
+  {
+    aLog.Read(aFrom, aWait)
+    } -> std::same_as<asio::awaitable<result<log_batch>>>;
+  {
+    aLog.Append(aRecords)
+    } -> std::same_as<asio::awaitable<result<std::uint64_t>>>;
+};
+
+/** The log over HTTP. */
+class log_client
+{
+public:
+  explicit log_client(endpoint aAt)
+    : mAt(std::move(aAt))
+  {
+  }
+
+  /**
+   * Reads records.
+   * @param aFrom first offset wanted.
+   * @param aWait how long the service may hold the answer while there is nothing to say.
+   * @return the batch, eRetentionPassed with the records gone, or eLogUnavailable.
+   */
+  asio::awaitable<result<log_batch>> Read(std::uint64_t aFrom, duration aWait);
+
+  /**
+   * Appends records in one go.
+   * @return the first record's offset; eLogUnavailable if nothing was appended; eLogAmbiguous if
+   * the answer was lost, so that the records may have been appended.
+   */
+  asio::awaitable<result<std::uint64_t>> Append(const std::vector<std::string>& aRecords);
+
+  /** @return oldest offset kept, as the last answer said. */
+  std::uint64_t OldestKept() const { return mOldestKept; }
+
+private:
+  endpoint mAt;                  ///< The service.
+  http_pool mPool;               ///< Kept connections.
+  std::uint64_t mOldestKept = 1; ///< From the last read.
+};
+
+static_assert(log_service<log_client>);
+
+/** Reads of the host list. GET /hosts answers {"hosts":[{"name","address","pool","hall","state"}]}.
+ */
+class host_list_client
+{
+public:
+  explicit host_list_client(endpoint aAt)
+    : mAt(std::move(aAt))
+  {
+  }
+
+  /** @return the hosts, live and leaving, or eLogUnavailable. */
+  asio::awaitable<result<std::vector<host>>> Read();
+
+private:
+  endpoint mAt;    ///< The service.
+  http_pool mPool; ///< Kept connections.
+};
+
+} // namespace dunehook
--- /dev/null
+++ b/src/resources/fold.cpp
@@ -0,0 +1,360 @@
+/**
+ * @file fold.cpp
+ * Testing and executing of commands, and the fold's snapshots.
+ */
+#include "resources/fold_base.h"
+
+#include "core/hash_func.h"
+#include "core/text_func.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace dunehook {
+
+namespace {
+
+using json = nlohmann::json;
+
+template<typename Command>
+const std::string*
+WriteIdOf(const Command& aCommand)
+{
+  if constexpr (requires { aCommand.mWriteId; }) {
+    return &aCommand.mWriteId;
+  } else {
+    return nullptr;
+  }
+}
+
+} // namespace
+
+result<void>
+fold::Test(const command& aCommand) const
+{
+  return std::visit([this](const auto& aOne) { return Test(aOne); }, aCommand);
+}
+
+result<void>
+fold::TestVersion(const resource_key& aKey, std::uint64_t aExpected) const
+{
+  const resource* const current = Find(aKey);
+  const std::uint64_t version = current == nullptr ? 0 : current->mVersion;
+  if (version != aExpected) {
+    return make_error_code(errc::eVersionConflict);
+  }
+  return boost::outcome_v2::success();
+}
+
+result<void>
+fold::Test(const put_command& aCommand) const
+{
+  if (!IsValidName(aCommand.mKey.mName)) {
+    return make_error_code(errc::eInvalidResource);
+  }
+  return TestVersion(aCommand.mKey, aCommand.mExpected);
+}
+
+result<void>
+fold::Test(const delete_command& aCommand) const
+{
+  if (Find(aCommand.mKey) == nullptr) {
+    return make_error_code(errc::eNotFound);
+  }
+  return TestVersion(aCommand.mKey, aCommand.mExpected);
+}
+
+result<void>
+fold::Test(const claim_command& aCommand) const
+{
+  if (mClaims.contains(aCommand.mKey)) {
+    return make_error_code(errc::eKeyClaimed);
+  }
+  return boost::outcome_v2::success();
+}
+
+result<void>
+fold::Test(const release_command& aCommand) const
+{
+  const auto held = mClaims.find(aCommand.mKey);
+  if (held == mClaims.end() || held->second.mAttempt != aCommand.mAttempt) {
+    return make_error_code(errc::eNotFound);
+  }
+  return boost::outcome_v2::success();
+}
+
+result<void>
+fold::Test(const snapshot_command& aCommand) const
+{
+  if (aCommand.mAt >= mNext || aCommand.mIndex >= aCommand.mCount) {
+    return make_error_code(errc::eBadRequest);
+  }
+  return boost::outcome_v2::success();
+}
+
+void
+fold::Apply(const log_record& aRecord)
+{
+  assert(aRecord.mOffset == mNext);
+  mNext = aRecord.mOffset + 1;
+  mTimeMs = std::max(mTimeMs, aRecord.mTimeMs);
+  ExpireClaims();
+  const result<command> decoded = DecodeCommand(aRecord.mData);
+  if (!decoded) {
+    return;
+  }
+  std::visit(
+    [this, &aRecord](const auto& aOne) {
+      const std::string* const writeId = WriteIdOf(aOne);
+      if (writeId != nullptr && mOutcomes.contains(*writeId)) {
+        return; // A repeat of an append whose answer was lost.
+      }
+      const result<void> tested = Test(aOne);
+      if (tested) {
+        Execute(aOne, aRecord);
+      } else if (writeId != nullptr) {
+        NoteOutcome(*writeId, { tested.error(), 0 });
+      }
+    },
+    decoded.value());
+}
+
+void
+fold::Execute(const put_command& aCommand, const log_record& aRecord)
+{
+  mResources[aCommand.mKey] = { aCommand.mKey, aRecord.mOffset, aCommand.mSpec };
+  NoteOutcome(aCommand.mWriteId, { {}, aRecord.mOffset });
+}
+
+void
+fold::Execute(const delete_command& aCommand, const log_record& aRecord)
+{
+  mResources.erase(aCommand.mKey);
+  NoteOutcome(aCommand.mWriteId, { {}, aRecord.mOffset });
+}
+
+void
+fold::Execute(const claim_command& aCommand, const log_record& aRecord)
+{
+  mClaims[aCommand.mKey] = { aCommand.mAttempt, aRecord.mOffset, aRecord.mTimeMs };
+  mClaimOrder.push_back(aCommand.mKey);
+}
+
+void
+fold::Execute(const release_command& aCommand, const log_record& /*aRecord*/)
+{
+  mClaims.erase(aCommand.mKey);
+  std::erase(mClaimOrder, aCommand.mKey);
+}
+
+void
+fold::Execute(const snapshot_command& aCommand, const log_record& /*aRecord*/)
+{
+  if (aCommand.mIndex == 0) {
+    mPartsAt = aCommand.mAt;
+    mPartsSeen = 0;
+  }
+  if (aCommand.mAt == mPartsAt && aCommand.mIndex == mPartsSeen) {
+    ++mPartsSeen;
+  }
+  if (aCommand.mAt == mPartsAt && mPartsSeen == aCommand.mCount) {
+    mLastSnapshot = std::max(mLastSnapshot, aCommand.mAt);
+  }
+}
+
+void
+fold::NoteOutcome(const std::string& aWriteId, const write_outcome& aOutcome)
+{
+  mOutcomes[aWriteId] = aOutcome;
+  mOutcomeOrder.push_back(aWriteId);
+  if (mOutcomeOrder.size() > kMaxOutcomes) {
+    mOutcomes.erase(mOutcomeOrder.front());
+    mOutcomeOrder.pop_front();
+  }
+}
+
+void
+fold::ExpireClaims()
+{
+  while (!mClaimOrder.empty()) {
+    const auto oldest = mClaims.find(mClaimOrder.front());
+    // Kept for the window and twice the skew: a key accepted by a daemon that is behind is
+    // still found here.
+    if (oldest->second.mTimeMs + kClaimWindowMs + 2 * kClockSkewMs > mTimeMs) {
+      return;
+    }
+    mClaims.erase(oldest);
+    mClaimOrder.pop_front();
+  }
+}
+
+const resource*
+fold::Find(const resource_key& aKey) const
+{
+  const auto found = mResources.find(aKey);
+  return found == mResources.end() ? nullptr : &found->second;
+}
+
+std::optional<write_outcome>
+fold::OutcomeOf(const std::string& aWriteId) const
+{
+  const auto found = mOutcomes.find(aWriteId);
+  return found == mOutcomes.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<claim>
+fold::ClaimOf(const std::string& aKey) const
+{
+  const auto found = mClaims.find(aKey);
+  return found == mClaims.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::uint64_t
+fold::Digest() const
+{
+  std::uint64_t digest = mNext;
+  for (const std::string& entry : SnapshotEntries()) {
+    digest = HashBytes(entry, digest);
+  }
+  return digest;
+}
+
+std::vector<std::string>
+fold::SnapshotEntries() const
+{
+  std::vector<std::string> entries;
+  entries.push_back(json{
+    { "t", "head" },
+    { "time", mTimeMs },
+    { "last", mLastSnapshot },
+    { "parts_at", mPartsAt },
+    { "parts_seen",
+      mPartsSeen } }.dump());
+  for (const auto& [key, one] : mResources) {
+    entries.push_back(json{ { "t", "resource" },
+                            { "kind", KindName(key.mKind) },
+                            { "name", key.mName },
+                            { "version", one.mVersion },
+                            { "spec", SpecToJson(one.mSpec) } }
+                        .dump());
+  }
+  for (const std::string& key : mClaimOrder) {
+    const claim& held = mClaims.at(key);
+    entries.push_back(json{
+      { "t", "claim" },
+      { "key", key },
+      { "attempt", ToText(held.mAttempt) },
+      { "offset", held.mOffset },
+      { "time",
+        held.mTimeMs } }.dump());
+  }
+  for (const std::string& writeId : mOutcomeOrder) {
+    const write_outcome& outcome = mOutcomes.at(writeId);
+    entries.push_back(json{ { "t", "outcome" },
+                            { "id", writeId },
+                            { "error", outcome.mError.value() },
+                            { "version", outcome.mVersion } }
+                        .dump());
+  }
+  return entries;
+}
+
+result<void>
+fold::LoadEntry(const json& aEntry)
+{
+  const auto type = aEntry.at("t").get<std::string>();
+  if (type == "head") {
+    mTimeMs = aEntry.at("time").get<std::int64_t>();
+    mLastSnapshot = aEntry.at("last").get<std::uint64_t>();
+    mPartsAt = aEntry.at("parts_at").get<std::uint64_t>();
+    mPartsSeen = aEntry.at("parts_seen").get<std::uint32_t>();
+  } else if (type == "resource") {
+    BOOST_OUTCOME_TRY(const resource_kind kind, ParseKind(aEntry.at("kind").get<std::string>()));
+    finding_list findings;
+    BOOST_OUTCOME_TRY(const resource_spec spec, ParseSpec(kind, aEntry.at("spec"), findings));
+    const resource_key key{ kind, aEntry.at("name").get<std::string>() };
+    mResources[key] = { key, aEntry.at("version").get<std::uint64_t>(), spec };
+  } else if (type == "claim") {
+    BOOST_OUTCOME_TRY(const attempt_id attempt,
+                      ParseAttempt(aEntry.at("attempt").get<std::string>()));
+    const auto key = aEntry.at("key").get<std::string>();
+    mClaims[key] = { attempt,
+                     aEntry.at("offset").get<std::uint64_t>(),
+                     aEntry.at("time").get<std::int64_t>() };
+    mClaimOrder.push_back(key);
+  } else if (type == "outcome") {
+    const int error = aEntry.at("error").get<int>();
+    NoteOutcome(aEntry.at("id").get<std::string>(),
+                { error == 0 ? std::error_code() : make_error_code(static_cast<errc>(error)),
+                  aEntry.at("version").get<std::uint64_t>() });
+  } else {
+    return make_error_code(errc::eBadRequest);
+  }
+  return boost::outcome_v2::success();
+}
+
+result<fold>
+fold::FromSnapshot(std::uint64_t aAt, const std::vector<std::string>& aEntries)
+{
+  fold loaded;
+  loaded.mNext = aAt + 1;
+  try {
+    for (const std::string& entry : aEntries) {
+      BOOST_OUTCOME_TRY(loaded.LoadEntry(json::parse(entry)));
+    }
+  } catch (const json::exception&) {
+    return make_error_code(errc::eBadRequest);
+  }
+  return loaded;
+}
+
+std::vector<command>
+SplitSnapshot(std::uint64_t aAt, std::vector<std::string> aEntries, std::size_t aMaxBytes)
+{
+  std::vector<snapshot_command> parts(1);
+  std::size_t bytes = 0;
+  for (std::string& entry : aEntries) {
+    if (bytes + entry.size() > aMaxBytes && !parts.back().mEntries.empty()) {
+      parts.emplace_back();
+      bytes = 0;
+    }
+    bytes += entry.size();
+    parts.back().mEntries.push_back(std::move(entry));
+  }
+  std::vector<command> commands;
+  for (std::uint32_t index = 0; index < parts.size(); ++index) {
+    parts[index].mAt = aAt;
+    parts[index].mIndex = index;
+    parts[index].mCount = static_cast<std::uint32_t>(parts.size());
+    commands.emplace_back(std::move(parts[index]));
+  }
+  return commands;
+}
+
+std::optional<fold>
+snapshot_reader::Take(const log_record& aRecord)
+{
+  const result<command> decoded = DecodeCommand(aRecord.mData);
+  if (!decoded) {
+    return std::nullopt;
+  }
+  const auto* const part = std::get_if<snapshot_command>(&decoded.value());
+  if (part == nullptr) {
+    return std::nullopt;
+  }
+  auto& parts = mParts[part->mAt];
+  parts[part->mIndex] = part->mEntries;
+  if (parts.size() != part->mCount) {
+    return std::nullopt;
+  }
+  std::vector<std::string> entries;
+  for (auto& [index, some] : parts) {
+    std::move(some.begin(), some.end(), std::back_inserter(entries));
+  }
+  const std::uint64_t at = part->mAt;
+  mParts.erase(mParts.begin(), mParts.upper_bound(at));
+  result<fold> loaded = fold::FromSnapshot(at, entries);
+  return loaded ? std::optional(std::move(loaded.value())) : std::nullopt;
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/standins/proxy.cpp
@@ -0,0 +1,169 @@
+/**
+ * @file proxy.cpp
+ * Fault-injecting TCP proxy. POST /control on its control address sets:
+ * refuse (1: connections end at once), request_bytes (connections end after so many bytes towards
+ * the target, those not forwarded), answer_bytes (the same towards the client; 0 for none),
+ * delay_ms (bytes towards the client come late), stall (1: nothing moves, nothing closes),
+ * faults (how many connections the byte limits are applied to; then they pass).
+ */
+#include "standins/common/standin.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "control address");
+ABSL_FLAG(std::string, target, "", "where connections go");
+
+namespace dunehook {
+namespace {
+
+using json = nlohmann::json;
+
+/** One connection through the proxy. */
+struct proxied
+{
+  proxied(tcp::socket aClient, asio::io_context& aIo)
+    : mClient(std::move(aClient))
+    , mTarget(aIo)
+  {
+  }
+  void Close()
+  {
+    boost::system::error_code ignored;
+    mClient.close(ignored);
+    mTarget.close(ignored);
+  }
+  tcp::socket mClient;             ///< Who connected.
+  tcp::socket mTarget;             ///< Where it goes.
+  std::int64_t mRequestLimit = -1; ///< Bytes forwarded to the target; -1 for all.
+  std::int64_t mAnswerLimit = -1;  ///< Bytes forwarded to the client; -1 for all.
+};
+
+class proxy
+{
+public:
+  proxy(asio::io_context& aIo, const endpoint& aTarget, tcp::acceptor aAcceptor)
+    : mIo(aIo)
+    , mTarget(aTarget)
+    , mAcceptor(std::move(aAcceptor))
+  {
+    Spawn(mIo, AcceptLoop());
+  }
+
+  asio::awaitable<void> Control(exchange_ptr aExchange)
+  {
+    mFaults.merge_patch(BodyOf(*aExchange));
+    json body = mFaults;
+    body["proxy"] = ToText(AddressOf(mAcceptor));
+    body["connections"] = mConnections;
+    co_await aExchange->Respond(200, body.dump());
+  }
+
+private:
+  std::int64_t Fault(const char* aName, std::int64_t aDefault) const
+  {
+    return mFaults.value(aName, aDefault);
+  }
+
+  asio::awaitable<void> AcceptLoop()
+  {
+    for (;;) {
+      boost::system::error_code error;
+      tcp::socket client =
+        co_await mAcceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+      if (error) {
+        continue;
+      }
+      ++mConnections;
+      if (Fault("refuse", 0) == 0) {
+        Spawn(mIo, Connect(std::make_shared<proxied>(std::move(client), mIo)));
+      }
+    }
+  }
+
+  asio::awaitable<void> Connect(std::shared_ptr<proxied> aPair)
+  {
+    const std::int64_t faults = Fault("faults", 0);
+    if (faults > 0) {
+      mFaults["faults"] = faults - 1;
+      aPair->mRequestLimit = Fault("request_bytes", -1);
+      aPair->mAnswerLimit = Fault("answer_bytes", -1);
+    }
+    boost::system::error_code error;
+    const tcp::endpoint target(asio::ip::make_address(mTarget.mAddress), mTarget.mPort);
+    co_await aPair->mTarget.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      aPair->Close();
+      co_return;
+    }
+    Spawn(mIo, Pump(aPair, aPair->mClient, aPair->mTarget, aPair->mRequestLimit, false));
+    Spawn(mIo, Pump(aPair, aPair->mTarget, aPair->mClient, aPair->mAnswerLimit, true));
+  }
+
+  asio::awaitable<void> Pump(std::shared_ptr<proxied> aPair,
+                             tcp::socket& aFrom,
+                             tcp::socket& aTo,
+                             std::int64_t aLimit,
+                             bool aIsAnswer)
+  {
+    std::array<char, 16384> bytes;
+    std::int64_t left = aLimit;
+    for (;;) {
+      boost::system::error_code error;
+      const std::size_t got = co_await aFrom.async_read_some(
+        asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+      while (Fault("stall", 0) != 0) {
+        co_await Sleep(std::chrono::milliseconds(20));
+      }
+      if (aIsAnswer && Fault("delay_ms", 0) > 0) {
+        co_await Sleep(std::chrono::milliseconds(Fault("delay_ms", 0)));
+      }
+      if (error) {
+        aPair->Close();
+        co_return;
+      }
+      std::size_t send = got;
+      if (left >= 0) {
+        send = std::min<std::size_t>(got, static_cast<std::size_t>(left));
+        left -= static_cast<std::int64_t>(send);
+      }
+      co_await asio::async_write(
+        aTo, asio::buffer(bytes.data(), send), asio::redirect_error(asio::use_awaitable, error));
+      if (error || left == 0) {
+        aPair->Close();
+        co_return;
+      }
+    }
+  }
+
+  asio::io_context& mIo;          ///< Runs everything.
+  endpoint mTarget;               ///< Where connections go.
+  tcp::acceptor mAcceptor;        ///< Takes connections.
+  json mFaults = json::object();  ///< As set by /control.
+  std::uint64_t mConnections = 0; ///< Connections taken.
+};
+
+} // namespace
+} // namespace dunehook
+
+int
+main(int aCount, char** aValues)
+{
+  absl::ParseCommandLine(aCount, aValues);
+  dunehook::asio::io_context io(1);
+  const auto target = dunehook::ParseEndpoint(absl::GetFlag(FLAGS_target));
+  auto acceptor = dunehook::OpenAcceptor(io, { "127.0.0.1", 0 });
+  if (!target || !acceptor) {
+    std::cerr << "--target must be an address and port\n";
+    return 2;
+  }
+  dunehook::proxy proxy(io, target.value(), std::move(acceptor.value()));
+  const auto listener = dunehook::OpenAndAnnounce(
+    io, absl::GetFlag(FLAGS_listen), [&](dunehook::exchange_ptr aExchange) {
+      return proxy.Control(std::move(aExchange));
+    });
+  io.run();
+}
