--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -223,6 +223,17 @@
           } };
 }
 
+/** @return dunehook with the one mechanism that is off by default. */
+policy
+WithAging()
+{
+  return { "with aging", [](const workload& aLoad, const run_options& aOptions) {
+            run_options options = aOptions;
+            options.mSwitches.mAging = true;
+            return RunPolicy<cost_chooser>(aLoad, options);
+          } };
+}
+
 std::vector<policy>
 SwitchedOff()
 {
@@ -235,7 +246,7 @@
             [](run_options& aRun) { aRun.mSwitches.mChunkedTransfers = false; }),
     Without("admission", [](run_options& aRun) { aRun.mSwitches.mAdmission = false; }),
     Without("retry budget", [](run_options& aRun) { aRun.mSwitches.mRetryBudget = false; }),
-    Without("aging", [](run_options& aRun) { aRun.mSwitches.mAging = false; }),
+    WithAging(),
   };
 }
 
@@ -268,25 +279,30 @@
 void
 SweepFaults(const workload& aLoad)
 {
-  const std::vector<policy> policies{ Dunehook(), Baseline<least_loaded_chooser>("least loaded") };
+  const std::vector<policy> policies{
+    Dunehook(),
+    Without("retry budget", [](run_options& aRun) { aRun.mSwitches.mRetryBudget = false; }),
+    WithAging(),
+    Baseline<least_loaded_chooser>("least loaded"),
+  };
   run_options death;
   death.mEngineDeath = true;
-  Sweep(aLoad, policies, Loads({ 0.8, 1.3 }), death, ", engine dies");
+  Sweep(aLoad, policies, Loads({ 0.8, 1.3 }), death, " (engine dies)");
   run_options slow;
   slow.mLinkScale = 0.3;
-  Sweep(aLoad, policies, Loads({ 0.8, 1.3 }), slow, ", slow link");
+  Sweep(aLoad, policies, Loads({ 0.8, 1.3 }), slow, " (slow link)");
   run_options leaving;
   leaving.mCancelShare = 0.2;
-  Sweep(aLoad, policies, Loads({ 0.8, 1.3 }), leaving, ", a fifth leaves");
+  Sweep(aLoad, policies, Loads({ 0.8, 1.3 }), leaving, " (a fifth leaves)");
 }
 
 void
 SweepLower(const workload& aLoad)
 {
-  Sweep(aLoad, { Dunehook() }, Loads({ 0.8, 1.0, 1.3 }), {}, ", both classes");
+  Sweep(aLoad, { Dunehook() }, Loads({ 0.8, 1.0, 1.3 }), {}, " (both classes)");
   run_options alone;
   alone.mLowerShare = 0.0;
-  Sweep(aLoad, { Dunehook() }, Loads({ 0.8, 1.0, 1.3 }), alone, ", rank 0 alone");
+  Sweep(aLoad, { Dunehook() }, Loads({ 0.8, 1.0, 1.3 }), alone, " (rank 0 alone)");
 }
 
 void
--- a/src/decide/cell_base.h
+++ b/src/decide/cell_base.h
@@ -10,6 +10,7 @@
 #include "decide/prefix_index.h"
 #include "decide/request_base.h"
 
+#include <deque>
 #include <random>
 
 namespace dunehook {
@@ -39,6 +40,14 @@
   std::uint64_t mCancelledTokens = 0; ///< Of them thrown away since the caller went.
 };
 
+/** A piece of a transfer that is on the link. */
+struct chunk_entry
+{
+  attempt_id mAttempt;      ///< Whose.
+  std::uint64_t mBytes = 0; ///< How large.
+  instant mStarted{ 0 };    ///< When it was ordered.
+};
+
 /** Tables of a cell. */
 struct cell_state
 {
@@ -48,7 +57,9 @@
   prefix_index mPrefixes;                    ///< Hints on cached prefixes.
   std::map<std::string, class_stats> mStats; ///< By class.
   cell_counters mCounters;                   ///< Totals.
-  std::uint32_t mChunksUnderWay = 0;         ///< Pieces on the link now.
+  std::deque<chunk_entry> mChunks;           ///< Pieces on the link now, oldest first.
+  instant mLastChunk{ 0 };                   ///< When the last piece arrived.
+  double mLinkRate = 0.0;                    ///< Measured bytes a second; 0 until measured.
   double mRetryCredit = kMaxRetryCredit;     ///< Repeats allowed now; see kRetryShare.
   std::mt19937_64 mRandom{ 1 };              ///< Spreads Retry-After.
   instant mNow{ 0 };                         ///< Instant of the tick or event under way.
--- a/src/decide/decide_type.h
+++ b/src/decide/decide_type.h
@@ -36,7 +36,7 @@
   bool mChunkedTransfers = true; ///< Large transfers go in pieces.
   bool mAdmission = true;        ///< Refuse at once what can't be on time.
   bool mRetryBudget = true;      ///< Bound repeats by a share of the admitted requests.
-  bool mAging = true;            ///< The longest wait goes before every rank.
+  bool mAging = false;           ///< The longest wait goes first. Off: see docs/DECISIONS.md, 5.
 
   auto operator<=>(const placement_switches&) const = default;
 };
--- a/src/decide/event.cpp
+++ b/src/decide/event.cpp
@@ -123,7 +123,7 @@
       return;
     }
     --request->mChunksUnderWay;
-    --mCell.mChunksUnderWay;
+    MeasureLink(aEvent.mAttempt);
     if (request->mSentBytes == request->mKvBytes && request->mChunksUnderWay == 0) {
       request->mStage = request_stage::eDecoding;
       LeavePrefill(*request);
@@ -265,13 +265,29 @@
     if (engine_entry* const engine = mCell.FindEngine(aRequest.mDecode)) {
       engine->mWork.erase(aRequest.mRequest.mAttempt);
     }
-    mCell.mChunksUnderWay -= aRequest.mChunksUnderWay;
-    aRequest.mChunksUnderWay = 0;
+    DropChunks(mCell, aRequest);
     aRequest.mDecode = {};
     aRequest.mSentBytes = 0;
     aRequest.mStage = request_stage::eReady;
   }
 
+  /** Takes the oldest piece of an attempt off the link, and measures the rate by whole pieces. */
+  void MeasureLink(const attempt_id& aAttempt)
+  {
+    const auto chunk =
+      std::find_if(mCell.mChunks.begin(), mCell.mChunks.end(), [&](const chunk_entry& aChunk) {
+        return aChunk.mAttempt == aAttempt;
+      });
+    const double seconds = ToSeconds(mCell.mNow - std::max(chunk->mStarted, mCell.mLastChunk));
+    if (chunk->mBytes == mCell.mSettings.mLink.mChunkBytes && seconds > 0.0) {
+      const double rate = static_cast<double>(chunk->mBytes) / seconds;
+      double& mean = mCell.mLinkRate;
+      mean = mean == 0.0 ? rate : mean + kStatsWeight * (rate - mean);
+    }
+    mCell.mLastChunk = mCell.mNow;
+    mCell.mChunks.erase(chunk);
+  }
+
   void NoteService(const request_entry& aRequest)
   {
     double& mean = mCell.mStats[aRequest.mRequest.mClass].mServiceSeconds;
--- a/src/decide/forecast.cpp
+++ b/src/decide/forecast.cpp
@@ -121,12 +121,19 @@
   return FromSeconds(tokens / aEngine.mInfo.mTokensPerSecond);
 }
 
+double
+LinkRate(const cell_state& aCell)
+{
+  const auto declared = static_cast<double>(aCell.mSettings.mLink.mBytesPerSecond);
+  return aCell.mLinkRate == 0.0 ? declared : std::min(declared, aCell.mLinkRate);
+}
+
 duration
 TransferTime(const cell_state& aCell, const request_arrived& aRequest)
 {
   const double bytes = static_cast<double>(aRequest.mPromptTokens) *
                        static_cast<double>(aCell.mSettings.mKvBytesPerToken);
-  return FromSeconds(bytes / static_cast<double>(aCell.mSettings.mLink.mBytesPerSecond));
+  return FromSeconds(bytes / LinkRate(aCell));
 }
 
 duration
@@ -144,7 +151,7 @@
                                   static_cast<double>(aCell.mSettings.mKvBytesPerToken);
     bytes += size;
   }
-  return FromSeconds(bytes / static_cast<double>(aCell.mSettings.mLink.mBytesPerSecond));
+  return FromSeconds(bytes / LinkRate(aCell));
 }
 
 wait_forecast
--- a/src/decide/forecast_func.h
+++ b/src/decide/forecast_func.h
@@ -37,6 +37,10 @@
 duration
 PrefillTime(const cell_state& aCell, const engine_entry& aEngine, const request_arrived& aRequest);
 
+/** @return bytes a second that the link carries: as declared, or less if less was measured. */
+double
+LinkRate(const cell_state& aCell);
+
 /** @return time the link needs for the request's prefill result when nothing else moves. */
 duration
 TransferTime(const cell_state& aCell, const request_arrived& aRequest);
--- a/src/decide/request.cpp
+++ b/src/decide/request.cpp
@@ -44,7 +44,15 @@
       engine->mWork.erase(aRequest.mRequest.mAttempt);
     }
   }
-  aCell.mChunksUnderWay -= aRequest.mChunksUnderWay;
+  DropChunks(aCell, aRequest);
+}
+
+void
+DropChunks(cell_state& aCell, request_entry& aRequest)
+{
+  std::erase_if(aCell.mChunks, [&](const chunk_entry& aChunk) {
+    return aChunk.mAttempt == aRequest.mRequest.mAttempt;
+  });
   aRequest.mChunksUnderWay = 0;
 }
 
--- a/src/decide/request_func.h
+++ b/src/decide/request_func.h
@@ -33,6 +33,10 @@
 void
 ReleaseEngines(cell_state& aCell, request_entry& aRequest);
 
+/** Forgets the pieces of a request's transfer that are on the link. */
+void
+DropChunks(cell_state& aCell, request_entry& aRequest);
+
 /** Counts the prompt tokens computed for a request as wasted, if there are any. */
 void
 CountWaste(cell_state& aCell, const request_entry& aRequest);
--- a/src/decide/system.cpp
+++ b/src/decide/system.cpp
@@ -166,7 +166,7 @@
   for (const attempt_id& attempt : InOrder(aCell, request_stage::eTransferring)) {
     request_entry& request = *aCell.FindRequest(attempt);
     while (request.mSentBytes < request.mKvBytes) {
-      if (aCell.mChunksUnderWay >= kLinkDepth) {
+      if (aCell.mChunks.size() >= kLinkDepth) {
         return;
       }
       const std::uint64_t left = request.mKvBytes - request.mSentBytes;
@@ -176,7 +176,7 @@
         start_chunk{ attempt, request.mDecode, request.mSentBytes, bytes, bytes == left });
       request.mSentBytes += bytes;
       ++request.mChunksUnderWay;
-      ++aCell.mChunksUnderWay;
+      aCell.mChunks.push_back({ attempt, bytes, aCell.mNow });
     }
   }
 }
--- a/src/decide/system_func.h
+++ b/src/decide/system_func.h
@@ -14,7 +14,7 @@
 /** Work of one rank that a prefill engine is given at once: one under way and one behind it. */
 inline constexpr std::size_t kPrefillDepth = 2;
 /** Pieces on a link at once: one moving and one that hides the round trip. */
-inline constexpr std::uint32_t kLinkDepth = 2;
+inline constexpr std::size_t kLinkDepth = 2;
 /** Transfers that hold slots while they wait for the link may add up to this. */
 inline constexpr duration kLinkQueue = std::chrono::milliseconds(30);
 /** Time between the predicted end of a prefill and that of its promised slot. */
--- a/tests/integration/once_test.cpp
+++ b/tests/integration/once_test.cpp
@@ -123,6 +123,7 @@
     const std::string record = "race-" + std::to_string(round);
     const std::string key = FreshKey(record);
     std::vector<std::future<answer>> calls;
+    calls.reserve(9);
     for (int call = 0; call < 9; ++call) {
       calls.push_back(bed.RecordLater(1 + call % 3, record, key));
     }
--- a/tests/support/testbed.cpp
+++ b/tests/support/testbed.cpp
@@ -213,6 +213,7 @@
   : mOutput(std::move(aOutput))
 {
   std::vector<char*> arguments;
+  arguments.reserve(aCommand.size() + 1);
   for (std::string& one : aCommand) {
     arguments.push_back(one.data());
   }
--- a/tests/unit/decide_test.cpp
+++ b/tests/unit/decide_test.cpp
@@ -170,7 +170,9 @@
 
 TEST(decide, PracticeTurnsGoFirstButAnAgedReviewGoesBeforeThem)
 {
-  bench cell(1);
+  cell_settings settings;
+  settings.mSwitches.mAging = true;
+  bench cell(1, settings);
   cell.Decode(1);
   cell.Arrive(2, 6000, Placement());
   cell.mNow += 2100ms;
@@ -200,6 +202,21 @@
   CHECK_TRUE(First<start_chunk>(cell.Chunk(1)).mAttempt == bench::Attempt(2));
 }
 
+TEST(decide, ALinkSlowerThanDeclaredIsNoticed)
+{
+  bench cell(20);
+  const std::uint64_t chunk = cell_settings{}.mLink.mChunkBytes;
+  cell.Arrive(1, 6000, Placement());
+  cell.Prefilled(1, 20 * chunk);
+  const duration declared = LinkBacklog(cell.mCore.State(), 1, request_stage::eReady);
+  for (int piece = 0; piece < 10; ++piece) {
+    cell.mNow += 100ms;
+    cell.Chunk(1);
+  }
+  CHECK_TRUE(LinkRate(cell.mCore.State()) < 1.0e9);
+  CHECK_TRUE(LinkBacklog(cell.mCore.State(), 1, request_stage::eReady) > declared);
+}
+
 TEST(decide, TheEngineThatHoldsThePrefixIsPreferredWhileItsQueueIsShort)
 {
   bench cell(20);
@@ -230,7 +247,7 @@
   const auto cancelled = cell.mCore.Handle(request_cancelled{ bench::Attempt(1) }, cell.mNow);
   LONGS_EQUAL(2, Count<cancel_work>(cancelled));
   LONGS_EQUAL(0, cell.mCore.State().mEngines.at(kDecode).mWork.size());
-  LONGS_EQUAL(0, cell.mCore.State().mChunksUnderWay);
+  LONGS_EQUAL(0, cell.mCore.State().mChunks.size());
 }
 
 TEST(decide, ADaemonThatEndedLeavesNothingBehind)
