Change: [Front] a token's event is put together from parts; stand-ins share their start

The load caller crashed at its end ("corrupted size"): a static client outlived its io_context; it also opened a connection a call, which the straight calls don't. Change: the event's head is kept for the session and only index and text are added; the caller's clients live in main and connections are kept; RunStandin() and token_text.h in place of copies.

--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -139,6 +139,7 @@
       std::launch::async, [&aLoad, &aPolicy, aOptions] { return aPolicy.mRun(aLoad, aOptions); }));
   }
   std::vector<run_result> results;
+  results.reserve(runs.size());
   for (auto& run : runs) {
     results.push_back(run.get());
   }
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -49,9 +49,9 @@
 daemon 1
 publish
 ready "$callers1"
-sed 's/"slots": 20/"slots": 400/; s/8000}/1000000}/; s/5000000000}/1000000000000}/; s/"requests_per_second": 500/"requests_per_second": 100000/' \
-  examples/lakeshore.json | grep -v tutor-v1 | sed 's/"version": "1".*//' >"$work/resources.raw"
-perl -0pe 's/,\s*\{"kind": "model_version".*\z/\n]\n/s' "$work/resources.raw" >"$work/resources.json"
+perl -0pe 's/,\s*\{"kind": "model_version".*\z/\n]\n/s; s/"slots": 20/"slots": 400/; s/8000\}/1000000}/;
+  s/5000000000\}/1000000000000}/; s/"requests_per_second": 500/"requests_per_second": 100000/' \
+  examples/lakeshore.json >"$work/resources.json"
 "$build/src/dunehook" -server="$operators1" -token_file="$work/secret" -f="$work/resources.json" apply >/dev/null
 sleep 1.5
 caller() { "$build/standins/standin_caller" --calls=1000 --rate=200 --tokens=20 --prompt_bytes=200 "$@"; }
--- a/src/callers/completion_session.cpp
+++ b/src/callers/completion_session.cpp
@@ -43,6 +43,9 @@
   , mArrived(Now())
   , mDeadline(mArrived + std::chrono::milliseconds(aRoute.mTimeoutMs))
   , mWake(aFront.mIo)
+  , mEventHead(R"(data: {"object":"text_completion","id":")" + ToText(mAttempt) + R"(","model":)" +
+               json(mRequest.mModel).dump(-1, ' ', false, json::error_handler_t::replace) +
+               R"(,"token":)")
 {
 }
 
@@ -366,15 +369,13 @@
 std::string
 completion_session::TokenEvent(const token& aToken) const
 {
-  const json event{
-    { "id", ToText(mAttempt) },
-    { "object", "text_completion" },
-    { "model", mRequest.mModel },
-    { "token", aToken.mIndex },
-    { "choices",
-      json::array({ { { "index", 0 }, { "text", aToken.mText }, { "finish_reason", nullptr } } }) }
-  };
-  return "data: " + event.dump(-1, ' ', false, json::error_handler_t::replace) + "\n\n";
+  // Put together from parts: a tree of JSON for each token took a third of the processor time.
+  std::string event = mEventHead;
+  event += std::to_string(aToken.mIndex);
+  event += R"(,"choices":[{"index":0,"finish_reason":null,"text":)";
+  event += json(aToken.mText).dump(-1, ' ', false, json::error_handler_t::replace);
+  event += "}]}\n\n";
+  return event;
 }
 
 asio::awaitable<bool>
--- a/src/callers/completion_session.h
+++ b/src/callers/completion_session.h
@@ -107,6 +107,7 @@
   used_engine mPrefill;               ///< Prefill engine in use.
   used_engine mDecode;                ///< Decode engine in use.
   http_connection_ptr mConnection;    ///< Connection in use, to be aborted.
+  std::string mEventHead;             ///< Start of every token's event, up to its index.
   std::uint64_t mKvBytes = 0;         ///< Size of the prefill result.
   std::uint32_t mNextIndex = 0;       ///< Index of the next token to write; never goes down.
   std::string mText;                  ///< Tokens so far, for the whole answer and for resuming.
--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -6,13 +6,14 @@
  */
 #include "core/attempt_type.h"
 #include "runners/engine_client.h"
-#include "standins/common/standin.h"
+#include "standins/common/token_text.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
+#include <iostream>
 
 ABSL_FLAG(std::vector<std::string>, daemons, {}, "callers' addresses of the daemons, by commas");
 ABSL_FLAG(std::string, prefill, "", "call this prefill engine straight");
@@ -71,7 +72,7 @@
 }
 
 asio::awaitable<void>
-CallDaemon(const endpoint& aDaemon, int aCall, tally& aTally)
+CallDaemon(http_pool& aPool, endpoint aDaemon, int aCall, tally& aTally)
 {
   constexpr duration kLimit = std::chrono::seconds(30);
   const instant start = steady_clock_source().Now();
@@ -86,7 +87,7 @@
     { "max_tokens", tokens },
     { "stream", true }
   }.dump();
-  const auto connection = co_await http_connection::Connect(aDaemon, kLimit);
+  const auto connection = co_await aPool.Take(aDaemon, kLimit);
   const result<unsigned> status = connection ? co_await connection.value()->Start(call, kLimit)
                                              : result<unsigned>(connection.error());
   if (!status || status.value() != 200) {
@@ -109,6 +110,7 @@
     TakeEvents(buffer, text, done, aTally.mTokens);
     more = read && read.value();
   }
+  aPool.Give(aDaemon, connection.value());
   if (!done) {
     ++aTally.mFailed;
   } else if (text != AnswerText(prompt, tokens)) {
@@ -165,9 +167,8 @@
 }
 
 asio::awaitable<void>
-RunAll(asio::io_context& aIo, tally& aTally, int& aOpen)
+RunAll(asio::io_context& aIo, engine_client& aEngines, http_pool& aPool, tally& aTally, int& aOpen)
 {
-  static engine_client sEngines;
   const incarnation_id self = DrawIncarnation();
   const instant start = steady_clock_source().Now();
   const auto daemons = absl::GetFlag(FLAGS_daemons);
@@ -179,18 +180,11 @@
     const auto finished = [&aOpen](const std::exception_ptr&) { --aOpen; };
     if (!absl::GetFlag(FLAGS_prefill).empty()) {
       const attempt_id attempt{ self, static_cast<std::uint64_t>(call) + 1 };
-      asio::co_spawn(aIo, CallEngines(sEngines, attempt, aTally), finished);
+      asio::co_spawn(aIo, CallEngines(aEngines, attempt, aTally), finished);
       continue;
     }
-    static std::vector<endpoint> sTargets;
-    sTargets.push_back(
-      ParseEndpoint(daemons[static_cast<std::size_t>(call) % daemons.size()]).value());
-    asio::co_spawn(
-      aIo,
-      [](endpoint aTarget, int aCall, tally& aCounts) -> asio::awaitable<void> {
-        co_await CallDaemon(aTarget, aCall, aCounts);
-      }(sTargets.back(), call, aTally),
-      finished);
+    const std::string& target = daemons[static_cast<std::size_t>(call) % daemons.size()];
+    asio::co_spawn(aIo, CallDaemon(aPool, ParseEndpoint(target).value(), call, aTally), finished);
   }
   while (aOpen > 0) {
     co_await Sleep(std::chrono::milliseconds(5));
@@ -220,10 +214,12 @@
     return 2;
   }
   dunehook::asio::io_context io(1);
+  dunehook::engine_client engines;
+  dunehook::http_pool pool;
   dunehook::tally tally;
   int open = 0;
   const auto start = dunehook::steady_clock_source().Now();
-  dunehook::Spawn(io, dunehook::RunAll(io, tally, open));
+  dunehook::Spawn(io, dunehook::RunAll(io, engines, pool, tally, open));
   io.run();
   const double seconds = dunehook::ToSeconds(dunehook::steady_clock_source().Now() - start);
   const nlohmann::json summary{
--- a/standins/common/standin.h
+++ b/standins/common/standin.h
@@ -1,48 +1,24 @@
 /**
  * @file standin.h
  * What the stand-ins share: a JSON HTTP server on a port of the kernel's choice, announced on
- * standard output, and texts of tokens.
+ * standard output.
  */
 #pragma once
 
-#include "core/hash_func.h"
 #include "net/http_server.h"
+#include "standins/common/token_text.h"
 
 #include <nlohmann/json.hpp>
 
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
 #include <iostream>
 #include <string>
 
-namespace dunehook {
-
-/** Words that token texts are made of. */
-inline constexpr std::array<std::string_view, 16> kWords{
-  "ang",  "lake",  "tide",  "road", "basura", "paper", "turn",  "home",
-  "oras", "level", "bukas", "read", "hall",   "water", "gabay", "light",
-};
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on");
 
-/**
- * @return the text of a token: a function of the prompt and the index alone, so that a crossed,
- * doubled or torn answer is seen by the caller.
- */
-inline std::string
-TokenText(std::uint64_t aPromptHash, std::uint32_t aIndex)
-{
-  const std::uint64_t mixed = HashBytes(std::to_string(aIndex), aPromptHash);
-  return std::string(kWords[mixed % kWords.size()]) + "-" + std::to_string(mixed % 997) + " ";
-}
-
-/** @return the whole answer to a prompt. */
-inline std::string
-AnswerText(std::string_view aPrompt, std::uint32_t aTokens)
-{
-  const std::uint64_t hash = HashBytes(aPrompt);
-  std::string text;
-  for (std::uint32_t index = 0; index < aTokens; ++index) {
-    text += TokenText(hash, index);
-  }
-  return text;
-}
+namespace dunehook {
 
 /** Opens a listener and announces its address as a line of JSON. */
 inline std::unique_ptr<http_listener>
@@ -66,6 +42,25 @@
   return std::move(listener.value());
 }
 
+/**
+ * Runs a stand-in until its process is ended.
+ * @tparam Program made with an io_context; its Serve() answers each call.
+ */
+template<typename Program>
+int
+RunStandin(int aCount, char** aValues)
+{
+  absl::ParseCommandLine(aCount, aValues);
+  asio::io_context io(1);
+  Program program(io);
+  const auto listener =
+    OpenAndAnnounce(io, absl::GetFlag(FLAGS_listen), [&program](exchange_ptr aExchange) {
+      return program.Serve(std::move(aExchange));
+    });
+  io.run();
+  return 0;
+}
+
 /** @return the request's body as a JSON object, empty if it isn't one. */
 inline nlohmann::json
 BodyOf(const http_exchange& aExchange)
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -20,7 +20,6 @@
 #include <map>
 #include <set>
 
-ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on");
 ABSL_FLAG(double, tokens_per_second, 8000, "prompt tokens read a second; 0 for no delay");
 ABSL_FLAG(double, step_ms, 5, "time of a decode step with an empty batch; 0 for no delay");
 ABSL_FLAG(double, step_slope_ms, 0.2, "time that each further request adds to a step");
@@ -509,12 +508,5 @@
 int
 main(int aCount, char** aValues)
 {
-  absl::ParseCommandLine(aCount, aValues);
-  dunehook::asio::io_context io(1);
-  dunehook::engine engine(io);
-  const auto listener = dunehook::OpenAndAnnounce(
-    io, absl::GetFlag(FLAGS_listen), [&](dunehook::exchange_ptr aExchange) {
-      return engine.Serve(std::move(aExchange));
-    });
-  io.run();
+  return dunehook::RunStandin<dunehook::engine>(aCount, aValues);
 }
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -7,15 +7,10 @@
 #include "core/token_bucket.h"
 #include "standins/common/standin.h"
 
-#include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-
 #include <chrono>
 #include <deque>
 #include <map>
 
-ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on");
-
 namespace dunehook {
 namespace {
 
@@ -191,12 +186,5 @@
 int
 main(int aCount, char** aValues)
 {
-  absl::ParseCommandLine(aCount, aValues);
-  dunehook::asio::io_context io(1);
-  dunehook::platform platform(io);
-  const auto listener = dunehook::OpenAndAnnounce(
-    io, absl::GetFlag(FLAGS_listen), [&](dunehook::exchange_ptr aExchange) {
-      return platform.Serve(std::move(aExchange));
-    });
-  io.run();
+  return dunehook::RunStandin<dunehook::platform>(aCount, aValues);
 }
--- a/standins/proxy.cpp
+++ b/standins/proxy.cpp
@@ -14,7 +14,6 @@
 
 #include <array>
 
-ABSL_FLAG(std::string, listen, "127.0.0.1:0", "control address");
 ABSL_FLAG(std::string, target, "", "where connections go");
 
 namespace dunehook {
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -6,13 +6,8 @@
  */
 #include "standins/common/standin.h"
 
-#include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-
 #include <map>
 
-ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on");
-
 namespace dunehook {
 namespace {
 
@@ -21,6 +16,8 @@
 class service
 {
 public:
+  explicit service(asio::io_context& /*aIo*/) {}
+
   asio::awaitable<void> Serve(exchange_ptr aExchange)
   {
     const std::string_view path = aExchange->Path();
@@ -77,12 +74,5 @@
 int
 main(int aCount, char** aValues)
 {
-  absl::ParseCommandLine(aCount, aValues);
-  dunehook::asio::io_context io(1);
-  dunehook::service service;
-  const auto listener = dunehook::OpenAndAnnounce(
-    io, absl::GetFlag(FLAGS_listen), [&](dunehook::exchange_ptr aExchange) {
-      return service.Serve(std::move(aExchange));
-    });
-  io.run();
+  return dunehook::RunStandin<dunehook::service>(aCount, aValues);
 }
--- a/tests/integration/answers_test.cpp
+++ b/tests/integration/answers_test.cpp
@@ -3,7 +3,7 @@
  * Promises: nobody receives an answer twice, and each gets the whole answer to its own request,
  * also when answers are late, crossed or torn.
  */
-#include "standins/common/standin.h"
+#include "standins/common/token_text.h"
 #include "tests/support/testbed.h"
 
 #include <CppUTest/TestHarness.h>
--- a/tests/integration/path_test.cpp
+++ b/tests/integration/path_test.cpp
@@ -2,7 +2,7 @@
  * @file path_test.cpp
  * The whole path with real processes: completions, services, resources.
  */
-#include "standins/common/standin.h"
+#include "standins/common/token_text.h"
 #include "tests/support/testbed.h"
 
 #include <CppUTest/TestHarness.h>
--- a/tests/integration/random_test.cpp
+++ b/tests/integration/random_test.cpp
@@ -2,7 +2,7 @@
  * @file random_test.cpp
  * A randomised mix of faults with a printed seed, bounded in time; the promises are invariants.
  */
-#include "standins/common/standin.h"
+#include "standins/common/token_text.h"
 #include "tests/support/testbed.h"
 
 #include <CppUTest/TestHarness.h>
--- a/tests/integration/stop_test.cpp
+++ b/tests/integration/stop_test.cpp
@@ -3,7 +3,7 @@
  * Promises: a runner that is leaving gets no new work after a few seconds, and a planned stop of a
  * daemon or an engine cuts nothing.
  */
-#include "standins/common/standin.h"
+#include "standins/common/token_text.h"
 #include "tests/support/testbed.h"
 
 #include <CppUTest/TestHarness.h>
