--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -3,24 +3,8 @@
 # against the same calls sent straight to the engines' stand-ins, and tokens a second of one core.
 # Everything runs on loopback, in one run, with engines that add no delay of their own.
 set -euo pipefail
-cd "$(dirname "$0")/.."
-build=${BUILD_DIR:-build}
-work=$(mktemp -d)
-pids=()
-finish() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$work"
-}
-trap finish EXIT
-start() {
-  local name=$1
-  shift
-  "$@" >"$work/$name.out" 2>"$work/$name.err" &
-  pids+=($!)
-  until grep -q listening "$work/$name.out" 2>/dev/null; do sleep 0.02; done
-  printf -v "$name" '%s' "$(sed -n 's/.*"listening":"\([^"]*\)".*/\1/p' "$work/$name.out")"
-}
+source "$(dirname "$0")/processes.sh"
+
 quick="--tokens_per_second=0 --step_ms=0 --link_bytes_per_second=0 --slots=400"
 start platform "$build/standins/standin_platform"
 start prefill "$build/standins/standin_engine" $quick
