--- a/src/control/host_directory.h
+++ b/src/control/host_directory.h
@@ -7,7 +7,7 @@
 
 #include "core/hash_func.h"
 #include "decide/decide_type.h"
-#include "platform/log_client.h"
+#include "log/log_client.h"
 
 #include <functional>
 #include <unordered_map>
--- a/src/control/log_follower.h
+++ b/src/control/log_follower.h
@@ -8,7 +8,7 @@
 
 #include "control/peer_directory.h"
 #include "core/token_bucket.h"
-#include "platform/log_client.h"
+#include "log/log_client.h"
 #include "resources/fold_base.h"
 
 #include <deque>
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -3,6 +3,7 @@
  * dunehookd: the daemon that every entry host runs.
  */
 #include "core/log_func.h"
+#include "daemon/gateway_main.h"
 #include "daemon/router_base.h"
 
 #include <absl/flags/flag.h>
@@ -13,6 +14,7 @@
 #include <iostream>
 
 ABSL_FLAG(std::string, settings, "", "path of the TOML settings file");
+ABSL_FLAG(bool, platform, false, "serve as an entry host of the users' platform");
 ABSL_FLAG(bool, check, false, "check the settings, print all findings, and stop");
 
 namespace {
@@ -62,10 +64,14 @@
   absl::SetProgramUsageMessage(
     "runs a dunehook daemon\n\n"
     "  dunehookd --settings=FILE           serve callers, operators and other daemons\n"
-    "  dunehookd --settings=FILE --check   only check the settings\n\n"
+    "  dunehookd --settings=FILE --check   only check the settings\n"
+    "  dunehookd --platform                serve on the users' platform, with its settings\n\n"
     "SIGTERM begins a planned stop: calls under way run to their end.\n"
     "Exit codes: 0 stopped as planned, 1 could not start, 2 faulty settings.");
   absl::ParseCommandLine(aCount, aValues);
+  if (absl::GetFlag(FLAGS_platform)) {
+    return dunehook::RunGateway();
+  }
   const std::string path = absl::GetFlag(FLAGS_settings);
   const dunehook::settings_report report = dunehook::LoadSettings(path);
   if (!report.mFindings.empty()) {
--- /dev/null
+++ b/src/forward/caller_session.cpp
@@ -0,0 +1,417 @@
+/**
+ * @file caller_session.cpp
+ * Reading of callers' requests and writing of answers.
+ */
+#include "forward/caller_session.h"
+
+#include "core/log_func.h"
+#include "core/text_func.h"
+#include "net/http_server.h"
+
+#include <sys/socket.h>
+
+#include <array>
+
+namespace dunehook {
+
+namespace {
+
+/** A caller that takes no bytes for this long is gone. */
+constexpr duration kWriteTime = std::chrono::seconds(10);
+/** After a refusal of an unread body the caller may take this long to read the answer. */
+constexpr duration kLingerTime = std::chrono::milliseconds(500);
+/** Bytes of a next request that are taken in while one is answered. */
+constexpr std::size_t kMostAhead = 16384;
+/** Bytes read at once. */
+constexpr std::size_t kReadBytes = 4096;
+/** Rest after a failed accept: mostly too many descriptors. */
+constexpr duration kAcceptRest = std::chrono::milliseconds(10);
+
+/** The watch over a caller's socket while its request is answered. */
+struct leave_watch
+{
+  std::weak_ptr<caller_exchange> mExchange; ///< The exchange under way.
+  bool mDone = false;                       ///< The answer is over.
+};
+
+/** Takes in what has arrived without waiting. @return false if the caller has closed. */
+bool
+TakeArrived(tcp::socket& aSocket, beast::flat_buffer& aBuffer)
+{
+  std::array<char, kReadBytes> bytes;
+  const ssize_t got = ::recv(aSocket.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+  if (got > 0) {
+    const auto count = static_cast<std::size_t>(got);
+    const auto room = aBuffer.prepare(count);
+    std::copy_n(bytes.data(), count, static_cast<char*>(room.data()));
+    aBuffer.commit(count);
+    return true;
+  }
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+}
+
+asio::awaitable<void>
+WatchForLeave(beast::tcp_stream& aStream,
+              beast::flat_buffer& aBuffer,
+              std::shared_ptr<leave_watch> aWatch)
+{
+  while (aBuffer.size() < kMostAhead) {
+    boost::system::error_code error;
+    co_await aStream.socket().async_wait(tcp::socket::wait_read,
+                                         asio::redirect_error(asio::use_awaitable, error));
+    if (aWatch->mDone) {
+      co_return;
+    }
+    if (error || !TakeArrived(aStream.socket(), aBuffer)) {
+      if (const auto exchange = aWatch->mExchange.lock()) {
+        exchange->NoteGone();
+      }
+      co_return;
+    }
+  }
+}
+
+/** Lets the caller read an answer although it's still sending: a close now would discard it. */
+asio::awaitable<void>
+Linger(beast::tcp_stream& aStream)
+{
+  boost::system::error_code error;
+  aStream.socket().shutdown(tcp::socket::shutdown_send, error);
+  aStream.expires_after(kLingerTime);
+  std::array<char, kReadBytes> bytes;
+  while (!error) {
+    co_await aStream.async_read_some(asio::buffer(bytes),
+                                     asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
+/** @return the status for a request that can't be read; 0 if the connection just ended. */
+unsigned
+StatusOf(const boost::system::error_code& aError)
+{
+  if (aError == http::error::body_limit) {
+    return 413;
+  }
+  if (aError == http::error::header_limit) {
+    return 431;
+  }
+  if (aError == beast::error::timeout) {
+    return 408;
+  }
+  static const auto& sHttpCategory = make_error_code(http::error::end_of_stream).category();
+  const bool cut = aError == http::error::end_of_stream || aError == http::error::partial_message;
+  return aError.category() == sHttpCategory && !cut ? 400 : 0;
+}
+
+/** @return whether the head leaves open where the request ends or whom it's for. */
+bool
+IsAmbiguous(const http::request_header<>& aHead)
+{
+  const auto occurs = [&](http::field aName) { return aHead.count(aName); };
+  const bool chunked = occurs(http::field::transfer_encoding) > 0;
+  if (occurs(http::field::content_length) > 1 || occurs(http::field::transfer_encoding) > 1) {
+    return true;
+  }
+  if (chunked && occurs(http::field::content_length) > 0) {
+    return true;
+  }
+  if (chunked && !beast::iequals(aHead[http::field::transfer_encoding], "chunked")) {
+    return true;
+  }
+  return occurs(http::field::host) != 1 || aHead.target().empty() || aHead.target()[0] != '/';
+}
+
+} // namespace
+
+void
+SpawnGuarded(asio::io_context& aIo, asio::awaitable<void> aTask)
+{
+  asio::co_spawn(aIo, std::move(aTask), [](const std::exception_ptr& aError) {
+    if (!aError) {
+      return;
+    }
+    try {
+      std::rethrow_exception(aError);
+    } catch (const std::exception& error) {
+      LogEvent(log_level::eError, "request_task_failed", { { "what", error.what() } });
+    }
+  });
+}
+
+std::string
+caller_exchange::HeadText(unsigned aStatus, const http::fields& aHead) const
+{
+  const auto reason = http::obsolete_reason(static_cast<http::status>(aStatus));
+  std::string text =
+    Join("HTTP/1.1 ", aStatus, " ", std::string_view(reason.data(), reason.size()), "\r\n");
+  for (const auto& field : aHead) {
+    text.append(field.name_string().data(), field.name_string().size());
+    text += ": ";
+    text.append(field.value().data(), field.value().size());
+    text += "\r\n";
+  }
+  if (!mKeepAlive) {
+    text += "Connection: close\r\n";
+  }
+  return text;
+}
+
+asio::awaitable<void>
+caller_exchange::Answer(unsigned aStatus, const http::fields& aHead, std::string_view aBody)
+{
+  std::string head = HeadText(aStatus, aHead);
+  if (aStatus != 204 && aStatus != 304) {
+    head += Join("Content-Length: ", aBody.size(), "\r\n");
+  }
+  head += "\r\n";
+  mStarted = true;
+  const bool silent = mRequest.method() == http::verb::head;
+  mAnswered = co_await WriteAll(head, silent ? std::string_view() : aBody);
+}
+
+asio::awaitable<bool>
+caller_exchange::StartBody(unsigned aStatus,
+                           const http::fields& aHead,
+                           std::optional<std::uint64_t> aLength)
+{
+  const bool oldCaller = mRequest.version() < 11;
+  mChunked = !aLength && !oldCaller;
+  if (!aLength && oldCaller) {
+    mKeepAlive = false; // The end of the connection is the end of the body.
+  }
+  std::string head = HeadText(aStatus, aHead);
+  if (aLength) {
+    head += Join("Content-Length: ", *aLength, "\r\n");
+  } else if (mChunked) {
+    head += "Transfer-Encoding: chunked\r\n";
+  }
+  head += "\r\n";
+  mStarted = true;
+  co_return co_await WriteAll(head, std::string_view());
+}
+
+asio::awaitable<bool>
+caller_exchange::Write(std::string_view aBytes)
+{
+  if (aBytes.empty()) {
+    co_return !mGone;
+  }
+  if (!mChunked) {
+    co_return co_await WriteAll(std::string_view(), aBytes);
+  }
+  const std::string chunk = Join(absl::Hex(aBytes.size()), "\r\n", aBytes, "\r\n");
+  co_return co_await WriteAll(chunk, std::string_view());
+}
+
+asio::awaitable<void>
+caller_exchange::EndBody()
+{
+  if (mChunked) {
+    static constexpr std::string_view kLastChunk = "0\r\n\r\n";
+    mAnswered = co_await WriteAll(kLastChunk, std::string_view());
+  } else {
+    mAnswered = !mGone;
+  }
+}
+
+void
+caller_exchange::Tear()
+{
+  mKeepAlive = false;
+  boost::system::error_code ignored; // The socket may be closed already.
+  mStream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  mStream.close();
+}
+
+void
+caller_exchange::OnGone(std::function<void()> aCallback)
+{
+  if (mGone && aCallback) {
+    aCallback();
+    return;
+  }
+  mOnGone = std::move(aCallback);
+}
+
+void
+caller_exchange::NoteGone()
+{
+  if (mGone) {
+    return;
+  }
+  mGone = true;
+  if (mOnGone) {
+    const std::function<void()> callback = std::move(mOnGone);
+    mOnGone = nullptr;
+    callback();
+  }
+}
+
+asio::awaitable<bool>
+caller_exchange::WriteAll(std::string_view aHead, std::string_view aBytes)
+{
+  if (mGone) {
+    co_return false;
+  }
+  const std::array<asio::const_buffer, 2> buffers{ asio::buffer(aHead.data(), aHead.size()),
+                                                   asio::buffer(aBytes.data(), aBytes.size()) };
+  boost::system::error_code error;
+  mStream.expires_after(kWriteTime);
+  co_await asio::async_write(mStream, buffers, asio::redirect_error(asio::use_awaitable, error));
+  mStream.expires_never();
+  if (error) {
+    NoteGone();
+  }
+  co_return !error;
+}
+
+result<std::unique_ptr<caller_listener>>
+caller_listener::Open(asio::io_context& aIo, const endpoint& aAt, caller_handler aHandler)
+{
+  BOOST_OUTCOME_TRY(tcp::acceptor acceptor, OpenAcceptor(aIo, aAt));
+  auto listener = std::make_unique<caller_listener>(aIo, std::move(acceptor), std::move(aHandler));
+  SpawnGuarded(aIo, listener->AcceptLoop());
+  return listener;
+}
+
+void
+caller_listener::StopAccepting()
+{
+  boost::system::error_code ignored; // Closed twice is as good as once.
+  mAcceptor.close(ignored);
+}
+
+void
+caller_listener::CloseIdle()
+{
+  for (tcp::socket* const socket : mShared.mIdle) {
+    boost::system::error_code ignored; // The session sees the end and closes.
+    socket->shutdown(tcp::socket::shutdown_both, ignored);
+  }
+}
+
+asio::awaitable<void>
+caller_listener::AcceptLoop()
+{
+  while (mAcceptor.is_open()) {
+    boost::system::error_code error;
+    tcp::socket socket =
+      co_await mAcceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
+      co_return;
+    }
+    if (error) {
+      LogEvent(log_level::eWarning, "accept_failed", { { "error", error.message() } });
+      co_await Sleep(kAcceptRest);
+      continue;
+    }
+    socket.set_option(tcp::no_delay(true), error);
+    SpawnGuarded(mIo, Serve(std::move(socket)));
+  }
+}
+
+asio::awaitable<void>
+caller_listener::Serve(tcp::socket aSocket)
+{
+  ++mShared.mOpen;
+  beast::tcp_stream stream(std::move(aSocket));
+  beast::flat_buffer buffer;
+  bool more = true;
+  while (more) {
+    more = co_await AwaitRequest(stream, buffer);
+    if (more) {
+      ++mShared.mBusy;
+      more = co_await ServeOne(stream, buffer);
+      --mShared.mBusy;
+    }
+  }
+  --mShared.mOpen;
+}
+
+asio::awaitable<bool>
+caller_listener::AwaitRequest(beast::tcp_stream& aStream, beast::flat_buffer& aBuffer)
+{
+  if (aBuffer.size() > 0) {
+    co_return true;
+  }
+  aBuffer.shrink_to_fit();
+  mShared.mIdle.insert(&aStream.socket());
+  boost::system::error_code error;
+  aStream.expires_after(mShared.mLimits.mIdleTime);
+  const std::size_t got = co_await aStream.async_read_some(
+    aBuffer.prepare(kReadBytes), asio::redirect_error(asio::use_awaitable, error));
+  mShared.mIdle.erase(&aStream.socket());
+  aBuffer.commit(got);
+  co_return !error;
+}
+
+asio::awaitable<bool>
+caller_listener::ServeOne(beast::tcp_stream& aStream, beast::flat_buffer& aBuffer)
+{
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(mShared.mLimits.mHeaderBytes);
+  parser.body_limit(mShared.mLimits.mBodyBytes);
+  boost::system::error_code error;
+  aStream.expires_after(mShared.mLimits.mHeaderTime);
+  co_await http::async_read_header(
+    aStream, aBuffer, parser, asio::redirect_error(asio::use_awaitable, error));
+  unsigned refusal = error ? StatusOf(error) : 0;
+  if (!error && IsAmbiguous(parser.get())) {
+    refusal = 400;
+  }
+  std::uint64_t held = 0;
+  if (!error && refusal == 0 && !parser.is_done()) {
+    held = parser.content_length() ? *parser.content_length() : kMostAhead;
+    if (mShared.mBodyBytes + held > mShared.mMostBodyBytes) {
+      held = 0;
+      refusal = 503;
+    } else {
+      mShared.mBodyBytes += held;
+      if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        static constexpr std::string_view kGoOn = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(aStream,
+                                   asio::buffer(kGoOn.data(), kGoOn.size()),
+                                   asio::redirect_error(asio::use_awaitable, error));
+      }
+      aStream.expires_after(mShared.mLimits.mIdleTime);
+      co_await http::async_read(
+        aStream, aBuffer, parser, asio::redirect_error(asio::use_awaitable, error));
+      refusal = error ? StatusOf(error) : 0;
+    }
+  }
+  aStream.expires_never();
+  const auto exchange =
+    std::make_shared<caller_exchange>(aStream, parser.release(), mShared.mClosing);
+  if (refusal != 0) {
+    LogEvent(
+      log_level::eInfo, "request_unread", { { "status", refusal }, { "error", error.message() } });
+    exchange->EndKeepAlive();
+    const http::fields empty;
+    const std::string body = ErrorBody("unreadable", "the request can't be read");
+    co_await exchange->Answer(refusal, empty, body);
+    co_await Linger(aStream);
+  }
+  if (error || refusal != 0) {
+    mShared.mBodyBytes -= held;
+    co_return false;
+  }
+  const auto watch = std::make_shared<leave_watch>();
+  watch->mExchange = exchange;
+  SpawnGuarded(mIo, WatchForLeave(aStream, aBuffer, watch));
+  try {
+    co_await mHandler(exchange);
+  } catch (const std::exception& failure) {
+    LogEvent(log_level::eError, "request_failed", { { "what", failure.what() } });
+  }
+  watch->mDone = true;
+  mShared.mBodyBytes -= held;
+  boost::system::error_code ignored; // Ends the watch; the socket may be closed already.
+  aStream.socket().cancel(ignored);
+  if (!exchange->Answered()) {
+    exchange->Tear();
+    co_return false;
+  }
+  co_return exchange->KeepAlive();
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/forward/caller_session.h
@@ -0,0 +1,133 @@
+/**
+ * @file caller_session.h
+ * Callers' connections: strict reading of requests within the limits of the configuration, whole
+ * and streamed answers that go out as they come, and notice of a caller that leaves.
+ */
+#pragma once
+
+#include "forward/config_type.h"
+#include "net/http_client.h"
+
+#include <functional>
+#include <set>
+
+namespace dunehook {
+
+/** Sessions of a listener have these in common. */
+struct session_shared
+{
+  caller_limits mLimits;            ///< In force for the next request.
+  bool mClosing = false;            ///< Connections end after their next answer.
+  std::uint64_t mBodyBytes = 0;     ///< Bytes of request bodies held now.
+  std::uint64_t mMostBodyBytes = 0; ///< Most bytes of request bodies held at once.
+  std::size_t mOpen = 0;            ///< Connections.
+  std::size_t mBusy = 0;            ///< Requests being read or answered.
+  std::set<tcp::socket*> mIdle;     ///< Sockets of connections that rest between requests.
+};
+
+/** One request of a caller and its answer. */
+class caller_exchange
+{
+public:
+  using request_type = http::request<http::string_body>;
+
+  caller_exchange(beast::tcp_stream& aStream, request_type aRequest, bool aClosing)
+    : mStream(aStream)
+    , mRequest(std::move(aRequest))
+    , mBody(std::make_shared<const std::string>(std::move(mRequest.body())))
+    , mKeepAlive(mRequest.keep_alive() && !aClosing)
+  {
+  }
+
+  const request_type& Request() const { return mRequest; }
+  const std::shared_ptr<const std::string>& Body() const { return mBody; }
+  std::string_view Target() const { return { mRequest.target().data(), mRequest.target().size() }; }
+
+  /** Sends a whole answer. */
+  asio::awaitable<void> Answer(unsigned aStatus, const http::fields& aHead, std::string_view aBody);
+  /**
+   * Sends the head of an answer whose body follows in pieces.
+   * @param aLength length of the body, if known; else it goes in chunks.
+   * @return whether the caller still takes bytes.
+   */
+  asio::awaitable<bool> StartBody(unsigned aStatus,
+                                  const http::fields& aHead,
+                                  std::optional<std::uint64_t> aLength);
+  /** Sends a piece of the body. @return whether the caller still takes bytes. */
+  asio::awaitable<bool> Write(std::string_view aBytes);
+  /** Ends the body as whole. */
+  asio::awaitable<void> EndBody();
+  /** Ends the connection, so that the answer can't look whole. */
+  void Tear();
+
+  /** @param aCallback called once if the caller leaves before the answer ends. */
+  void OnGone(std::function<void()> aCallback);
+  bool Gone() const { return mGone; }
+  bool Started() const { return mStarted; }
+  bool Answered() const { return mAnswered; }
+  bool KeepAlive() const { return mKeepAlive; }
+  /** The connection ends after this answer. */
+  void EndKeepAlive() { mKeepAlive = false; }
+  /** For the session: notes that the caller has left. */
+  void NoteGone();
+
+private:
+  asio::awaitable<bool> WriteAll(std::string_view aHead, std::string_view aBytes);
+  std::string HeadText(unsigned aStatus, const http::fields& aHead) const;
+
+  beast::tcp_stream& mStream;               ///< The caller's connection.
+  request_type mRequest;                    ///< The request, without its body.
+  std::shared_ptr<const std::string> mBody; ///< The request's body.
+  std::function<void()> mOnGone;            ///< Called at most once.
+  bool mKeepAlive;                          ///< The connection goes on after the answer.
+  bool mChunked = false;                    ///< The answer's body goes in chunks.
+  bool mStarted = false;                    ///< Bytes of the answer were sent.
+  bool mAnswered = false;                   ///< The answer is whole.
+  bool mGone = false;                       ///< The caller left or can't be written to.
+};
+
+using caller_exchange_ptr = std::shared_ptr<caller_exchange>;
+using caller_handler = std::function<asio::awaitable<void>(caller_exchange_ptr)>;
+
+/** The listening socket for callers. */
+class caller_listener
+{
+public:
+  /** @return the listener, or eConnectFailed. */
+  static result<std::unique_ptr<caller_listener>> Open(asio::io_context& aIo,
+                                                       const endpoint& aAt,
+                                                       caller_handler aHandler);
+
+  caller_listener(asio::io_context& aIo, tcp::acceptor aAcceptor, caller_handler aHandler)
+    : mIo(aIo)
+    , mAcceptor(std::move(aAcceptor))
+    , mHandler(std::move(aHandler))
+  {
+  }
+
+  endpoint Address() const { return AddressOf(mAcceptor); }
+  session_shared& Shared() { return mShared; }
+  /** Takes no further connections. */
+  void StopAccepting();
+  /** Ends connections that rest between requests. */
+  void CloseIdle();
+
+private:
+  asio::awaitable<void> AcceptLoop();
+  asio::awaitable<void> Serve(tcp::socket aSocket);
+  /** Waits for the first bytes of the next request. @return whether there are any. */
+  asio::awaitable<bool> AwaitRequest(beast::tcp_stream& aStream, beast::flat_buffer& aBuffer);
+  /** Reads and answers a request. @return whether the connection goes on. */
+  asio::awaitable<bool> ServeOne(beast::tcp_stream& aStream, beast::flat_buffer& aBuffer);
+
+  asio::io_context& mIo;   ///< Runs every session.
+  tcp::acceptor mAcceptor; ///< The listening socket.
+  caller_handler mHandler; ///< Called for each request.
+  session_shared mShared;  ///< Outlives the sessions.
+};
+
+/** Starts a coroutine that nobody waits for; an exception that leaves it is logged and ends it. */
+void
+SpawnGuarded(asio::io_context& aIo, asio::awaitable<void> aTask);
+
+} // namespace dunehook
--- /dev/null
+++ b/src/forward/forward_state.h
@@ -0,0 +1,59 @@
+/**
+ * @file forward_state.h
+ * What the parts of a forwarding daemon share: configuration, runners, runs, connections, budgets.
+ * All of it is used on one thread.
+ */
+#pragma once
+
+#include "forward/caller_session.h"
+#include "forward/gateway_settings.h"
+#include "forward/placement.h"
+#include "forward/route_table.h"
+#include "forward/run_message.h"
+#include "forward/upstream_connection.h"
+
+#include <memory>
+#include <random>
+
+namespace dunehook {
+
+/** The shared state. */
+struct forward_state
+{
+  forward_state(asio::io_context& aIo, gateway_settings aSettings)
+    : mIo(aIo)
+    , mSettings(std::move(aSettings))
+    , mPlacement(mSettings.mPlacement)
+    , mRandom(std::random_device{}())
+  {
+  }
+
+  instant Now() const { return steady_clock_source{}.Now(); }
+  /** @return a random number from 0 up to 1. */
+  double Draw() { return std::uniform_real_distribution<double>(0.0, 1.0)(mRandom); }
+  /** @return this daemon's budget of repeats for a service. */
+  retry_budget& BudgetOf(const std::string& aService)
+  {
+    const auto daemons = static_cast<double>(std::max<std::size_t>(mDaemons, kFewestDaemons));
+    return mBudgets.try_emplace(aService, mSettings.mRetries, daemons).first->second;
+  }
+
+  /** The allowance is split among at least so many, since others may not be seen yet. */
+  static constexpr std::size_t kFewestDaemons = 8;
+
+  asio::io_context& mIo;                        ///< Runs everything.
+  gateway_settings mSettings;                   ///< From the settings source.
+  std::shared_ptr<const route_table> mRoutes;   ///< Null until a configuration is known.
+  runner_table mRunners;                        ///< All runners.
+  placement_table mPlacement;                   ///< All generations.
+  upstream_pool mPool;                          ///< Connections to runners, for requests.
+  http_pool mSideCalls;                         ///< Connections to runners, for side calls.
+  std::map<std::string, retry_budget> mBudgets; ///< By service.
+  std::mt19937_64 mRandom;                      ///< Spreads choices and times.
+  std::size_t mDaemons = 1;                     ///< Daemons that take callers, as known.
+  bool mStopping = false;                       ///< A planned stop is under way.
+  instant mStopBy{ 0 };                         ///< End of the planned stop.
+  std::function<void(run_message)> mTell;       ///< Tells the other daemons.
+};
+
+} // namespace dunehook
--- /dev/null
+++ b/src/forward/placement.h
@@ -0,0 +1,97 @@
+/**
+ * @file placement.h
+ * Places generations on engines. Memory of the decode engines is what is scarce: a generation
+ * takes its prompt's tokens at once and grows by a token at each step until it ends. So the table
+ * holds every run with its expected end, also those that other daemons told of, and a place is
+ * given only where the sum stays within the engine's memory until the newcomer has ended.
+ * What daemons know of each other lags; the engine's own reservation is the truth.
+ * Pure: no I/O, no clock.
+ */
+#pragma once
+
+#include "forward/placement_type.h"
+#include "forward/runner_table.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace dunehook {
+
+/** The table of runs and of the engines' measured speeds. */
+class placement_table
+{
+public:
+  explicit placement_table(placement_tuning aTuning = {})
+    : mTuning(aTuning)
+  {
+  }
+
+  /** Looks for a place. Nothing is taken: see Begin(). */
+  placement_answer Choose(const generation_demand& aDemand,
+                          const engine_traits& aTraits,
+                          const runner_table& aRunners,
+                          instant aNow) const;
+
+  /** Notes a run that was placed here or by another daemon. */
+  void Begin(const run_record& aRun, instant aNow);
+  /** Notes how far a run of this daemon has come. */
+  void Progress(run_id aRun, std::uint32_t aMadeTokens, instant aNow);
+  /** Notes that a run has ended, or was never begun. */
+  void End(run_id aRun);
+  /** Notes that a prompt was read, and how long the engine took in all. */
+  void NoteRead(service_runner_id aPrefill, std::uint32_t aTokens, duration aTook, instant aNow);
+  /** Notes the pace of a finished run. */
+  void NotePace(service_runner_id aDecode, std::uint32_t aTokens, duration aTook);
+  /** Notes that an engine had no room: what is known of it was wrong. */
+  void NoteFull(service_runner_id aDecode, instant aUntil);
+  /** Replaces what a daemon told of its runs. */
+  void ReplaceRuns(std::uint64_t aDaemon, const std::vector<run_record>& aRuns, instant aNow);
+  /** Drops runs whose expected end lies far back, and those of engines that are gone. */
+  void Prune(const runner_table& aRunners, instant aNow);
+
+  /** @return runs that this daemon placed. */
+  std::vector<run_record> OwnRuns() const;
+  std::size_t RunCount() const { return mRuns.size(); }
+  /** @return tokens reserved at the engine for a demand. */
+  std::uint32_t ReservedTokens(const generation_demand& aDemand) const;
+  const placement_tuning& Tuning() const { return mTuning; }
+
+  /** @return expected peak of an engine's memory, in tokens, with another run from @p aFrom on. */
+  double PeakTokens(service_runner_id aDecode,
+                    const generation_demand& aDemand,
+                    instant aFrom) const;
+
+private:
+  /** A decode engine's measured pace and recent refusals. */
+  struct decode_state
+  {
+    double mMicrosPerToken = 800.0; ///< Time for a token of one run; a first guess until measured.
+    instant mFullUntil{ 0 };        ///< It said that it has no room.
+  };
+  /** A prefill engine's queue. */
+  struct prefill_state
+  {
+    instant mBusyUntil{ 0 };       ///< Expected end of the reads under way.
+    double mTokensPerMicro = 0.05; ///< Reading speed; a first guess until measured.
+  };
+
+  double MicrosPerToken(service_runner_id aDecode) const;
+  instant EndOf(const run_record& aRun) const;
+  double TokensAt(const run_record& aRun, instant aAt) const;
+  std::vector<const run_record*> RunsOn(service_runner_id aDecode) const;
+  /** @return expected time until the prompt is read by an engine. */
+  duration ReadTime(service_runner_id aPrefill, std::uint32_t aTokens, instant aNow) const;
+  /** @return the earliest time from which the demand fits. */
+  instant FitsFrom(service_runner_id aDecode,
+                   const generation_demand& aDemand,
+                   double aMemory,
+                   std::size_t aSlots,
+                   instant aFrom) const;
+
+  placement_tuning mTuning;                                       ///< Knobs.
+  std::unordered_map<run_id, run_record> mRuns;                   ///< All runs known.
+  std::unordered_map<service_runner_id, decode_state> mDecodes;   ///< By engine.
+  std::unordered_map<service_runner_id, prefill_state> mPrefills; ///< By engine.
+};
+
+} // namespace dunehook
--- /dev/null
+++ b/src/forward/placement_type.h
@@ -0,0 +1,89 @@
+/**
+ * @file placement_type.h
+ * What the placement of generations is asked and answers.
+ */
+#pragma once
+
+#include "forward/runner_type.h"
+
+#include <optional>
+
+namespace dunehook {
+
+struct run_tag;
+/** A generation under way, by the hash of its request's id. */
+using run_id = strong_id<run_tag>;
+
+/** Knobs of placement; the defaults are those of the settings. */
+struct placement_tuning
+{
+  /** Part of an engine's memory that the forecast may fill; the rest covers bad guesses. */
+  double mMemoryShare = 0.93;
+  /** Part of the guessed answer that is reserved at the engine before the prompt is read. */
+  double mReservedShare = 0.3;
+  /** Part of the engines that read prompts. */
+  double mPrefillShare = 0.22;
+  /** Off: baseline without a reservation and without a forecast, for comparison. */
+  bool mReserve = true;
+  /** Off: baseline that takes the engine with the fewest runs. */
+  bool mForecast = true;
+
+  auto operator<=>(const placement_tuning&) const = default;
+};
+
+/** A generation that wants a place. */
+struct generation_demand
+{
+  run_id mRun;                     ///< Its id.
+  std::string mService;            ///< Service that takes it.
+  std::string mModel;              ///< Model wanted; empty if any.
+  std::string mHall;               ///< Data hall of this daemon.
+  std::uint32_t mPromptTokens = 0; ///< Length of the prompt.
+  std::uint32_t mAnswerTokens = 0; ///< Expected length of the answer.
+  duration mFirstEventWithin{ 0 }; ///< Time left until the first event is late.
+
+  auto operator<=>(const generation_demand&) const = default;
+};
+
+/** Where a generation shall run. */
+struct placement_choice
+{
+  service_runner_id mDecode;                 ///< Generates the answer.
+  std::optional<service_runner_id> mPrefill; ///< Reads the prompt; none: the decode engine does.
+  duration mUntilRead{ 0 };                  ///< Expected time until the prompt is read.
+  duration mUntilEvent{ 0 };                 ///< Expected time to the first event.
+  double mPeakShare = 0.0;                   ///< Expected peak of the decode engine's memory.
+};
+
+/** Why a generation has no place. */
+enum class no_place
+{
+  eNoEngine, ///< No engine may be given work.
+  eNoMemory, ///< No decode engine will have memory in time.
+  eTooLate,  ///< The prompt can't be read in time.
+};
+
+/** The answer to a demand: a choice, or when to ask again. */
+struct placement_answer
+{
+  std::optional<placement_choice> mChoice; ///< Set if there's a place.
+  no_place mReason = no_place::eNoEngine;  ///< Why not, if not.
+  duration mFreeIn{ 0 };                   ///< Expected time until there's a place, if not.
+};
+
+/** A generation under way, as daemons tell each other. */
+struct run_record
+{
+  run_id mRun;                     ///< Its id.
+  service_runner_id mDecode;       ///< Engine that generates.
+  service_runner_id mPrefill;      ///< Engine that reads the prompt; none if the decode engine.
+  std::uint32_t mPromptTokens = 0; ///< Length of the prompt.
+  std::uint32_t mAnswerTokens = 0; ///< Expected length of the answer.
+  std::uint32_t mMadeTokens = 0;   ///< Tokens made by mSeen.
+  instant mSeen{ 0 };              ///< When mMadeTokens was right; ahead if not started yet.
+  std::uint64_t mDaemon = 0;       ///< Daemon that placed it; 0 is this one.
+
+  auto operator<=>(const run_record&) const = default;
+};
+
+} // namespace dunehook
--- /dev/null
+++ b/src/forward/plain_call.h
@@ -0,0 +1,243 @@
+/**
+ * @file plain_call.h
+ * Forwards requests to plain services. A request that may not be repeated is sent to one runner
+ * only, unless it's certain that nothing ran; the caller is told that it didn't run only then.
+ */
+#pragma once
+
+#include "forward/upstream_send.h"
+
+namespace dunehook {
+
+/** Bytes of an answer that are held before the caller gets the first: an answer cut below this
+ * can still be replaced by another runner's. */
+inline constexpr std::size_t kHeldAnswerBytes = 65536;
+/** A repeatable request waits this many latency targets for one runner before it tries another. */
+inline constexpr int kTargetsBeforeRepeat = 2;
+/** Connections that may fail before a request is given up on; nothing is sent by them. */
+inline constexpr std::uint32_t kMostConnects = 4;
+/** A caller whose request found no runner may come back about then. */
+inline constexpr duration kPlainComeBack = std::chrono::milliseconds(150);
+
+/** One plain request. */
+template<wire_format Wire>
+class plain_call
+{
+public:
+  plain_call(forward_state& aState,
+             caller_exchange_ptr aExchange,
+             request_facts aFacts,
+             std::shared_ptr<const route_table> aRoutes,
+             const forward_route& aRoute,
+             const forward_service& aService,
+             instant aArrived)
+    : mState(aState)
+    , mExchange(std::move(aExchange))
+    , mFacts(std::move(aFacts))
+    , mRoutes(std::move(aRoutes))
+    , mRoute(aRoute)
+    , mService(aService)
+    , mArrived(aArrived)
+    , mDeadline(aArrived + std::min(aRoute.mTimeout, mFacts.mTimeLeft.value_or(aRoute.mTimeout)))
+  {
+  }
+
+  /** Serves the request to its end. */
+  asio::awaitable<void> Run()
+  {
+    mState.BudgetOf(mService.mName).NoteRequest();
+    bool again = true;
+    while (again && !mExchange->Gone()) {
+      again = co_await TryOnce();
+    }
+  }
+
+private:
+  bool MayRepeat() const { return mRoute.mRepeat == repeat_rule::eRepeatable; }
+  duration TimeLeft() const { return mDeadline - mState.Now(); }
+
+  /** @return whether another runner may be tried after one that the request reached. */
+  bool TakeRepeat()
+  {
+    return mSends < mRoute.mMaxRunners && TimeLeft() > duration{ 0 } &&
+           mState.BudgetOf(mService.mName).Take(mState.Now());
+  }
+
+  /** Tries one runner. @return whether to try another. */
+  asio::awaitable<bool> TryOnce()
+  {
+    runner_state* const runner =
+      mState.mRunners.Choose(mService.mName, mTried, mState.Now(), mState.Draw());
+    if (runner == nullptr || mConnects >= kMostConnects || TimeLeft() <= duration{ 0 }) {
+      co_await GiveUp(runner == nullptr ? "no_runner" : "unreachable");
+      co_return false;
+    }
+    const service_runner_id id = runner->mId;
+    const endpoint address = runner->mEntry.mAddress;
+    send_plan plan;
+    plan.mRunner = id;
+    plan.mRunnerName = runner->mEntry.mName;
+    plan.mTimeLeft = TimeLeft();
+    plan.mRank = mRoute.mRank;
+    mTried.insert(id);
+    ++mConnects;
+    ++runner->mUnderWay;
+    const bool mayRepeatLater = MayRepeat() && mSends + 1 < mRoute.mMaxRunners;
+    const duration limit = mayRepeatLater ? std::min(TimeLeft() + kAnswerSlack,
+                                                     mRoute.mFirstAnswer * kTargetsBeforeRepeat)
+                                          : TimeLeft() + kAnswerSlack;
+    upstream_answer answer = co_await SendToRunner<Wire>(
+      mState, *mExchange, address, plan, mFacts.mId, !MayRepeat(), limit);
+    const bool again = co_await Conclude(id, address, answer, limit);
+    if (runner_state* const still = mState.mRunners.Find(id)) {
+      --still->mUnderWay;
+    }
+    co_return again;
+  }
+
+  /** Acts on the end of a send. @return whether to try another runner. */
+  asio::awaitable<bool> Conclude(service_runner_id aRunner,
+                                 endpoint aAddress,
+                                 upstream_answer& aAnswer,
+                                 duration aLimit)
+  {
+    if (mExchange->Gone()) {
+      Note(aRunner, send_outcome::eAbandoned);
+      co_return false;
+    }
+    if (aAnswer.mEnd == send_end::eNotSent) {
+      Note(aRunner, send_outcome::eUnreachable);
+      co_return true; // Nothing left this daemon: another runner is no repeat.
+    }
+    ++mSends;
+    std::string body;
+    if (aAnswer.mConnection) {
+      const result<void> read =
+        co_await ReadBody(*aAnswer.mConnection, body, kHeldAnswerBytes, aLimit);
+      if (!read && read.error() == errc::eBodyTooLarge) {
+        co_await Stream(aAddress, aAnswer, body);
+        Note(aRunner, send_outcome::eServed);
+        co_return false;
+      }
+      GiveBack(mState, *mExchange, aAddress, aAnswer.mConnection);
+      if (!read && aAnswer.mEnd == send_end::eAnswered) {
+        aAnswer.mEnd = send_end::eUnknown;
+      }
+    }
+    if (mExchange->Gone()) {
+      Note(aRunner, send_outcome::eAbandoned);
+      co_return false;
+    }
+    if (aAnswer.mEnd == send_end::eNotRun) {
+      Note(aRunner, send_outcome::eRefused);
+      if (TakeRepeat()) {
+        co_return true;
+      }
+      co_await GiveUp("runner_refused");
+      co_return false;
+    }
+    const bool success = aAnswer.mFacts.mStatus < 300;
+    if (aAnswer.mEnd == send_end::eAnswered && success && !aAnswer.mFacts.mHasReceipt) {
+      aAnswer.mEnd = send_end::eUnknown; // Not the runner's own answer.
+    }
+    if (aAnswer.mEnd == send_end::eUnknown) {
+      Note(aRunner, aAnswer.mTimedOut ? send_outcome::eUnreachable : send_outcome::eFailed);
+      mUnknown = true;
+      if (MayRepeat() && TakeRepeat()) {
+        co_return true;
+      }
+      co_await GiveUp(aAnswer.mTimedOut ? "runner_silent" : "answer_broken");
+      co_return false;
+    }
+    Note(aRunner, aAnswer.mFacts.mStatus < 500 ? send_outcome::eServed : send_outcome::eFailed);
+    if (aAnswer.mFacts.mStatus >= 500 && MayRepeat() && TakeRepeat()) {
+      mFailure.emplace(failure_answer{ aAnswer.mFacts.mStatus, aAnswer.mHead, body });
+      co_return true;
+    }
+    co_await mExchange->Answer(aAnswer.mFacts.mStatus, aAnswer.mHead, body);
+    co_return false;
+  }
+
+  /** Passes a large answer on piece by piece. */
+  asio::awaitable<void> Stream(const endpoint& aAddress,
+                               upstream_answer& aAnswer,
+                               std::string& aHeld)
+  {
+    upstream_connection& upstream = *aAnswer.mConnection;
+    bool open =
+      co_await mExchange->StartBody(aAnswer.mFacts.mStatus, aAnswer.mHead, upstream.BodyLength());
+    bool more = true;
+    while (open && more) {
+      open = co_await mExchange->Write(aHeld);
+      aHeld.clear();
+      const result<bool> read = co_await upstream.ReadSome(aHeld, TimeLeft() + kAnswerSlack);
+      if (!read) {
+        upstream.Abort();
+        mExchange->Tear();
+        co_return;
+      }
+      more = read.value();
+    }
+    if (open) {
+      open = co_await mExchange->Write(aHeld);
+    }
+    if (open) {
+      co_await mExchange->EndBody();
+    }
+    GiveBack(mState, *mExchange, aAddress, aAnswer.mConnection);
+  }
+
+  /** Gives the final answer of a request that no runner served. */
+  asio::awaitable<void> GiveUp(std::string_view aReason)
+  {
+    if (mFailure) {
+      co_await mExchange->Answer(mFailure->mStatus, mFailure->mHead, mFailure->mBody);
+      co_return;
+    }
+    unsigned status = 503;
+    if (mUnknown) {
+      status = TimeLeft() <= duration{ 0 } ? 504 : 502;
+    }
+    const double spread = 0.5 + mState.Draw();
+    const duration back = FromSeconds(ToSeconds(kPlainComeBack) * spread);
+    LogEvent(log_level::eInfo,
+             "request_given_up",
+             { { "request", mFacts.mId },
+               { "route", mRoute.mName },
+               { "status", status },
+               { "reason", aReason },
+               { "sends", mSends },
+               { "held_ms", (mState.Now() - mArrived).count() / 1000 } });
+    co_await Refuse<Wire>(
+      *mExchange, mFacts.mId, status, status == 503 ? back : duration{ 0 }, aReason);
+  }
+
+  void Note(service_runner_id aRunner, send_outcome aOutcome)
+  {
+    mState.mRunners.NoteOutcome(aRunner, aOutcome, mState.Now());
+  }
+
+  /** A failure of a runner's own, for the caller if no other runner does better. */
+  struct failure_answer
+  {
+    unsigned mStatus = 0; ///< HTTP status.
+    http::fields mHead;   ///< Fields for the caller.
+    std::string mBody;    ///< Whole body.
+  };
+
+  forward_state& mState;                      ///< Shared.
+  caller_exchange_ptr mExchange;              ///< The caller's side.
+  request_facts mFacts;                       ///< Of the request's head.
+  std::shared_ptr<const route_table> mRoutes; ///< Keeps mRoute and mService alive.
+  const forward_route& mRoute;                ///< Its route.
+  const forward_service& mService;            ///< The service that takes it.
+  instant mArrived;                           ///< When it was read.
+  instant mDeadline;                          ///< When it's too late.
+  std::set<service_runner_id> mTried;         ///< Runners tried.
+  std::uint32_t mSends = 0;                   ///< Runners that it reached; at most mMaxRunners.
+  std::uint32_t mConnects = 0;                ///< Runners tried, reached or not.
+  bool mUnknown = false;                      ///< It may have run somewhere.
+  std::optional<failure_answer> mFailure;     ///< The last failure that was repeated.
+};
+
+} // namespace dunehook
--- /dev/null
+++ b/src/forward/retry_budget.h
@@ -0,0 +1,60 @@
+/**
+ * @file retry_budget.h
+ * Bounds the sends to a second runner. Daemons don't ask each other: each keeps to the share of its
+ * own requests and to its part of the fixed allowance, so that all together keep to the whole.
+ */
+#pragma once
+
+#include "core/token_bucket.h"
+
+namespace dunehook {
+
+/** What all daemons together may repeat. */
+struct retry_limits
+{
+  double mShare = 0.2;                         ///< Repeats for each request.
+  duration mWindow = std::chrono::seconds(10); ///< Window that the limit counts over.
+  double mAllowance = 50.0;                    ///< Repeats in a window beside the share.
+};
+
+/** One daemon's part of the repeats of a service. */
+class retry_budget
+{
+public:
+  /**
+   * @param aLimits limits of all daemons together.
+   * @param aDaemons daemons that share them; at least 1.
+   */
+  retry_budget(const retry_limits& aLimits, double aDaemons)
+    : mShare(aLimits.mShare * kCaution)
+    , mFixed(kCaution * aLimits.mAllowance / aDaemons / ToSeconds(aLimits.mWindow) / 2.0,
+             kCaution * aLimits.mAllowance / aDaemons / 2.0)
+  {
+  }
+
+  /** Notes a request's first send. */
+  void NoteRequest() { mEarned = std::min(mEarned + mShare, kMostEarned); }
+
+  /** @return whether one more send is allowed; it counts as made. */
+  bool Take(instant aNow)
+  {
+    if (mEarned >= 1.0) {
+      mEarned -= 1.0;
+      return true;
+    }
+    return mFixed.Take(aNow);
+  }
+
+private:
+  /** Part of the limits used, since windows of daemons and service don't agree. */
+  static constexpr double kCaution = 0.7;
+  /** Most repeats saved up from the share; more would be spent after the window that earned them.
+   */
+  static constexpr double kMostEarned = 10.0;
+
+  double mShare;        ///< Repeats earned by a request.
+  double mEarned = 0.0; ///< Repeats saved up; within 0 and kMostEarned.
+  token_bucket mFixed;  ///< Part of the allowance: half at once, half over the window.
+};
+
+} // namespace dunehook
--- /dev/null
+++ b/src/forward/run_message.h
@@ -0,0 +1,35 @@
+/**
+ * @file run_message.h
+ * Datagrams in which daemons tell each other of the runs they placed. They're hints: one that is
+ * lost is made good by the next digest, and by the expected end of the run.
+ */
+#pragma once
+
+#include "forward/placement_type.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dunehook {
+
+/** What a datagram tells. */
+struct run_message
+{
+  std::uint64_t mDaemon = 0;      ///< The sender's run: its incarnation.
+  bool mDigest = false;           ///< mBegun are all the runs that the sender has.
+  std::vector<run_record> mBegun; ///< Runs placed; instants are the receiver's once decoded.
+  std::vector<run_id> mEnded;     ///< Runs that ended.
+
+  bool operator==(const run_message&) const = default;
+};
+
+/** @return the message as CBOR. @param aNow the sender's instant; ages are sent, not instants. */
+std::string
+Encode(const run_message& aMessage, instant aNow);
+
+/** @return the message, or nothing if it can't be read. @param aNow the receiver's instant. */
+std::optional<run_message>
+DecodeRunMessage(std::string_view aData, instant aNow);
+
+} // namespace dunehook
--- /dev/null
+++ b/src/forward/runner_table.cpp
@@ -0,0 +1,148 @@
+/**
+ * @file runner_table.cpp
+ * Listings, outcomes and the choice of a runner.
+ */
+#include "forward/runner_table.h"
+
+#include <algorithm>
+
+namespace dunehook {
+
+namespace {
+
+/** An entry that lapsed while the store was away may come back this long after its return. */
+constexpr duration kLapseGrace = std::chrono::milliseconds(2500);
+/** First and longest avoidance of a runner that can't be reached. */
+constexpr duration kFirstBackOff = std::chrono::milliseconds(150);
+constexpr duration kLongestBackOff = std::chrono::milliseconds(1200);
+/** Avoidance of a runner that refused: about the time in which a place comes free. */
+constexpr duration kRefusedBackOff = std::chrono::milliseconds(30);
+/** Weight of the newest outcome; a run of about ten decides. */
+constexpr double kOutcomeWeight = 0.12;
+/** Failures beyond the best runner's by this share don't count: services fail by themselves. */
+constexpr double kFailureSlack = 0.12;
+/** How much a share of failures beyond the slack weighs against load. */
+constexpr double kFailurePenalty = 12.0;
+/** Part of a tie-breaking draw in a runner's score; below the weight of one request. */
+constexpr double kDrawWeight = 0.5;
+
+} // namespace
+
+std::vector<service_runner_id>
+runner_table::Apply(const runner_listing& aListing, instant aNow, bool aAway)
+{
+  std::vector<service_runner_id> changed;
+  if (aListing.mEnd < mEnd) {
+    return changed;
+  }
+  mEnd = aListing.mEnd;
+  std::set<service_runner_id> seen;
+  for (const runner_entry& entry : aListing.mRunners) {
+    const service_runner_id id = RunnerIdOf(entry.mName);
+    seen.insert(id);
+    const auto [place, fresh] = mRunners.try_emplace(id);
+    runner_state& state = place->second;
+    if (fresh || state.mEntry != entry || !state.mListed) {
+      changed.push_back(id);
+    }
+    state.mId = id;
+    state.mEntry = entry;
+    state.mDraining = state.mDraining || entry.mLeaving;
+    state.mListed = true;
+    state.mGone = false;
+  }
+  for (auto& [id, state] : mRunners) {
+    if (state.mListed && seen.count(id) == 0) {
+      state.mListed = false;
+      state.mUnlistedAt = aNow;
+      changed.push_back(id);
+    }
+  }
+  Forget(aNow, aAway);
+  return changed;
+}
+
+void
+runner_table::Forget(instant aNow, bool aAway)
+{
+  for (auto& [id, state] : mRunners) {
+    const bool lapseOver = !aAway || aNow - state.mUnlistedAt > kLapseGrace;
+    state.mGone = state.mGone || (!state.mListed && lapseOver);
+  }
+  std::erase_if(mRunners,
+                [](const auto& aRow) { return aRow.second.mGone && aRow.second.mUnderWay == 0; });
+}
+
+runner_state*
+runner_table::Find(service_runner_id aId)
+{
+  const auto found = mRunners.find(aId);
+  return found == mRunners.end() ? nullptr : &found->second;
+}
+
+const runner_state*
+runner_table::Find(service_runner_id aId) const
+{
+  const auto found = mRunners.find(aId);
+  return found == mRunners.end() ? nullptr : &found->second;
+}
+
+bool
+runner_table::TakesWork(const runner_state& aRunner, instant aNow) const
+{
+  return !aRunner.mDraining && !aRunner.mGone && aNow >= aRunner.mAvoidUntil;
+}
+
+runner_state*
+runner_table::Choose(const std::string& aService,
+                     const std::set<service_runner_id>& aTried,
+                     instant aNow,
+                     double aDraw)
+{
+  std::vector<runner_state*> candidates;
+  double bestShare = 1.0;
+  for (auto& [id, state] : mRunners) {
+    if (state.mEntry.mService == aService && TakesWork(state, aNow) && aTried.count(id) == 0) {
+      candidates.push_back(&state);
+      bestShare = std::min(bestShare, state.mFailureShare);
+    }
+  }
+  runner_state* best = nullptr;
+  double bestScore = 0.0;
+  double draw = aDraw;
+  for (runner_state* const candidate : candidates) {
+    draw = draw * 7.0 - static_cast<double>(static_cast<int>(draw * 7.0));
+    const double excess = std::max(0.0, candidate->mFailureShare - bestShare - kFailureSlack);
+    const double load = 1.0 + static_cast<double>(candidate->mUnderWay);
+    const double score = load * (1.0 + kFailurePenalty * excess) + kDrawWeight * draw;
+    if (best == nullptr || score < bestScore) {
+      best = candidate;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+void
+runner_table::NoteOutcome(service_runner_id aId, send_outcome aOutcome, instant aNow)
+{
+  runner_state* const state = Find(aId);
+  if (state == nullptr || aOutcome == send_outcome::eAbandoned) {
+    return;
+  }
+  if (aOutcome == send_outcome::eRefused) {
+    state->mAvoidUntil = std::max(state->mAvoidUntil, aNow + kRefusedBackOff);
+    return;
+  }
+  const double failed = aOutcome == send_outcome::eServed ? 0.0 : 1.0;
+  state->mFailureShare += kOutcomeWeight * (failed - state->mFailureShare);
+  if (aOutcome == send_outcome::eServed) {
+    state->mBackOff = duration{ 0 };
+  }
+  if (aOutcome == send_outcome::eUnreachable) {
+    state->mBackOff = std::clamp(state->mBackOff * 2, kFirstBackOff, kLongestBackOff);
+    state->mAvoidUntil = aNow + state->mBackOff;
+  }
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/forward/runner_table.h
@@ -0,0 +1,84 @@
+/**
+ * @file runner_table.h
+ * The table of runners: which there are, which may be given new work, and how they have done.
+ * Pure: it's told of listings and outcomes with their instants.
+ */
+#pragma once
+
+#include "forward/config_type.h"
+#include "forward/generation_type.h"
+
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace dunehook {
+
+/** How a send to a runner ended, for the choice of the next. */
+enum class send_outcome
+{
+  eServed,      ///< A whole answer that isn't a failure.
+  eFailed,      ///< A failure of the runner's own, or a broken answer.
+  eRefused,     ///< It took no work.
+  eUnreachable, ///< No connection, or silence.
+  eAbandoned,   ///< Ended by the caller; says nothing of the runner.
+};
+
+/** A runner as this daemon sees it. */
+struct runner_state
+{
+  service_runner_id mId;       ///< Its id.
+  runner_entry mEntry;         ///< As last listed.
+  bool mListed = true;         ///< It was in the newest listing.
+  instant mUnlistedAt{ 0 };    ///< When it was first missing.
+  bool mGone = false;          ///< Missing for longer than a lapse may last.
+  bool mDraining = false;      ///< It said that it leaves; never false again within this life.
+  std::uint32_t mUnderWay = 0; ///< Requests of this daemon there.
+  double mFailureShare = 0.0;  ///< Of late, by outcome; within 0 and 1.
+  instant mAvoidUntil{ 0 };    ///< No new work before this.
+  duration mBackOff{ 0 };      ///< Last span of avoidance; grows while it stays unreachable.
+};
+
+/** The table. */
+class runner_table
+{
+public:
+  /**
+   * Applies a read of the discovery. One that is older than an earlier read is ignored.
+   * @param aAway whether the store was away lately, so that entries may have lapsed unasked.
+   * @return ids of runners that are new, or that changed what they are.
+   */
+  std::vector<service_runner_id> Apply(const runner_listing& aListing, instant aNow, bool aAway);
+
+  /** Drops runners that are gone and have no work left; call it each tick. */
+  void Forget(instant aNow, bool aAway);
+
+  runner_state* Find(service_runner_id aId);
+  const runner_state* Find(service_runner_id aId) const;
+
+  /** @return whether the runner may be given new work. */
+  bool TakesWork(const runner_state& aRunner, instant aNow) const;
+
+  /**
+   * Chooses a runner of a plain service: the least loaded of those that do well.
+   * @param aTried runners that this request was sent to.
+   * @param aDraw a number from 0 up to 1 that breaks ties.
+   * @return null if none may be given work.
+   */
+  runner_state* Choose(const std::string& aService,
+                       const std::set<service_runner_id>& aTried,
+                       instant aNow,
+                       double aDraw);
+
+  /** Notes how a send ended. */
+  void NoteOutcome(service_runner_id aId, send_outcome aOutcome, instant aNow);
+
+  const std::unordered_map<service_runner_id, runner_state>& Rows() const { return mRunners; }
+  std::uint64_t End() const { return mEnd; }
+
+private:
+  std::unordered_map<service_runner_id, runner_state> mRunners; ///< By id.
+  std::uint64_t mEnd = 0; ///< Position of the newest read; never goes down.
+};
+
+} // namespace dunehook
--- /dev/null
+++ b/src/forward/runner_type.h
@@ -0,0 +1,49 @@
+/**
+ * @file runner_type.h
+ * Runners as the discovery of runners tells of them.
+ */
+#pragma once
+
+#include "core/strong_id.h"
+#include "net/net_type.h"
+
+#include <map>
+
+namespace dunehook {
+
+struct service_runner_tag;
+/** One life of a runner, by the hash of the id it chose at its start. */
+using service_runner_id = strong_id<service_runner_tag>;
+
+/** What an engine is there for now. */
+enum class engine_role
+{
+  eNone,    ///< Not an engine.
+  ePrefill, ///< Reads prompts.
+  eDecode,  ///< Generates tokens.
+};
+
+/** A runner's entry in the discovery. */
+struct runner_entry
+{
+  std::string mName;                            ///< The id that this life of the runner chose.
+  std::string mService;                         ///< Service it belongs to.
+  endpoint mAddress;                            ///< Where it takes requests.
+  std::string mHall;                            ///< Data hall it stands in.
+  std::uint32_t mSlots = 1;                     ///< Requests it works on at once.
+  bool mLeaving = false;                        ///< It takes no new work.
+  engine_role mRole = engine_role::eNone;       ///< For engines.
+  std::map<std::string, std::uint64_t> mModels; ///< Versions of weights by model.
+  std::uint64_t mOrders = 0;                    ///< Orders it has taken in this life.
+
+  bool operator==(const runner_entry&) const = default;
+};
+
+/** One read of the discovery. */
+struct runner_listing
+{
+  std::vector<runner_entry> mRunners; ///< All that have an entry.
+  std::uint64_t mEnd = 0;             ///< Position of the read; an older read has a lower one.
+};
+
+} // namespace dunehook
--- /dev/null
+++ b/src/forward/upstream_connection.cpp
@@ -0,0 +1,207 @@
+/**
+ * @file upstream_connection.cpp
+ * Pass-through connections to runners, and their pool.
+ */
+#include "forward/upstream_connection.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+
+namespace dunehook {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 8192;
+/** Unacknowledged bytes end a connection after this; peers that are gone say nothing. */
+constexpr int kPeerSilenceMs = 900;
+/** An idle or waiting connection is probed after this many seconds, and each second after. */
+constexpr int kProbeAfterSeconds = 1;
+/** How long a connection may rest if the runner doesn't say. */
+constexpr duration kDefaultKeep = std::chrono::milliseconds(1500);
+/** A kept connection counts as proven this long after its last answer. */
+constexpr duration kProvenFor = std::chrono::milliseconds(400);
+/** Taken off the time that a runner keeps idle connections, for clocks and the way. */
+constexpr duration kKeepMargin = std::chrono::milliseconds(700);
+
+std::error_code
+FromBeast(const boost::system::error_code& aError)
+{
+  return make_error_code(aError == beast::error::timeout ? errc::eDeadlinePassed
+                                                         : errc::eConnectionLost);
+}
+
+/** Makes the kernel end a connection whose peer is silent. Failure leaves the defaults in place. */
+void
+WatchPeer(tcp::socket& aSocket)
+{
+  const int handle = aSocket.native_handle();
+  const int on = 1;
+  ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kPeerSilenceMs, sizeof kPeerSilenceMs);
+  ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeAfterSeconds, sizeof kProbeAfterSeconds);
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeAfterSeconds, sizeof kProbeAfterSeconds);
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &on, sizeof on);
+}
+
+} // namespace
+
+asio::awaitable<result<upstream_ptr>>
+upstream_connection::Connect(const endpoint& aTo, duration aLimit)
+{
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(aTo.mAddress, error);
+  if (error) {
+    co_return make_error_code(errc::eConnectFailed);
+  }
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(aLimit);
+  const tcp::endpoint target(address, aTo.mPort);
+  co_await stream.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return make_error_code(errc::eConnectFailed);
+  }
+  boost::system::error_code ignored; // Without it small writes only wait longer.
+  stream.socket().set_option(tcp::no_delay(true), ignored);
+  WatchPeer(stream.socket());
+  co_return std::make_shared<upstream_connection>(std::move(stream));
+}
+
+asio::awaitable<result<const upstream_connection::response_parser::value_type*>>
+upstream_connection::Start(const upstream_request& aRequest, duration aLimit)
+{
+  if (mAborted) {
+    co_return make_error_code(errc::eConnectionLost);
+  }
+  mWhole = false;
+  mWrite = std::make_shared<write_state>();
+  mWrite->mHead = aRequest.mHead;
+  mWrite->mBody = aRequest.mBody;
+  mStream.expires_after(aLimit);
+  const std::string_view body = mWrite->mBody ? std::string_view(*mWrite->mBody) : "";
+  const std::array<asio::const_buffer, 2> bytes{ asio::buffer(mWrite->mHead),
+                                                 asio::buffer(body.data(), body.size()) };
+  // The operation refers to the stream, so it keeps the connection alive.
+  asio::async_write(
+    mStream,
+    bytes,
+    [state = mWrite, self = shared_from_this()](
+      const boost::system::error_code& aError, std::size_t /*aCount*/) { state->mDone = !aError; });
+  mParser.emplace();
+  mParser->body_limit(boost::none);
+  if (aRequest.mMethod == http::verb::head) {
+    mParser->skip(true);
+  }
+  boost::system::error_code error;
+  co_await http::async_read_header(
+    mStream, mBuffer, *mParser, asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return FromBeast(error);
+  }
+  co_return &mParser->get();
+}
+
+asio::awaitable<result<bool>>
+upstream_connection::ReadSome(std::string& aOut, duration aLimit)
+{
+  if (mParser->is_done()) {
+    mWhole = true;
+    co_return false;
+  }
+  std::array<char, kReadBytes> bytes;
+  auto& body = mParser->get().body();
+  body.data = bytes.data();
+  body.size = bytes.size();
+  boost::system::error_code error;
+  mStream.expires_after(aLimit);
+  co_await http::async_read_some(
+    mStream, mBuffer, *mParser, asio::redirect_error(asio::use_awaitable, error));
+  if (error && error != http::error::need_buffer) {
+    co_return FromBeast(error);
+  }
+  aOut.append(bytes.data(), bytes.size() - body.size);
+  mWhole = mParser->is_done();
+  co_return !mWhole;
+}
+
+void
+upstream_connection::Abort()
+{
+  mAborted = true;
+  mWhole = false;
+  mStream.close();
+}
+
+bool
+upstream_connection::Reusable() const
+{
+  return !mAborted && mWhole && mWrite && mWrite->mDone && mParser->keep_alive() &&
+         !mParser->need_eof() && mBuffer.size() == 0;
+}
+
+bool
+upstream_connection::Stale()
+{
+  char byte = 0;
+  const ssize_t got = ::recv(mStream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+std::optional<std::uint64_t>
+upstream_connection::BodyLength() const
+{
+  const auto length = mParser->content_length();
+  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+asio::awaitable<result<upstream_ptr>>
+upstream_pool::Take(const endpoint& aTo, bool aOnlyProven, instant aNow, duration aLimit)
+{
+  auto& idle = mIdle[aTo];
+  while (!idle.empty()) {
+    upstream_ptr connection = idle.back();
+    const duration rested = aNow - connection->mIdleSince;
+    if (aOnlyProven && rested > kProvenFor) {
+      break; // Older ones lie before it; others may still use them.
+    }
+    idle.pop_back();
+    if (rested < connection->mKeepFor && !connection->Stale()) {
+      co_return connection;
+    }
+    connection->Abort();
+  }
+  co_return co_await upstream_connection::Connect(aTo, aLimit);
+}
+
+void
+upstream_pool::Give(const endpoint& aTo, const upstream_ptr& aConnection, instant aNow)
+{
+  auto& idle = mIdle[aTo];
+  if (!aConnection->Reusable() || idle.size() >= mMostIdle) {
+    aConnection->Abort();
+    return;
+  }
+  const duration told = aConnection->mKeepFor;
+  aConnection->mKeepFor =
+    told > duration{ 0 } ? std::max(told - kKeepMargin, told / 3) : kDefaultKeep;
+  aConnection->mIdleSince = aNow;
+  idle.push_back(aConnection);
+}
+
+void
+upstream_pool::Prune(instant aNow)
+{
+  for (auto& [at, idle] : mIdle) {
+    std::erase_if(idle, [&](const upstream_ptr& aConnection) {
+      const bool old = aNow - aConnection->mIdleSince >= aConnection->mKeepFor;
+      if (old) {
+        aConnection->Abort();
+      }
+      return old;
+    });
+  }
+  std::erase_if(mIdle, [](const auto& aRow) { return aRow.second.empty(); });
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/forward/upstream_send.cpp
@@ -0,0 +1,79 @@
+/**
+ * @file upstream_send.cpp
+ * Fields that aren't passed on, and reading of bodies.
+ */
+#include "forward/upstream_send.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_split.h>
+
+namespace dunehook {
+
+bool
+IsHopHeader(std::string_view aName)
+{
+  static constexpr std::array<std::string_view, 10> kNames{ "Connection",
+                                                            "Keep-Alive",
+                                                            "Proxy-Connection",
+                                                            "Proxy-Authenticate",
+                                                            "Proxy-Authorization",
+                                                            "TE",
+                                                            "Trailer",
+                                                            "Transfer-Encoding",
+                                                            "Upgrade",
+                                                            "Expect" };
+  return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view aHop) {
+    return beast::iequals({ aHop.data(), aHop.size() }, { aName.data(), aName.size() });
+  });
+}
+
+std::vector<std::string>
+ListedByConnection(const http::fields& aHead)
+{
+  std::vector<std::string> names;
+  const auto range = aHead.equal_range(http::field::connection);
+  for (auto field = range.first; field != range.second; ++field) {
+    const auto value = field->value();
+    for (const auto part : absl::StrSplit(absl::string_view(value.data(), value.size()), ',')) {
+      names.push_back(absl::AsciiStrToLower(absl::StripAsciiWhitespace(part)));
+    }
+  }
+  return names;
+}
+
+http::fields
+FieldsForCaller(const http::fields& aHead)
+{
+  const std::vector<std::string> listed = ListedByConnection(aHead);
+  http::fields out;
+  for (const auto& field : aHead) {
+    const std::string_view name{ field.name_string().data(), field.name_string().size() };
+    const bool isListed =
+      std::any_of(listed.begin(), listed.end(), [&](const std::string& aListed) {
+        return beast::iequals(aListed, field.name_string());
+      });
+    if (!IsHopHeader(name) && !isListed && field.name() != http::field::content_length) {
+      out.insert(field.name_string(), field.value());
+    }
+  }
+  return out;
+}
+
+asio::awaitable<result<void>>
+ReadBody(upstream_connection& aConnection, std::string& aOut, std::size_t aMost, duration aLimit)
+{
+  bool more = true;
+  while (more) {
+    if (aOut.size() > aMost) {
+      co_return make_error_code(errc::eBodyTooLarge);
+    }
+    const result<bool> read = co_await aConnection.ReadSome(aOut, aLimit);
+    if (!read) {
+      co_return read.error();
+    }
+    more = read.value();
+  }
+  co_return boost::outcome_v2::success();
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/forward/upstream_send.h
@@ -0,0 +1,180 @@
+/**
+ * @file upstream_send.h
+ * One send of a caller's request to one runner: builds the head, reads the head of the answer and
+ * tells what can be said of it.
+ */
+#pragma once
+
+#include "core/log_func.h"
+#include "core/text_func.h"
+#include "forward/forward_state.h"
+#include "forward/wire_type.h"
+
+namespace dunehook {
+
+/** Longest wait for a connection to a runner; halls lie some milliseconds apart. */
+inline constexpr duration kConnectTime = std::chrono::milliseconds(250);
+/** Time beyond a request's limit that a runner gets to tell of its own end. */
+inline constexpr duration kAnswerSlack = std::chrono::milliseconds(120);
+
+/** What is known after a send. */
+enum class send_end
+{
+  eNotSent,  ///< No connection: nothing left this daemon.
+  eNotRun,   ///< The runner told that it did not run the request.
+  eAnswered, ///< The head of an answer is there.
+  eUnknown,  ///< Something was sent, and it may have run.
+};
+
+/** A send and the head of its answer. */
+struct upstream_answer
+{
+  send_end mEnd = send_end::eNotSent; ///< What is known.
+  answer_facts mFacts;                ///< Of the head, if there is one.
+  http::fields mHead;                 ///< Fields for the caller, if answered.
+  upstream_ptr mConnection;           ///< Where the body follows, if answered.
+  bool mTimedOut = false;             ///< It ended by its time limit.
+};
+
+/** @return whether a field concerns one connection only. */
+bool
+IsHopHeader(std::string_view aName);
+
+/** @return the names that a Connection field lists, in lower case. */
+std::vector<std::string>
+ListedByConnection(const http::fields& aHead);
+
+/** @return the head to send for a caller's request, as text. */
+template<wire_format Wire>
+upstream_request
+BuildUpstreamRequest(const caller_exchange& aExchange, const send_plan& aPlan)
+{
+  const auto& request = aExchange.Request();
+  const std::vector<std::string> listed = ListedByConnection(request);
+  http::fields out;
+  for (const auto& field : request) {
+    const std::string_view name{ field.name_string().data(), field.name_string().size() };
+    const bool isListed =
+      std::any_of(listed.begin(), listed.end(), [&](const std::string& aListed) {
+        return beast::iequals(aListed, field.name_string());
+      });
+    const bool drop = IsHopHeader(name) || Wire::IsOwnHeader(name) ||
+                      field.name() == http::field::content_length ||
+                      (isListed && !Wire::IsFixedHeader(name) && field.name() != http::field::host);
+    if (!drop) {
+      out.insert(field.name_string(), field.value());
+    }
+  }
+  Wire::WritePlan(aPlan, out);
+  const bool mayHaveBody =
+    request.method() != http::verb::get && request.method() != http::verb::head;
+  if (mayHaveBody || !aExchange.Body()->empty()) {
+    out.set(http::field::content_length, std::to_string(aExchange.Body()->size()));
+  }
+  const auto method = request.method_string();
+  upstream_request built;
+  built.mMethod = request.method();
+  built.mBody = aExchange.Body();
+  built.mHead =
+    Join(std::string_view(method.data(), method.size()), " ", aExchange.Target(), " HTTP/1.1\r\n");
+  for (const auto& field : out) {
+    built.mHead.append(field.name_string().data(), field.name_string().size());
+    built.mHead += ": ";
+    built.mHead.append(field.value().data(), field.value().size());
+    built.mHead += "\r\n";
+  }
+  built.mHead += "\r\n";
+  return built;
+}
+
+/** @return a runner's fields as they go to the caller. */
+http::fields
+FieldsForCaller(const http::fields& aHead);
+
+/**
+ * Sends a request to a runner and reads the head of the answer.
+ * @param aOnlyProven see upstream_pool::Take().
+ * @param aLimit longest wait for the head.
+ */
+template<wire_format Wire>
+asio::awaitable<upstream_answer>
+SendToRunner(forward_state& aState,
+             caller_exchange& aExchange,
+             const endpoint& aTo,
+             const send_plan& aPlan,
+             const std::string& aRequestId,
+             bool aOnlyProven,
+             duration aLimit)
+{
+  upstream_answer answer;
+  const duration connectTime = std::min(kConnectTime, aLimit);
+  result<upstream_ptr> taken =
+    co_await aState.mPool.Take(aTo, aOnlyProven, aState.Now(), connectTime);
+  if (!taken || aExchange.Gone()) {
+    if (taken) {
+      aState.mPool.Give(aTo, taken.value(), aState.Now());
+    }
+    co_return answer;
+  }
+  const upstream_ptr connection = taken.value();
+  aExchange.OnGone([connection] { connection->Abort(); });
+  const upstream_request request = BuildUpstreamRequest<Wire>(aExchange, aPlan);
+  const auto head = co_await connection->Start(request, aLimit);
+  answer.mEnd = send_end::eUnknown;
+  if (!head) {
+    answer.mTimedOut = head.error() == errc::eDeadlinePassed;
+    connection->Abort();
+    co_return answer;
+  }
+  answer.mFacts = Wire::ReadAnswer(*head.value(), head.value()->result_int());
+  if (!answer.mFacts.mRequestId.empty() && answer.mFacts.mRequestId != aRequestId) {
+    connection->Abort(); // An answer to another request, in place of ours.
+    co_return answer;
+  }
+  connection->mKeepFor = answer.mFacts.mKeepFor;
+  answer.mHead = FieldsForCaller(*head.value());
+  answer.mConnection = connection;
+  answer.mEnd = answer.mFacts.mNotRun ? send_end::eNotRun : send_end::eAnswered;
+  if (answer.mFacts.mStatus < 200) {
+    connection->Abort();
+    answer.mEnd = send_end::eUnknown;
+  }
+  co_return answer;
+}
+
+/** Gives a connection back: from then on it's not this caller's to end. */
+inline void
+GiveBack(forward_state& aState,
+         caller_exchange& aExchange,
+         const endpoint& aTo,
+         const upstream_ptr& aConnection)
+{
+  aExchange.OnGone(nullptr);
+  aState.mPool.Give(aTo, aConnection, aState.Now());
+}
+
+/**
+ * Reads what is left of an answer's body.
+ * @param aMost the body may hold this many bytes.
+ * @return the body, eBodyTooLarge with its start in @p aOut, or why it ended.
+ */
+asio::awaitable<result<void>>
+ReadBody(upstream_connection& aConnection, std::string& aOut, std::size_t aMost, duration aLimit);
+
+/** Answers that the request didn't run, and when to come back. */
+template<wire_format Wire>
+asio::awaitable<void>
+Refuse(caller_exchange& aExchange,
+       const std::string& aRequestId,
+       unsigned aStatus,
+       duration aComeBackIn,
+       std::string_view aReason)
+{
+  http::fields head;
+  head.set(http::field::content_type, "application/json");
+  Wire::WriteRefusal(aRequestId, aComeBackIn, head);
+  const std::string body = Join("{\"error\":\"", aReason, "\"}");
+  co_await aExchange.Answer(aStatus, head, body);
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/forward/wire_type.h
@@ -0,0 +1,113 @@
+/**
+ * @file wire_type.h
+ * The concepts that the outside world meets forwarding through: the format of requests and calls,
+ * and the store that holds the configuration, the runners and the terms.
+ */
+#pragma once
+
+#include "forward/config_type.h"
+#include "forward/generation_type.h"
+#include "net/http_client.h"
+
+#include <concepts>
+
+namespace dunehook {
+
+/** An order to an engine to take another role. */
+struct role_order
+{
+  std::string mRunnerName;                ///< Id of the runner's life.
+  engine_role mRole = engine_role::eNone; ///< Role it shall take.
+  std::string mHolder;                    ///< Daemon that gives the order.
+  std::uint64_t mTerm = 0;                ///< The holder's term: the order's fence.
+  std::uint64_t mAfterOrders = 0;         ///< Orders the runner has taken so far, as known.
+};
+
+/** Reads and writes the heads and the side calls of requests. */
+template<typename T>
+concept wire_format = requires(const http::fields& aHead,
+                               http::fields& aOut,
+                               const send_plan& aPlan,
+                               const std::string& aText,
+                               const role_order& aOrder)
+{
+  // Request heads: what a caller says, and what may be passed on of it.
+  {
+    T::ReadRequest(aHead)
+    } -> std::same_as<request_facts>;
+  {
+    T::IsOwnHeader(std::string_view{})
+    } -> std::same_as<bool>;
+  {
+    T::IsFixedHeader(std::string_view{})
+    } -> std::same_as<bool>;
+  T::WritePlan(aPlan, aOut);
+  T::WriteRefusal(aText, duration{}, aOut);
+  // Answer heads.
+  {
+    T::ReadAnswer(aHead, 200U)
+    } -> std::same_as<answer_facts>;
+  // Side calls to engines.
+  {
+    T::ReserveCall(1U, duration{})
+    } -> std::same_as<http_call>;
+  {
+    T::ReadReservation(aText)
+    } -> std::same_as<result<reservation>>;
+  {
+    T::ReleaseCall(reservation{})
+    } -> std::same_as<http_call>;
+  {
+    T::ReadPrefill(aText)
+    } -> std::same_as<result<prefill_result>>;
+  {
+    T::FreePrefillCall(prefill_result{})
+    } -> std::same_as<http_call>;
+  {
+    T::OrderCall(aOrder)
+    } -> std::same_as<http_call>;
+};
+
+/** A term that a daemon holds, or held. */
+struct term_record
+{
+  std::uint64_t mTerm = 0; ///< Rises with each holder.
+  std::string mHolder;     ///< Name of the daemon that took it.
+
+  auto operator<=>(const term_record&) const = default;
+};
+
+/** A configuration and where it was read. */
+struct config_reading
+{
+  std::optional<routing_config> mConfig; ///< The newest; nothing if there's none to read.
+  std::uint64_t mNext = 0;               ///< Where to wait for the one after it.
+};
+
+/** The store, as forwarding needs it. */
+template<typename T>
+concept control_store =
+  requires(T& aStore, std::uint64_t aAt, duration aWait, const std::string& aHolder)
+{
+  // The newest configuration, read at once.
+  {
+    aStore.ReadConfig()
+    } -> std::same_as<asio::awaitable<result<config_reading>>>;
+  // The newest configuration from a position on, waiting for one.
+  {
+    aStore.AwaitConfig(aAt, aWait)
+    } -> std::same_as<asio::awaitable<result<config_reading>>>;
+  {
+    aStore.ReadRunners()
+    } -> std::same_as<asio::awaitable<result<runner_listing>>>;
+  // The newest term, with number 0 if there's none.
+  {
+    aStore.ReadTerm()
+    } -> std::same_as<asio::awaitable<result<term_record>>>;
+  // Takes the term after @p aAt; eVersionConflict if another daemon was first.
+  {
+    aStore.TakeTerm(aAt, aHolder)
+    } -> std::same_as<asio::awaitable<result<term_record>>>;
+};
+
+} // namespace dunehook
--- a/src/platform/log_client.cpp
+++ b/src/log/log_client.cpp
@@ -2,7 +2,7 @@
  * @file log_client.cpp
  * HTTP clients of the log service and the host list.
  */
-#include "platform/log_client.h"
+#include "log/log_client.h"
 
 #include "core/text_func.h"
 
--- a/src/platform/log_client.h
+++ b/src/log/log_client.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "net/http_client.h"
-#include "platform/platform_type.h"
+#include "log/log_type.h"
 
 #include <concepts>
 
--- a/src/platform/platform_type.h
+++ b/src/log/log_type.h
@@ -1,5 +1,5 @@
 /**
- * @file platform_type.h
+ * @file log_type.h
  * What the platform's services say: hosts of the host list and batches of the log.
  */
 #pragma once
