--- a/src/daemon/gateway_main.cpp
+++ b/src/daemon/gateway_main.cpp
@@ -10,15 +10,53 @@
 #include "platform/wire.h"
 #include "settings/settings_type.h"
 
+#include <absl/flags/flag.h>
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
 #include <iostream>
 
+ABSL_FLAG(double,
+          caution,
+          dunehook::placement_tuning{}.mCaution,
+          "standard deviations added to the expected use of memory");
+ABSL_FLAG(double,
+          memory_share,
+          dunehook::placement_tuning{}.mMemoryShare,
+          "part of an engine's memory that the forecast may fill");
+ABSL_FLAG(double,
+          reserved_share,
+          dunehook::placement_tuning{}.mReservedShare,
+          "part of the expected answer that is reserved beforehand");
+ABSL_FLAG(double,
+          prefill_share,
+          dunehook::placement_tuning{}.mPrefillShare,
+          "part of the engines that read prompts");
+ABSL_FLAG(std::uint32_t,
+          decode_read_tokens,
+          dunehook::placement_tuning{}.mDecodeReadTokens,
+          "longest prompt that a busy decode engine reads");
+ABSL_FLAG(bool, reserve, true, "off: baseline without reservations");
+ABSL_FLAG(bool, forecast, true, "off: baseline that takes the engine with the fewest runs");
+
 namespace dunehook {
 
 namespace {
 
+placement_tuning
+TuningFromFlags()
+{
+  placement_tuning tuning;
+  tuning.mMemoryShare = absl::GetFlag(FLAGS_memory_share);
+  tuning.mCaution = absl::GetFlag(FLAGS_caution);
+  tuning.mReservedShare = absl::GetFlag(FLAGS_reserved_share);
+  tuning.mPrefillShare = absl::GetFlag(FLAGS_prefill_share);
+  tuning.mDecodeReadTokens = absl::GetFlag(FLAGS_decode_read_tokens);
+  tuning.mReserve = absl::GetFlag(FLAGS_reserve);
+  tuning.mForecast = absl::GetFlag(FLAGS_forecast);
+  return tuning;
+}
+
 using host_gateway = gateway<platform::wire, platform::store_client>;
 
 constexpr int kExitFailed = 1;
@@ -51,7 +89,8 @@
 int
 RunGateway()
 {
-  const gateway_settings_report report = platform::LoadHostSettings();
+  gateway_settings_report report = platform::LoadHostSettings();
+  report.mSettings.mPlacement = TuningFromFlags();
   for (const finding& one : report.mFindings) {
     std::cerr << Describe(one, "settings") << "\n";
   }
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -18,10 +18,8 @@
 inline constexpr duration kLookAgain = std::chrono::milliseconds(15);
 /** Kept off the latency target for the way to the caller. */
 inline constexpr duration kWayToCaller = std::chrono::milliseconds(30);
-/** The answer is expected to be this much longer than the caller's guess, which is its median. */
-inline constexpr double kGuessFactor = 1.1;
-/** Tokens added to a guess. */
-inline constexpr std::uint32_t kGuessSlack = 64;
+/** A resumed answer is expected to go on for so many tokens at least. */
+inline constexpr std::uint32_t kLeastLeft = 64;
 /** Part of the most tokens that is expected where the caller has no guess. */
 inline constexpr double kNoGuessShare = 0.5;
 /** Longest wait for a reservation or a release: the engine answers at once. */
@@ -33,8 +31,8 @@
 /** A read that takes this much longer than expected is given up. */
 inline constexpr duration kReadSlack = std::chrono::milliseconds(900);
 /** Earliest and latest time for a refused caller to come back, beside the expected free time. */
-inline constexpr duration kEarliestComeBack = std::chrono::milliseconds(400);
-inline constexpr duration kComeBackSpread = std::chrono::milliseconds(1600);
+inline constexpr duration kEarliestComeBack = std::chrono::milliseconds(1500);
+inline constexpr duration kComeBackSpread = std::chrono::milliseconds(3000);
 
 /** One generation. */
 template<wire_format Wire>
@@ -63,7 +61,8 @@
     mDemand.mModel = mFacts.mModel;
     mDemand.mHall = mState.mSettings.mHall;
     mDemand.mPromptTokens = mFacts.mPromptTokens;
-    mDemand.mAnswerTokens = ExpectedTokens();
+    mDemand.mAnswerTokens = GuessedTokens();
+    mDemand.mMostTokens = mFacts.mMostTokens;
     if (mFacts.mLastEvent) {
       SkipMade(*mFacts.mLastEvent);
     }
@@ -83,13 +82,11 @@
 private:
   duration TimeLeft() const { return mDeadline - mState.Now(); }
 
-  std::uint32_t ExpectedTokens() const
+  std::uint32_t GuessedTokens() const
   {
     const double most = mFacts.mMostTokens > 0 ? mFacts.mMostTokens : mTraits.mMemoryTokens / 8;
-    const double guess = mFacts.mGuessedTokens > 0
-                           ? kGuessFactor * mFacts.mGuessedTokens + kGuessSlack
-                           : kNoGuessShare * most;
-    return static_cast<std::uint32_t>(std::min(most, guess));
+    const double guess = mFacts.mGuessedTokens > 0 ? mFacts.mGuessedTokens : kNoGuessShare * most;
+    return std::max(1U, static_cast<std::uint32_t>(std::min(most, guess)));
   }
 
   /** Counts events that the caller has as part of the prompt. */
@@ -97,8 +94,11 @@
   {
     const auto made = static_cast<std::uint32_t>(aEvents * mTraits.mTokensPerEvent);
     mDemand.mPromptTokens += made;
-    mDemand.mAnswerTokens =
-      mDemand.mAnswerTokens > made + kGuessSlack ? mDemand.mAnswerTokens - made : kGuessSlack;
+    const auto left = [&](std::uint32_t aAll) {
+      return aAll > made + kLeastLeft ? aAll - made : kLeastLeft;
+    };
+    mDemand.mAnswerTokens = left(mDemand.mAnswerTokens);
+    mDemand.mMostTokens = mDemand.mMostTokens > 0 ? left(mDemand.mMostTokens) : 0;
   }
 
   /** Takes the run out of the table and tells the others. */
@@ -141,6 +141,7 @@
         std::max<duration>(kLookAgain, std::min(answer.mFreeIn, kLookAgain * 3));
       if (mState.Now() + wait > waitUntil) {
         mComeBackIn = answer.mFreeIn;
+        mNoPlace = answer.mChoice ? no_place::eNoMemory : answer.mReason;
         co_return false;
       }
       co_await Sleep(wait);
@@ -166,6 +167,7 @@
     run.mPrefill = mChoice.mPrefill.value_or(service_runner_id{});
     run.mPromptTokens = mDemand.mPromptTokens;
     run.mAnswerTokens = mDemand.mAnswerTokens;
+    run.mMostTokens = mDemand.mMostTokens;
     run.mSeen = mState.Now() + mChoice.mUntilRead;
     mState.mPlacement.Begin(run, mState.Now());
     mPlaced = true;
@@ -244,7 +246,7 @@
   {
     const bool found = co_await FindPlace();
     if (!found) {
-      co_await GiveUp(mPrefillFailed ? "prefill_failed" : "no_place");
+      co_await GiveUp(mPrefillFailed ? "prefill_failed" : ReasonName(mNoPlace));
       co_return false;
     }
     std::string prefillAt;
@@ -319,7 +321,7 @@
       co_return read.error();
     }
     mState.mRunners.NoteOutcome(id, send_outcome::eServed, mState.Now());
-    mState.mPlacement.NoteRead(id, mDemand.mPromptTokens, mState.Now() - began, mState.Now());
+    mState.mPlacement.NoteRead(id, mChoice.mUntilRead, mState.Now() - began);
     if (mExchange->Gone()) {
       SideCallLater(address, Wire::FreePrefillCall(read.value()));
     }
@@ -448,10 +450,9 @@
         co_await mExchange->EndBody();
         GiveBack(mState, *mExchange, mDecodeAt, aAnswer.mConnection);
         mState.mRunners.NoteOutcome(mChoice.mDecode, send_outcome::eServed, mState.Now());
-        if (made > mTraits.mTokensPerEvent) {
-          mState.mPlacement.NotePace(
-            mChoice.mDecode, made - mTraits.mTokensPerEvent, mState.Now() - firstAt);
-        }
+        const std::uint32_t paced =
+          made > mTraits.mTokensPerEvent ? made - mTraits.mTokensPerEvent : 0;
+        mState.mPlacement.NoteFinished(mDemand.mRun, made, paced, mState.Now() - firstAt);
         NoteServed(made);
         co_return false;
       }
@@ -553,6 +554,7 @@
              "generation_served",
              { { "request", mFacts.mId },
                { "made", aMade },
+               { "prompt", mDemand.mPromptTokens },
                { "expected", mDemand.mAnswerTokens },
                { "ms", (mState.Now() - mArrived).count() / 1000 } });
   }
@@ -582,6 +584,7 @@
   std::uint32_t mReads = 0;                   ///< Reads that failed.
   std::uint32_t mHandoffsLost = 0;            ///< Handoffs that were refused.
   std::uint32_t mRefusals = 0;                ///< Reservations that were refused.
+  no_place mNoPlace = no_place::eNoEngine;    ///< Why there's no place.
   duration mComeBackIn{ 0 };                  ///< Expected time until there's a place.
   bool mPlaced = false;                       ///< The run is in the table.
   bool mTold = false;                         ///< The others know of the run.
--- /dev/null
+++ b/src/forward/memory_forecast.cpp
@@ -0,0 +1,107 @@
+/**
+ * @file memory_forecast.cpp
+ * Survival of runs, and sums over them.
+ */
+#include "forward/memory_forecast.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dunehook {
+
+namespace {
+
+/** Weight of a finished run in what is learned; about the last hundred count. */
+constexpr double kLearnWeight = 0.02;
+/** Spreads are kept within these, so that a few odd answers don't upset the forecast. */
+constexpr double kLeastSpread = 0.2;
+constexpr double kMostSpread = 1.2;
+/** Instants of a forecast. */
+constexpr int kSteps = 10;
+/** The forecast reaches to the time by which five of six newcomers have ended. */
+constexpr double kHorizonSpreads = 1.0;
+
+/** @return the chance that a standard normal number is above @p aValue. */
+double
+Above(double aValue)
+{
+  return 0.5 * std::erfc(aValue / std::sqrt(2.0));
+}
+
+} // namespace
+
+void
+guess_model::Learn(double aGuess, double aMade)
+{
+  if (aGuess <= 0.0 || aMade <= 0.0) {
+    return;
+  }
+  const double off = std::log(aMade / aGuess) - mBias;
+  mBias += kLearnWeight * off;
+  mVariance += kLearnWeight * (off * off - mVariance);
+}
+
+double
+guess_model::Spread() const
+{
+  return std::clamp(std::sqrt(mVariance), kLeastSpread, kMostSpread);
+}
+
+memory_forecast::memory_forecast(std::vector<growing_run> aRuns,
+                                 double aMicrosPerToken,
+                                 const guess_model& aModel)
+  : mRuns(std::move(aRuns))
+  , mMicrosPerToken(std::max(1.0, aMicrosPerToken))
+  , mBias(aModel.Bias())
+  , mSpread(aModel.Spread())
+{
+}
+
+double
+memory_forecast::Survival(const growing_run& aRun, double aTokens) const
+{
+  if (aRun.mMost > 0.0 && aTokens >= aRun.mMost) {
+    return 0.0;
+  }
+  if (aTokens <= aRun.mMade) {
+    return 1.0;
+  }
+  const double median = std::log(std::max(1.0, aRun.mGuess)) + mBias;
+  const auto survives = [&](double aAt) { return Above((std::log(aAt) - median) / mSpread); };
+  const double now = aRun.mMade > 1.0 ? survives(aRun.mMade) : 1.0;
+  // Far beyond the guess the chances are too small to divide; such a run ends about evenly.
+  return now < 1e-6 ? std::max(0.0, 1.0 - (aTokens - aRun.mMade) / aRun.mMade)
+                    : survives(aTokens) / now;
+}
+
+void
+memory_forecast::Add(const growing_run& aRun, double aAfterMicros, token_sum& aSum) const
+{
+  const double grown = std::max(0.0, aAfterMicros - aRun.mDelay) / mMicrosPerToken;
+  const double made = aRun.mMade + grown;
+  const double held = aRun.mPrompt + made;
+  const double there = Survival(aRun, made);
+  aSum.mMean += held * there;
+  aSum.mVariance += held * held * there * (1.0 - there);
+}
+
+double
+memory_forecast::Peak(const growing_run& aNewcomer, double aCaution) const
+{
+  const double likely = aNewcomer.mGuess * std::exp(mBias + kHorizonSpreads * mSpread);
+  const double tokens = aNewcomer.mMost > 0.0 ? std::min(aNewcomer.mMost, likely) : likely;
+  const double horizon = std::max(0.0, aNewcomer.mDelay) + tokens * mMicrosPerToken;
+  double peak = 0.0;
+  for (int step = 0; step < kSteps; ++step) {
+    const double at = horizon * step / kSteps;
+    token_sum sum;
+    for (const growing_run& run : mRuns) {
+      Add(run, at, sum);
+    }
+    Add(aNewcomer, at, sum);
+    peak = std::max(peak, sum.mMean + aCaution * std::sqrt(sum.mVariance));
+  }
+  return peak;
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/forward/memory_forecast.h
@@ -0,0 +1,79 @@
+/**
+ * @file memory_forecast.h
+ * Forecast of an engine's memory. A generation holds its prompt and what it has made until it ends,
+ * and nobody knows when it ends: the caller's guess is its median, and answers spread around it
+ * like a log-normal. So the forecast sums, for some instants ahead, what each run would hold then
+ * times the chance that it's still there, with the spread of the sum. Pure.
+ */
+#pragma once
+
+#include "core/clock_type.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace dunehook {
+
+/** How answers relate to callers' guesses; learned from finished runs. */
+class guess_model
+{
+public:
+  /** Takes in a finished run. */
+  void Learn(double aGuess, double aMade);
+  /** @return mean of ln(made / guess). */
+  double Bias() const { return mBias; }
+  /** @return standard deviation of ln(made / guess). */
+  double Spread() const;
+
+private:
+  double mBias = 0.0;      ///< Mean of the logarithm; the guess is taken for the median at first.
+  double mVariance = 0.25; ///< Its variance; a first guess until learned.
+};
+
+/** A run that grows. */
+struct growing_run
+{
+  double mPrompt = 0.0; ///< Tokens held from the start.
+  double mMade = 0.0;   ///< Tokens made.
+  double mGuess = 1.0;  ///< Guessed tokens of the whole answer.
+  double mMost = 0.0;   ///< Most tokens of the answer; 0 if unknown.
+  double mDelay = 0.0;  ///< Microseconds until it goes on growing; negative if it has since.
+};
+
+/** The forecast of one engine. */
+class memory_forecast
+{
+public:
+  /**
+   * @param aRuns runs on the engine.
+   * @param aMicrosPerToken time of one token of a run.
+   */
+  memory_forecast(std::vector<growing_run> aRuns,
+                  double aMicrosPerToken,
+                  const guess_model& aModel);
+
+  /**
+   * @param aNewcomer a run to add.
+   * @param aCaution spreads added to the expected sum.
+   * @return the highest sum of tokens while the newcomer is likely to run.
+   */
+  double Peak(const growing_run& aNewcomer, double aCaution) const;
+
+private:
+  /** Sum of expected tokens, and of their variances. */
+  struct token_sum
+  {
+    double mMean = 0.0;     ///< Tokens.
+    double mVariance = 0.0; ///< Tokens squared.
+  };
+
+  double Survival(const growing_run& aRun, double aTokens) const;
+  void Add(const growing_run& aRun, double aAfterMicros, token_sum& aSum) const;
+
+  std::vector<growing_run> mRuns; ///< On the engine.
+  double mMicrosPerToken;         ///< Above zero.
+  double mBias;                   ///< Of the guesses.
+  double mSpread;                 ///< Of the guesses.
+};
+
+} // namespace dunehook
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -5,16 +5,23 @@
 #include "forward/placement.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace dunehook {
 
 namespace {
 
-/** A run that outlives its expected end is expected to make this much more of what it made. */
-constexpr double kOverrunShare = 0.12;
-/** Tokens that a run is expected to go on for at least; about one event. */
-constexpr double kLeastRemaining = 64.0;
+/** A run has most likely ended at this many times its guess, or of what it has made. */
+constexpr double kLikelyEnd = 2.5;
+constexpr double kOverrun = 1.3;
+/** Waits that are looked at for a demand that doesn't fit now. */
+constexpr std::array<duration, 7> kWaits{ duration{ 0 },      duration{ 50000 },
+                                          duration{ 120000 }, duration{ 250000 },
+                                          duration{ 500000 }, duration{ 1000000 },
+                                          duration{ 2000000 } };
+/** Weight of a run where engines are chosen by the number of runs. */
+constexpr double kRunWeight = 0.05;
 /** Runs of others are dropped this long after their expected end if nobody said that they ended. */
 constexpr duration kForgetAfter = std::chrono::milliseconds(2500);
 /** Time from the end of a read to the first token: one call, and the memory's move. */
@@ -24,13 +31,18 @@
 /** Events that come from another hall: worth this much waiting. */
 constexpr double kOtherHallCallMicros = 6000.0;
 /** A full engine against an empty one: tokens come slower, and guesses fail more often. */
-constexpr double kFullEngineMicros = 60000.0;
+constexpr double kFullEngineMicros = 400000.0;
 /** A decode engine reads prompts at half of the pace of a prefill engine. */
 constexpr double kDecodeReadShare = 0.5;
-/** Longest prompt that a decode engine reads itself: its other runs pause meanwhile. */
-constexpr std::uint32_t kLongestDecodeRead = 5500;
 /** Waiting for a prefill engine beyond this makes reading at the decode engine the better way. */
 constexpr double kDecodeReadPenaltyMicros = 400000.0;
+/** A read that ends early or late moves the expected end of those behind it by this at most. */
+constexpr duration kMostShift = std::chrono::milliseconds(200);
+/** One read changes the measured speed by no more than this, times the weight. */
+constexpr double kMostSpeedStep = 0.5;
+/** Reading speeds that are believed, in tokens a microsecond. */
+constexpr double kLeastReadSpeed = 0.002;
+constexpr double kMostReadSpeed = 1.0;
 /** Weight of the newest measurement of a speed. */
 constexpr double kSpeedWeight = 0.1;
 
@@ -48,6 +60,20 @@
 
 } // namespace
 
+std::string_view
+ReasonName(no_place aReason)
+{
+  switch (aReason) {
+    case no_place::eNoEngine:
+      return "no_engine";
+    case no_place::eNoMemory:
+      return "no_memory";
+    case no_place::eTooLate:
+      return "too_late";
+  }
+  return "unknown";
+}
+
 double
 placement_table::MicrosPerToken(service_runner_id aDecode) const
 {
@@ -58,18 +84,10 @@
 instant
 placement_table::EndOf(const run_record& aRun) const
 {
-  const double remaining =
-    static_cast<double>(aRun.mAnswerTokens) - static_cast<double>(aRun.mMadeTokens);
-  const double overrun = kOverrunShare * aRun.mMadeTokens;
-  const double expected = std::max({ remaining, overrun, kLeastRemaining });
-  return aRun.mSeen + FromMicros(expected * MicrosPerToken(aRun.mDecode));
-}
-
-double
-placement_table::TokensAt(const run_record& aRun, instant aAt) const
-{
-  const double since = std::max(0.0, Micros(aAt - aRun.mSeen)) / MicrosPerToken(aRun.mDecode);
-  return aRun.mPromptTokens + aRun.mMadeTokens + since;
+  const double likely = std::max(kLikelyEnd * aRun.mAnswerTokens, kOverrun * aRun.mMadeTokens);
+  const double most = aRun.mMostTokens > 0 ? aRun.mMostTokens : likely;
+  const double remaining = std::max(0.0, std::min(most, likely) - aRun.mMadeTokens);
+  return aRun.mSeen + FromMicros(remaining * MicrosPerToken(aRun.mDecode));
 }
 
 std::vector<const run_record*>
@@ -84,29 +102,20 @@
   return runs;
 }
 
-double
-placement_table::PeakTokens(service_runner_id aDecode,
-                            const generation_demand& aDemand,
-                            instant aFrom) const
+memory_forecast
+placement_table::ForecastOf(service_runner_id aDecode, instant aFrom) const
 {
-  run_record newcomer;
-  newcomer.mDecode = aDecode;
-  newcomer.mPromptTokens = aDemand.mPromptTokens;
-  newcomer.mAnswerTokens = aDemand.mAnswerTokens;
-  newcomer.mSeen = aFrom;
-  std::vector<const run_record*> runs = RunsOn(aDecode);
-  runs.push_back(&newcomer);
-  // Use grows until a run ends, so the peak lies right before one of the ends, or at the start.
-  double peak = 0.0;
-  for (const run_record* const ending : runs) {
-    const instant at = std::max(EndOf(*ending), aFrom);
-    double sum = 0.0;
-    for (const run_record* const run : runs) {
-      sum += EndOf(*run) >= at ? TokensAt(*run, at) : 0.0;
-    }
-    peak = std::max(peak, sum);
+  std::vector<growing_run> runs;
+  for (const run_record* const run : RunsOn(aDecode)) {
+    growing_run growing;
+    growing.mPrompt = run->mPromptTokens;
+    growing.mMade = run->mMadeTokens;
+    growing.mGuess = run->mAnswerTokens;
+    growing.mMost = run->mMostTokens;
+    growing.mDelay = Micros(run->mSeen - aFrom);
+    runs.push_back(growing);
   }
-  return peak;
+  return { std::move(runs), MicrosPerToken(aDecode), mGuesses };
 }
 
 duration
@@ -118,29 +127,22 @@
   return queue + FromMicros(aTokens / state.mTokensPerMicro);
 }
 
-instant
-placement_table::FitsFrom(service_runner_id aDecode,
-                          const generation_demand& aDemand,
-                          double aMemory,
-                          std::size_t aSlots,
-                          instant aFrom) const
+duration
+placement_table::FitsIn(service_runner_id aDecode,
+                        const generation_demand& aDemand,
+                        double aMemory,
+                        instant aNow) const
 {
-  const std::vector<const run_record*> runs = RunsOn(aDecode);
-  std::vector<instant> ends;
-  for (const run_record* const run : runs) {
-    ends.push_back(std::max(EndOf(*run), aFrom));
-  }
-  std::sort(ends.begin(), ends.end());
-  if (runs.size() < aSlots && PeakTokens(aDecode, aDemand, aFrom) <= aMemory) {
-    return aFrom;
-  }
-  for (std::size_t ended = 0; ended < ends.size(); ++ended) {
-    const instant from = ends[ended] + duration{ 1 };
-    if (runs.size() < aSlots + ended + 1 && PeakTokens(aDecode, aDemand, from) <= aMemory) {
-      return from;
+  growing_run newcomer;
+  newcomer.mPrompt = aDemand.mPromptTokens;
+  newcomer.mGuess = aDemand.mAnswerTokens;
+  newcomer.mMost = aDemand.mMostTokens;
+  for (const duration wait : kWaits) {
+    if (ForecastOf(aDecode, aNow + wait).Peak(newcomer, mTuning.mCaution) <= aMemory) {
+      return wait;
     }
   }
-  return ends.empty() ? aFrom : ends.back() + duration{ 1 };
+  return kWaits.back() * 2;
 }
 
 placement_answer
@@ -168,24 +170,31 @@
   }
   const double memory = mTuning.mMemoryShare * static_cast<double>(aTraits.mMemoryTokens);
   double bestCost = std::numeric_limits<double>::max();
-  instant soonest = instant::max();
+  duration soonest = duration::max();
   bool memoryFits = false;
   for (const runner_state* const decode : decodes) {
     const auto known = mDecodes.find(decode->mId);
     const instant fullUntil = known == mDecodes.end() ? instant{ 0 } : known->second.mFullUntil;
-    const instant fits =
-      std::max(fullUntil, FitsFrom(decode->mId, aDemand, memory, aTraits.mSlots, aNow));
-    if (mTuning.mForecast && fits > aNow) {
+    const std::size_t runs = RunsOn(decode->mId).size();
+    duration fits = std::max(duration{ 0 }, fullUntil - aNow);
+    if (mTuning.mForecast) {
+      fits = std::max(fits, FitsIn(decode->mId, aDemand, memory, aNow));
+      fits = runs >= aTraits.mSlots ? std::max(fits, kWaits[1]) : fits;
+    }
+    if (mTuning.mForecast && fits > duration{ 0 }) {
       soonest = std::min(soonest, fits);
       continue;
     }
     memoryFits = true;
-    const double peak =
-      PeakTokens(decode->mId, aDemand, aNow) / static_cast<double>(aTraits.mMemoryTokens);
+    growing_run newcomer;
+    newcomer.mPrompt = aDemand.mPromptTokens;
+    newcomer.mGuess = aDemand.mAnswerTokens;
+    newcomer.mMost = aDemand.mMostTokens;
+    const double peak = ForecastOf(decode->mId, aNow).Peak(newcomer, 0.0) /
+                        static_cast<double>(std::max<std::uint64_t>(1, aTraits.mMemoryTokens));
     const double event = aTraits.mTokensPerEvent * MicrosPerToken(decode->mId);
-    const double load =
-      mTuning.mForecast ? peak : 0.05 * static_cast<double>(RunsOn(decode->mId).size());
-    const double base = kFullEngineMicros * load + Micros(kHandoffTime) + event +
+    const double load = mTuning.mForecast ? peak : kRunWeight * static_cast<double>(runs);
+    const double base = kFullEngineMicros * load * load + Micros(kHandoffTime) + event +
                         (decode->mEntry.mHall == aDemand.mHall ? 0.0 : kOtherHallCallMicros);
     const auto consider =
       [&](std::optional<service_runner_id> aPrefill, duration aRead, double aExtra) {
@@ -212,7 +221,7 @@
                ReadTime(prefill->mId, aDemand.mPromptTokens, aNow),
                sameHall ? 0.0 : kOtherHallMoveMicros);
     }
-    if (prefills.empty() || aDemand.mPromptTokens <= kLongestDecodeRead) {
+    if (prefills.empty() || aDemand.mPromptTokens <= mTuning.mDecodeReadTokens) {
       const double rate = prefill_state{}.mTokensPerMicro * kDecodeReadShare;
       consider(std::nullopt,
                FromMicros(aDemand.mPromptTokens / rate),
@@ -221,8 +230,7 @@
   }
   if (!answer.mChoice) {
     answer.mReason = memoryFits ? no_place::eTooLate : no_place::eNoMemory;
-    answer.mFreeIn =
-      memoryFits ? std::chrono::milliseconds(300) : std::max(duration{ 0 }, soonest - aNow);
+    answer.mFreeIn = memoryFits ? std::chrono::milliseconds(300) : soonest;
   }
   return answer;
 }
@@ -255,28 +263,33 @@
 }
 
 void
-placement_table::NoteRead(service_runner_id aPrefill,
-                          std::uint32_t aTokens,
-                          duration aTook,
-                          instant aNow)
+placement_table::NoteRead(service_runner_id aPrefill, duration aExpected, duration aTook)
 {
   prefill_state& state = mPrefills[aPrefill];
-  const double alone = aTokens / std::max(1.0, Micros(aTook));
-  // A read that waited for others looks slow; only one as fast as expected says how fast it goes.
-  if (alone > 0.8 * state.mTokensPerMicro) {
-    state.mTokensPerMicro += kSpeedWeight * (alone - state.mTokensPerMicro);
-  }
-  if (state.mBusyUntil < aNow) {
-    return;
-  }
+  const duration early = aExpected - aTook;
+  // Reads go one after the other, so all that follow are early or late by as much.
+  state.mBusyUntil -= std::clamp(early, -kMostShift, kMostShift);
+  const double share = Micros(early) / std::max(1.0, Micros(aExpected));
+  state.mTokensPerMicro *= 1.0 + kSpeedWeight * std::clamp(share, -kMostSpeedStep, kMostSpeedStep);
+  state.mTokensPerMicro = std::clamp(state.mTokensPerMicro, kLeastReadSpeed, kMostReadSpeed);
 }
 
 void
-placement_table::NotePace(service_runner_id aDecode, std::uint32_t aTokens, duration aTook)
+placement_table::NoteFinished(run_id aRun,
+                              std::uint32_t aTokens,
+                              std::uint32_t aPaced,
+                              duration aTook)
 {
-  decode_state& state = mDecodes[aDecode];
-  const double micros = Micros(aTook) / std::max(1U, aTokens);
-  state.mMicrosPerToken += kSpeedWeight * (micros - state.mMicrosPerToken);
+  const auto found = mRuns.find(aRun);
+  if (found == mRuns.end()) {
+    return;
+  }
+  mGuesses.Learn(found->second.mAnswerTokens, aTokens);
+  if (aPaced == 0) {
+    return;
+  }
+  decode_state& state = mDecodes[found->second.mDecode];
+  state.mMicrosPerToken += kSpeedWeight * (Micros(aTook) / aPaced - state.mMicrosPerToken);
 }
 
 void
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -9,6 +9,7 @@
  */
 #pragma once
 
+#include "forward/memory_forecast.h"
 #include "forward/placement_type.h"
 #include "forward/runner_table.h"
 
@@ -39,9 +40,9 @@
   /** Notes that a run has ended, or was never begun. */
   void End(run_id aRun);
   /** Notes that a prompt was read, and how long the engine took in all. */
-  void NoteRead(service_runner_id aPrefill, std::uint32_t aTokens, duration aTook, instant aNow);
-  /** Notes the pace of a finished run. */
-  void NotePace(service_runner_id aDecode, std::uint32_t aTokens, duration aTook);
+  void NoteRead(service_runner_id aPrefill, duration aExpected, duration aTook);
+  /** Notes the length of a finished run, and its pace from its first event on. */
+  void NoteFinished(run_id aRun, std::uint32_t aTokens, std::uint32_t aPaced, duration aTook);
   /** Notes that an engine had no room: what is known of it was wrong. */
   void NoteFull(service_runner_id aDecode, instant aUntil);
   /** Replaces what a daemon told of its runs. */
@@ -56,11 +57,6 @@
   std::uint32_t ReservedTokens(const generation_demand& aDemand) const;
   const placement_tuning& Tuning() const { return mTuning; }
 
-  /** @return expected peak of an engine's memory, in tokens, with another run from @p aFrom on. */
-  double PeakTokens(service_runner_id aDecode,
-                    const generation_demand& aDemand,
-                    instant aFrom) const;
-
 private:
   /** A decode engine's measured pace and recent refusals. */
   struct decode_state
@@ -76,22 +72,24 @@
   };
 
   double MicrosPerToken(service_runner_id aDecode) const;
+  /** @return when a run has most likely ended. */
   instant EndOf(const run_record& aRun) const;
-  double TokensAt(const run_record& aRun, instant aAt) const;
   std::vector<const run_record*> RunsOn(service_runner_id aDecode) const;
+  /** @return the forecast of an engine from @p aFrom on. */
+  memory_forecast ForecastOf(service_runner_id aDecode, instant aFrom) const;
   /** @return expected time until the prompt is read by an engine. */
   duration ReadTime(service_runner_id aPrefill, std::uint32_t aTokens, instant aNow) const;
-  /** @return the earliest time from which the demand fits. */
-  instant FitsFrom(service_runner_id aDecode,
-                   const generation_demand& aDemand,
-                   double aMemory,
-                   std::size_t aSlots,
-                   instant aFrom) const;
+  /** @return how long until the demand fits into an engine's memory; the longest if it doesn't. */
+  duration FitsIn(service_runner_id aDecode,
+                  const generation_demand& aDemand,
+                  double aMemory,
+                  instant aNow) const;
 
   placement_tuning mTuning;                                       ///< Knobs.
   std::unordered_map<run_id, run_record> mRuns;                   ///< All runs known.
   std::unordered_map<service_runner_id, decode_state> mDecodes;   ///< By engine.
   std::unordered_map<service_runner_id, prefill_state> mPrefills; ///< By engine.
+  guess_model mGuesses;                                           ///< Of the answers' length.
 };
 
 } // namespace dunehook
--- a/src/forward/placement_type.h
+++ b/src/forward/placement_type.h
@@ -7,6 +7,7 @@
 #include "forward/runner_type.h"
 
 #include <optional>
+#include <string_view>
 
 namespace dunehook {
 
@@ -17,12 +18,17 @@
 /** Knobs of placement; the defaults are those of the settings. */
 struct placement_tuning
 {
-  /** Part of an engine's memory that the forecast may fill; the rest covers bad guesses. */
-  double mMemoryShare = 0.93;
+  /** Part of an engine's memory that the forecast may fill. */
+  double mMemoryShare = 0.97;
+  /** Standard deviations that the forecast adds to the expected use of memory. */
+  double mCaution = 2.0;
   /** Part of the guessed answer that is reserved at the engine before the prompt is read. */
   double mReservedShare = 0.3;
   /** Part of the engines that read prompts. */
   double mPrefillShare = 0.22;
+  /** Longest prompt that a decode engine may read itself where prefill engines are busy; its other
+   * runs pause meanwhile. 0: only where there's no prefill engine. */
+  std::uint32_t mDecodeReadTokens = 2500;
   /** Off: baseline without a reservation and without a forecast, for comparison. */
   bool mReserve = true;
   /** Off: baseline that takes the engine with the fewest runs. */
@@ -39,7 +45,8 @@
   std::string mModel;              ///< Model wanted; empty if any.
   std::string mHall;               ///< Data hall of this daemon.
   std::uint32_t mPromptTokens = 0; ///< Length of the prompt.
-  std::uint32_t mAnswerTokens = 0; ///< Expected length of the answer.
+  std::uint32_t mAnswerTokens = 0; ///< Guessed length of the answer.
+  std::uint32_t mMostTokens = 0;   ///< Most tokens of the answer; 0 if unknown.
   duration mFirstEventWithin{ 0 }; ///< Time left until the first event is late.
 
   auto operator<=>(const generation_demand&) const = default;
@@ -63,6 +70,10 @@
   eTooLate,  ///< The prompt can't be read in time.
 };
 
+/** @return the reason's name in records. */
+std::string_view
+ReasonName(no_place aReason);
+
 /** The answer to a demand: a choice, or when to ask again. */
 struct placement_answer
 {
@@ -78,7 +89,8 @@
   service_runner_id mDecode;       ///< Engine that generates.
   service_runner_id mPrefill;      ///< Engine that reads the prompt; none if the decode engine.
   std::uint32_t mPromptTokens = 0; ///< Length of the prompt.
-  std::uint32_t mAnswerTokens = 0; ///< Expected length of the answer.
+  std::uint32_t mAnswerTokens = 0; ///< Guessed length of the answer.
+  std::uint32_t mMostTokens = 0;   ///< Most tokens of the answer; 0 if unknown.
   std::uint32_t mMadeTokens = 0;   ///< Tokens made by mSeen.
   instant mSeen{ 0 };              ///< When mMadeTokens was right; ahead if not started yet.
   std::uint64_t mDaemon = 0;       ///< Daemon that placed it; 0 is this one.
--- a/src/forward/run_message.cpp
+++ b/src/forward/run_message.cpp
@@ -1,6 +1,7 @@
 /**
  * @file run_message.cpp
- * Run messages as CBOR: [sender, digest, [[run, decode, prefill, prompt, answer, made, age]...],
+ * Run messages as CBOR: [sender, digest, [[run, decode, prefill, prompt, answer, most, made,
+ * age]...],
  * [ended...]].
  */
 #include "forward/run_message.h"
@@ -25,8 +26,9 @@
   run.mPrefill = { aItem.at(2).get<std::uint64_t>() };
   run.mPromptTokens = aItem.at(3).get<std::uint32_t>();
   run.mAnswerTokens = aItem.at(4).get<std::uint32_t>();
-  run.mMadeTokens = aItem.at(5).get<std::uint32_t>();
-  run.mSeen = aNow - duration(aItem.at(6).get<std::int64_t>());
+  run.mMostTokens = aItem.at(5).get<std::uint32_t>();
+  run.mMadeTokens = aItem.at(6).get<std::uint32_t>();
+  run.mSeen = aNow - duration(aItem.at(7).get<std::int64_t>());
   run.mDaemon = aDaemon;
   return run;
 }
@@ -43,6 +45,7 @@
                       run.mPrefill.mValue,
                       run.mPromptTokens,
                       run.mAnswerTokens,
+                      run.mMostTokens,
                       run.mMadeTokens,
                       (aNow - run.mSeen).count() });
   }
