Fix: [Decide] entries and engines that turn work away aren't asked again

The log showed two sources. An engine that had taken an order to change its role refuses all new work until its runs have ended, and only the daemon that gave the order knew. And an entry that is some seconds old names a life of a runner that has ended; its address answers 421 each time.

Ruled out: shorter handle lifetimes (most refusals lie outside handle_short), full engines (the reservation was granted, 0 refusals).

Change: an engine that took an order gets no work until its entry changes, and the holder tells the other daemons; a runner that says it isn't the one meant is left alone until its entry changes; refusals in a row double the rest. Missing prefill engines are replaced after 3 s, no longer behind an order that is done already, by the engine with the fewest runs. Decode engines read a prompt themselves only one at a time and where the pause stays within the route's gap.

--- a/src/daemon/gateway_main.cpp
+++ b/src/daemon/gateway_main.cpp
@@ -32,10 +32,7 @@
           prefill_share,
           dunehook::placement_tuning{}.mPrefillShare,
           "part of the engines that read prompts");
-ABSL_FLAG(std::uint32_t,
-          decode_read_tokens,
-          dunehook::placement_tuning{}.mDecodeReadTokens,
-          "longest prompt that a busy decode engine reads");
+ABSL_FLAG(bool, decode_reads, true, "decode engines read where prefill engines are behind");
 ABSL_FLAG(bool, reserve, true, "off: baseline without reservations");
 ABSL_FLAG(bool, forecast, true, "off: baseline that takes the engine with the fewest runs");
 
@@ -51,7 +48,7 @@
   tuning.mCaution = absl::GetFlag(FLAGS_caution);
   tuning.mReservedShare = absl::GetFlag(FLAGS_reserved_share);
   tuning.mPrefillShare = absl::GetFlag(FLAGS_prefill_share);
-  tuning.mDecodeReadTokens = absl::GetFlag(FLAGS_decode_read_tokens);
+  tuning.mDecodeReads = absl::GetFlag(FLAGS_decode_reads);
   tuning.mReserve = absl::GetFlag(FLAGS_reserve);
   tuning.mForecast = absl::GetFlag(FLAGS_forecast);
   return tuning;
--- a/src/forward/config_type.h
+++ b/src/forward/config_type.h
@@ -42,6 +42,7 @@
   bool mResumable = false;                         ///< Streams may go on at another runner.
   duration mTimeout = std::chrono::seconds(30);    ///< Longest time a request may be held.
   duration mFirstAnswer = std::chrono::seconds(1); ///< Latency target: first event, or answer.
+  duration mEventGap = std::chrono::seconds(1);    ///< Target: longest pause between events.
   std::uint32_t mRank = 5;                         ///< 0 is the most urgent.
   std::uint32_t mMaxRunners = 1;                   ///< Runners that one request may be sent to.
   std::vector<weighted_service> mServices;         ///< At least one.
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -452,6 +452,9 @@
       for (const run_id run : message->mEnded) {
         mState.mPlacement.End(run);
       }
+      for (const service_runner_id runner : message->mOrdered) {
+        mState.mRunners.NoteChanging(runner, now + kLongestChange);
+      }
     }
   }
 
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -60,6 +60,7 @@
     mDemand.mService = aService.mName;
     mDemand.mModel = mFacts.mModel;
     mDemand.mHall = mState.mSettings.mHall;
+    mDemand.mEventGap = aRoute.mEventGap;
     mDemand.mPromptTokens = mFacts.mPromptTokens;
     mDemand.mAnswerTokens = GuessedTokens();
     mDemand.mMostTokens = mFacts.mMostTokens;
@@ -333,17 +334,12 @@
     if (mExchange->Gone()) {
       return;
     }
-    const bool refused = aAnswer.mEnd == send_end::eNotRun;
-    const bool silent = aAnswer.mEnd == send_end::eNotSent || aAnswer.mTimedOut;
-    const send_outcome outcome = refused  ? send_outcome::eRefused
-                                 : silent ? send_outcome::eUnreachable
-                                          : send_outcome::eFailed;
+    const send_outcome outcome = OutcomeOf(aAnswer);
     mState.mRunners.NoteOutcome(aRunner, outcome, mState.Now());
     LogEvent(log_level::eInfo,
              "prefill_failed",
              { { "request", mFacts.mId },
-               { "refused", refused },
-               { "silent", silent },
+               { "outcome", OutcomeName(outcome) },
                { "status", aAnswer.mFacts.mStatus } });
   }
 
@@ -367,10 +363,14 @@
       if (answer.mConnection) {
         answer.mConnection->Abort();
       }
-      const bool refused = answer.mEnd == send_end::eNotRun;
-      mState.mRunners.NoteOutcome(mChoice.mDecode,
-                                  refused ? send_outcome::eRefused : send_outcome::eUnreachable,
-                                  mState.Now());
+      const send_outcome outcome = OutcomeOf(answer);
+      mState.mRunners.NoteOutcome(mChoice.mDecode, outcome, mState.Now());
+      LogEvent(log_level::eInfo,
+               "handoff_failed",
+               { { "request", mFacts.mId },
+                 { "runner", mDecodeName },
+                 { "outcome", OutcomeName(outcome) },
+                 { "status", answer.mFacts.mStatus } });
       ++mHandoffsLost;
       if (mState.BudgetOf(mService.mName).Take(mState.Now()) && mHandoffsLost <= kMostReads) {
         co_return true;
--- a/src/forward/generation_type.h
+++ b/src/forward/generation_type.h
@@ -61,11 +61,12 @@
 /** What the head of a runner's answer says. */
 struct answer_facts
 {
-  unsigned mStatus = 0;     ///< HTTP status.
-  std::string mRequestId;   ///< The request it belongs to; empty if it doesn't say.
-  bool mNotRun = false;     ///< The runner tells that it did not run the request.
-  bool mHasReceipt = false; ///< It carries the runner's receipt.
-  duration mKeepFor{ 0 };   ///< How long the runner keeps an idle connection; 0 if not told.
+  unsigned mStatus = 0;      ///< HTTP status.
+  std::string mRequestId;    ///< The request it belongs to; empty if it doesn't say.
+  bool mMisdirected = false; ///< The runner isn't the one that was meant, or has another role.
+  bool mNotRun = false;      ///< The runner tells that it did not run the request.
+  bool mHasReceipt = false;  ///< It carries the runner's receipt.
+  duration mKeepFor{ 0 };    ///< How long the runner keeps an idle connection; 0 if not told.
 
   auto operator<=>(const answer_facts&) const = default;
 };
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
 
 namespace dunehook {
 
@@ -20,6 +19,14 @@
                                           duration{ 120000 }, duration{ 250000 },
                                           duration{ 500000 }, duration{ 1000000 },
                                           duration{ 2000000 } };
+/** With no engine at all, one may be back after this. */
+constexpr duration kNoEngineRest = std::chrono::seconds(1);
+/** With engines that read too late, the queue is shorter after this. */
+constexpr duration kTooLateRest = std::chrono::milliseconds(300);
+/** A decode engine that has read a prompt rests this long before the next: its runs catch up. */
+constexpr duration kDecodeReadRest = std::chrono::milliseconds(350);
+/** Part of the longest pause between events that a read at a decode engine may take. */
+constexpr double kPausePart = 0.85;
 /** Weight of a run where engines are chosen by the number of runs. */
 constexpr double kRunWeight = 0.05;
 /** Runs of others are dropped this long after their expected end if nobody said that they ended. */
@@ -52,6 +59,17 @@
   return static_cast<double>(aSpan.count());
 }
 
+/** @return the demand as a run that starts now. */
+growing_run
+NewcomerOf(const generation_demand& aDemand)
+{
+  growing_run newcomer;
+  newcomer.mPrompt = aDemand.mPromptTokens;
+  newcomer.mGuess = aDemand.mAnswerTokens;
+  newcomer.mMost = aDemand.mMostTokens;
+  return newcomer;
+}
+
 duration
 FromMicros(double aMicros)
 {
@@ -133,10 +151,7 @@
                         double aMemory,
                         instant aNow) const
 {
-  growing_run newcomer;
-  newcomer.mPrompt = aDemand.mPromptTokens;
-  newcomer.mGuess = aDemand.mAnswerTokens;
-  newcomer.mMost = aDemand.mMostTokens;
+  const growing_run newcomer = NewcomerOf(aDemand);
   for (const duration wait : kWaits) {
     if (ForecastOf(aDecode, aNow + wait).Peak(newcomer, mTuning.mCaution) <= aMemory) {
       return wait;
@@ -145,92 +160,117 @@
   return kWaits.back() * 2;
 }
 
-placement_answer
-placement_table::Choose(const generation_demand& aDemand,
-                        const engine_traits& aTraits,
-                        const runner_table& aRunners,
-                        instant aNow) const
+placement_table::engine_sets
+placement_table::UsableEngines(const generation_demand& aDemand,
+                               const runner_table& aRunners,
+                               instant aNow) const
 {
-  std::vector<const runner_state*> prefills;
-  std::vector<const runner_state*> decodes;
+  engine_sets sets;
   for (const auto& [id, runner] : aRunners.Rows()) {
     const bool usable = runner.mEntry.mService == aDemand.mService &&
                         aRunners.TakesWork(runner, aNow) &&
                         (aDemand.mModel.empty() || runner.mEntry.mModels.count(aDemand.mModel) > 0);
     if (usable && runner.mEntry.mRole == engine_role::ePrefill) {
-      prefills.push_back(&runner);
+      sets.mPrefills.push_back(&runner);
     } else if (usable && runner.mEntry.mRole == engine_role::eDecode) {
-      decodes.push_back(&runner);
+      sets.mDecodes.push_back(&runner);
     }
   }
-  placement_answer answer;
-  if (decodes.empty()) {
-    answer.mFreeIn = std::chrono::seconds(1);
-    return answer;
+  return sets;
+}
+
+duration
+placement_table::RoomIn(const runner_state& aDecode,
+                        const generation_demand& aDemand,
+                        const engine_traits& aTraits,
+                        instant aNow) const
+{
+  const auto known = mDecodes.find(aDecode.mId);
+  const instant fullUntil = known == mDecodes.end() ? instant{ 0 } : known->second.mFullUntil;
+  duration wait = std::max(duration{ 0 }, fullUntil - aNow);
+  if (!mTuning.mForecast) {
+    return wait;
   }
   const double memory = mTuning.mMemoryShare * static_cast<double>(aTraits.mMemoryTokens);
-  double bestCost = std::numeric_limits<double>::max();
-  duration soonest = duration::max();
-  bool memoryFits = false;
-  for (const runner_state* const decode : decodes) {
-    const auto known = mDecodes.find(decode->mId);
-    const instant fullUntil = known == mDecodes.end() ? instant{ 0 } : known->second.mFullUntil;
-    const std::size_t runs = RunsOn(decode->mId).size();
-    duration fits = std::max(duration{ 0 }, fullUntil - aNow);
-    if (mTuning.mForecast) {
-      fits = std::max(fits, FitsIn(decode->mId, aDemand, memory, aNow));
-      fits = runs >= aTraits.mSlots ? std::max(fits, kWaits[1]) : fits;
-    }
-    if (mTuning.mForecast && fits > duration{ 0 }) {
-      soonest = std::min(soonest, fits);
-      continue;
-    }
-    memoryFits = true;
-    growing_run newcomer;
-    newcomer.mPrompt = aDemand.mPromptTokens;
-    newcomer.mGuess = aDemand.mAnswerTokens;
-    newcomer.mMost = aDemand.mMostTokens;
-    const double peak = ForecastOf(decode->mId, aNow).Peak(newcomer, 0.0) /
-                        static_cast<double>(std::max<std::uint64_t>(1, aTraits.mMemoryTokens));
-    const double event = aTraits.mTokensPerEvent * MicrosPerToken(decode->mId);
-    const double load = mTuning.mForecast ? peak : kRunWeight * static_cast<double>(runs);
-    const double base = kFullEngineMicros * load * load + Micros(kHandoffTime) + event +
-                        (decode->mEntry.mHall == aDemand.mHall ? 0.0 : kOtherHallCallMicros);
-    const auto consider =
-      [&](std::optional<service_runner_id> aPrefill, duration aRead, double aExtra) {
-        const duration untilEvent = aRead + kHandoffTime + FromMicros(event);
-        if (mTuning.mForecast && untilEvent > aDemand.mFirstEventWithin) {
-          return;
-        }
-        const double cost = base + Micros(aRead) + aExtra;
-        if (cost < bestCost) {
-          bestCost = cost;
-          answer.mChoice = placement_choice{ decode->mId, aPrefill, aRead, untilEvent, peak };
-        }
-      };
-    for (const runner_state* const prefill : prefills) {
-      const bool sameHall = prefill->mEntry.mHall == decode->mEntry.mHall;
-      const auto version = [&](const runner_state* aRunner) {
-        const auto found = aRunner->mEntry.mModels.find(aDemand.mModel);
-        return found == aRunner->mEntry.mModels.end() ? 0 : found->second;
-      };
-      if (version(prefill) != version(decode)) {
-        continue; // Its KV cache would be of other weights.
+  wait = std::max(wait, FitsIn(aDecode.mId, aDemand, memory, aNow));
+  return RunsOn(aDecode.mId).size() >= aTraits.mSlots ? std::max(wait, kWaits[1]) : wait;
+}
+
+void
+placement_table::ConsiderReads(const runner_state& aDecode,
+                               const generation_demand& aDemand,
+                               const engine_traits& aTraits,
+                               const engine_sets& aSets,
+                               instant aNow,
+                               best_place& aBest) const
+{
+  const std::vector<const run_record*> runs = RunsOn(aDecode.mId);
+  const double memory = static_cast<double>(std::max<std::uint64_t>(1, aTraits.mMemoryTokens));
+  const double peak = ForecastOf(aDecode.mId, aNow).Peak(NewcomerOf(aDemand), 0.0) / memory;
+  const double load = mTuning.mForecast ? peak : kRunWeight * static_cast<double>(runs.size());
+  const double event = aTraits.mTokensPerEvent * MicrosPerToken(aDecode.mId);
+  const double base = kFullEngineMicros * load * load +
+                      (aDecode.mEntry.mHall == aDemand.mHall ? 0.0 : kOtherHallCallMicros);
+  const auto consider =
+    [&](std::optional<service_runner_id> aPrefill, duration aRead, double aExtra) {
+      const duration untilEvent = aRead + kHandoffTime + FromMicros(event);
+      const double cost = base + Micros(untilEvent) + aExtra;
+      const bool late = mTuning.mForecast && untilEvent > aDemand.mFirstEventWithin;
+      if (!late && cost < aBest.mCost) {
+        aBest.mCost = cost;
+        aBest.mChoice = placement_choice{ aDecode.mId, aPrefill, aRead, untilEvent, peak };
       }
+    };
+  const auto version = [&](const runner_state& aRunner) {
+    const auto found = aRunner.mEntry.mModels.find(aDemand.mModel);
+    return found == aRunner.mEntry.mModels.end() ? 0 : found->second;
+  };
+  for (const runner_state* const prefill : aSets.mPrefills) {
+    if (version(*prefill) == version(aDecode)) { // Else its KV cache would be of other weights.
+      const bool sameHall = prefill->mEntry.mHall == aDecode.mEntry.mHall;
       consider(prefill->mId,
                ReadTime(prefill->mId, aDemand.mPromptTokens, aNow),
                sameHall ? 0.0 : kOtherHallMoveMicros);
     }
-    if (prefills.empty() || aDemand.mPromptTokens <= mTuning.mDecodeReadTokens) {
-      const double rate = prefill_state{}.mTokensPerMicro * kDecodeReadShare;
-      consider(std::nullopt,
-               FromMicros(aDemand.mPromptTokens / rate),
-               prefills.empty() ? 0.0 : kDecodeReadPenaltyMicros);
+  }
+  const duration ownRead =
+    FromMicros(aDemand.mPromptTokens / (prefill_state{}.mTokensPerMicro * kDecodeReadShare));
+  // The engine's other runs pause while it reads, so it reads one prompt at a time, with rests.
+  const bool reads = std::any_of(runs.begin(), runs.end(), [&](const run_record* aRun) {
+    return !aRun->mPrefill && aRun->mMadeTokens == 0 && aRun->mSeen + kDecodeReadRest > aNow;
+  });
+  const bool pauseFits = Micros(ownRead) + event < kPausePart * Micros(aDemand.mEventGap);
+  if (aSets.mPrefills.empty() || (mTuning.mDecodeReads && pauseFits && !reads)) {
+    consider(std::nullopt, ownRead, aSets.mPrefills.empty() ? 0.0 : kDecodeReadPenaltyMicros);
+  }
+}
+
+placement_answer
+placement_table::Choose(const generation_demand& aDemand,
+                        const engine_traits& aTraits,
+                        const runner_table& aRunners,
+                        instant aNow) const
+{
+  const engine_sets sets = UsableEngines(aDemand, aRunners, aNow);
+  placement_answer answer;
+  if (sets.mDecodes.empty()) {
+    answer.mFreeIn = kNoEngineRest;
+    return answer;
+  }
+  best_place best;
+  duration soonest = duration::max();
+  for (const runner_state* const decode : sets.mDecodes) {
+    const duration room = RoomIn(*decode, aDemand, aTraits, aNow);
+    soonest = std::min(soonest, room);
+    if (room == duration{ 0 }) {
+      ConsiderReads(*decode, aDemand, aTraits, sets, aNow, best);
     }
   }
+  answer.mChoice = best.mChoice;
   if (!answer.mChoice) {
-    answer.mReason = memoryFits ? no_place::eTooLate : no_place::eNoMemory;
-    answer.mFreeIn = memoryFits ? std::chrono::milliseconds(300) : soonest;
+    const bool hasMemory = soonest == duration{ 0 };
+    answer.mReason = hasMemory ? no_place::eTooLate : no_place::eNoMemory;
+    answer.mFreeIn = hasMemory ? kTooLateRest : soonest;
   }
   return answer;
 }
@@ -339,6 +379,16 @@
   return runs;
 }
 
+std::map<service_runner_id, std::size_t>
+placement_table::RunsByEngine() const
+{
+  std::map<service_runner_id, std::size_t> counts;
+  for (const auto& [id, run] : mRuns) {
+    ++counts[run.mDecode];
+  }
+  return counts;
+}
+
 std::uint32_t
 placement_table::ReservedTokens(const generation_demand& aDemand) const
 {
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -13,6 +13,7 @@
 #include "forward/placement_type.h"
 #include "forward/runner_table.h"
 
+#include <limits>
 #include <unordered_map>
 #include <vector>
 
@@ -52,6 +53,8 @@
 
   /** @return runs that this daemon placed. */
   std::vector<run_record> OwnRuns() const;
+  /** @return runs under way by decode engine. */
+  std::map<service_runner_id, std::size_t> RunsByEngine() const;
   std::size_t RunCount() const { return mRuns.size(); }
   /** @return tokens reserved at the engine for a demand. */
   std::uint32_t ReservedTokens(const generation_demand& aDemand) const;
@@ -71,6 +74,34 @@
     double mTokensPerMicro = 0.05; ///< Reading speed; a first guess until measured.
   };
 
+  /** Engines that may be given a demand. */
+  struct engine_sets
+  {
+    std::vector<const runner_state*> mPrefills; ///< They read prompts.
+    std::vector<const runner_state*> mDecodes;  ///< They generate.
+  };
+  /** The best place so far. */
+  struct best_place
+  {
+    double mCost = std::numeric_limits<double>::max(); ///< In microseconds of waiting.
+    std::optional<placement_choice> mChoice;           ///< None yet.
+  };
+
+  engine_sets UsableEngines(const generation_demand& aDemand,
+                            const runner_table& aRunners,
+                            instant aNow) const;
+  /** @return how long until the engine has room for the demand, zero if it has. */
+  duration RoomIn(const runner_state& aDecode,
+                  const generation_demand& aDemand,
+                  const engine_traits& aTraits,
+                  instant aNow) const;
+  /** Compares the ways in which the prompt could be read for a decode engine. */
+  void ConsiderReads(const runner_state& aDecode,
+                     const generation_demand& aDemand,
+                     const engine_traits& aTraits,
+                     const engine_sets& aSets,
+                     instant aNow,
+                     best_place& aBest) const;
   double MicrosPerToken(service_runner_id aDecode) const;
   /** @return when a run has most likely ended. */
   instant EndOf(const run_record& aRun) const;
--- a/src/forward/placement_type.h
+++ b/src/forward/placement_type.h
@@ -26,9 +26,8 @@
   double mReservedShare = 0.3;
   /** Part of the engines that read prompts. */
   double mPrefillShare = 0.22;
-  /** Longest prompt that a decode engine may read itself where prefill engines are busy; its other
-   * runs pause meanwhile. 0: only where there's no prefill engine. */
-  std::uint32_t mDecodeReadTokens = 2500;
+  /** Decode engines read prompts themselves where prefill engines are behind. */
+  bool mDecodeReads = true;
   /** Off: baseline without a reservation and without a forecast, for comparison. */
   bool mReserve = true;
   /** Off: baseline that takes the engine with the fewest runs. */
@@ -47,6 +46,7 @@
   std::uint32_t mPromptTokens = 0; ///< Length of the prompt.
   std::uint32_t mAnswerTokens = 0; ///< Guessed length of the answer.
   std::uint32_t mMostTokens = 0;   ///< Most tokens of the answer; 0 if unknown.
+  duration mEventGap{ 0 };         ///< Longest pause between events that is in time.
   duration mFirstEventWithin{ 0 }; ///< Time left until the first event is late.
 
   auto operator<=>(const generation_demand&) const = default;
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -129,7 +129,7 @@
       co_return false;
     }
     if (aAnswer.mEnd == send_end::eNotRun) {
-      Note(aRunner, send_outcome::eRefused);
+      Note(aRunner, OutcomeOf(aAnswer));
       if (TakeRepeat()) {
         co_return true;
       }
@@ -141,7 +141,7 @@
       aAnswer.mEnd = send_end::eUnknown; // Not the runner's own answer.
     }
     if (aAnswer.mEnd == send_end::eUnknown) {
-      Note(aRunner, aAnswer.mTimedOut ? send_outcome::eUnreachable : send_outcome::eFailed);
+      Note(aRunner, OutcomeOf(aAnswer));
       mUnknown = true;
       if (MayRepeat() && TakeRepeat()) {
         co_return true;
--- a/src/forward/role_keeper.h
+++ b/src/forward/role_keeper.h
@@ -20,6 +20,10 @@
 /** Longest wait for an engine's answer to an order. */
 inline constexpr duration kOrderTime = std::chrono::milliseconds(500);
 
+/** An engine that took an order gets no work until its entry changes, or for this long: its runs
+ * end first, and then it's out of work for some seconds. */
+inline constexpr duration kLongestChange = std::chrono::seconds(20);
+
 /** What the keeper needs to know of the other daemons. */
 struct role_peers
 {
@@ -42,7 +46,8 @@
   /** Looks at the plan once, and orders what is wanted if this daemon holds the term. */
   asio::awaitable<void> Tick(role_peers aPeers)
   {
-    const std::vector<role_change> wanted = mPlanner.Plan(mState.mRunners, mState.Now());
+    const std::vector<role_change> wanted =
+      mPlanner.Plan(mState.mRunners, mState.mPlacement.RunsByEngine(), mState.Now());
     if (wanted.empty() || mState.mStopping) {
       co_return;
     }
@@ -112,7 +117,7 @@
     order.mTerm = mTerm;
     order.mAfterOrders = mOrdersTaken[aChange.mRunner];
     const endpoint address = runner->mEntry.mAddress;
-    mPlanner.NoteOrdered(aChange.mRunner, mState.Now());
+    mPlanner.NoteOrdered(aChange, mState.Now());
     const http_call call = Wire::OrderCall(order);
     auto connected = co_await http_connection::Connect(address, kOrderTime);
     if (!connected) {
@@ -124,6 +129,10 @@
     const unsigned status = answer ? answer.value().mStatus : 0;
     if (status == 202) {
       ++mOrdersTaken[aChange.mRunner];
+      mState.mRunners.NoteChanging(aChange.mRunner, mState.Now() + kLongestChange);
+      run_message message;
+      message.mOrdered.push_back(aChange.mRunner);
+      mState.mTell(std::move(message));
     }
     if (status == 412) {
       mTerm = 0; // A later term has given orders.
--- a/src/forward/role_plan.cpp
+++ b/src/forward/role_plan.cpp
@@ -11,18 +11,31 @@
 
 namespace {
 
-/** An engine that was ordered isn't ordered again before this: orders may be done late. */
-constexpr duration kLeaveAlone = std::chrono::seconds(16);
-/** A change costs the engine some seconds out of work, so a short gap isn't filled. */
-constexpr duration kSteadyFor = std::chrono::seconds(4);
+/** An order that isn't done yet isn't given again before this: it may be carried out late. */
+constexpr duration kOrderPending = std::chrono::seconds(16);
+/** An engine that has changed its role keeps it for this long at least. */
+constexpr duration kDwell = std::chrono::seconds(8);
+/** A change costs the engine some seconds out of work, so a gap that may close by itself, since an
+ * engine is only silent, isn't filled at once. */
+constexpr duration kSteadyFor = std::chrono::seconds(3);
 /** At the start nothing is running yet, and a change costs nothing. */
 constexpr duration kStartTime = std::chrono::seconds(8);
 
+/** How the engines of a service stand against what is wanted. */
+struct role_balance
+{
+  std::int64_t mReading = 0; ///< Engines that read, or were ordered to.
+  std::int64_t mWanted = 0;  ///< Engines that shall read.
+};
+
 } // namespace
 
 std::vector<role_change>
-role_planner::Plan(const runner_table& aRunners, instant aNow)
+role_planner::Plan(const runner_table& aRunners,
+                   const std::map<service_runner_id, std::size_t>& aRuns,
+                   instant aNow)
 {
+  mRuns = aRuns;
   if (mStarted == instant{ 0 }) {
     mStarted = aNow;
   }
@@ -33,54 +46,95 @@
     }
   }
   std::vector<role_change> changes;
-  for (auto& [service, engines] : services) {
-    // Reading must go on when one engine is lost, but a service of few engines can't spare two.
-    const double share = mPrefillShare * static_cast<double>(engines.size());
-    const auto wanted = std::max<std::int64_t>(1, std::lround(share));
-    const auto reading = std::count_if(engines.begin(), engines.end(), [](const auto* aEngine) {
-      return aEngine->mEntry.mRole == engine_role::ePrefill;
-    });
-    if (reading == wanted || engines.size() < 2) {
-      mOffSince.erase(service);
-      continue;
+  for (const auto& [service, engines] : services) {
+    PlanService(service, engines, aNow, changes);
+  }
+  return changes;
+}
+
+void
+role_planner::PlanService(const std::string& aService,
+                          const std::vector<const runner_state*>& aEngines,
+                          instant aNow,
+                          std::vector<role_change>& aChanges)
+{
+  const double share = mPrefillShare * static_cast<double>(aEngines.size());
+  role_balance balance;
+  balance.mWanted = std::max<std::int64_t>(1, std::lround(share));
+  for (const runner_state* const engine : aEngines) {
+    balance.mReading += RoleToCome(*engine, aNow) == engine_role::ePrefill ? 1 : 0;
+  }
+  if (balance.mReading == balance.mWanted || aEngines.size() < 2) {
+    mOffSince.erase(aService);
+    return;
+  }
+  const instant since = mOffSince.try_emplace(aService, aNow).first->second;
+  if (aNow - mStarted > kStartTime && aNow - since < kSteadyFor) {
+    return;
+  }
+  const bool tooMany = balance.mReading > balance.mWanted;
+  const engine_role from = tooMany ? engine_role::ePrefill : engine_role::eDecode;
+  const engine_role to = tooMany ? engine_role::eDecode : engine_role::ePrefill;
+  const std::int64_t missing = std::abs(balance.mReading - balance.mWanted);
+  for (std::int64_t i = 0; i < missing; ++i) {
+    const runner_state* const chosen = ChooseEngine(aEngines, from, aNow, aChanges);
+    if (chosen != nullptr) {
+      aChanges.push_back({ chosen->mId, to });
     }
-    const instant since = mOffSince.try_emplace(service, aNow).first->second;
-    if (aNow - mStarted > kStartTime && aNow - since < kSteadyFor) {
-      continue;
+  }
+}
+
+engine_role
+role_planner::RoleToCome(const runner_state& aEngine, instant aNow) const
+{
+  const auto ordered = mOrdered.find(aEngine.mId);
+  const bool pending = ordered != mOrdered.end() && aNow - ordered->second.mAt < kOrderPending;
+  return pending ? ordered->second.mRole : aEngine.mEntry.mRole;
+}
+
+const runner_state*
+role_planner::ChooseEngine(const std::vector<const runner_state*>& aEngines,
+                           engine_role aFrom,
+                           instant aNow,
+                           const std::vector<role_change>& aChanges) const
+{
+  // The hall with the most engines of the role gives one, so that halls stay alike.
+  std::map<std::string, int> byHall;
+  for (const runner_state* const engine : aEngines) {
+    byHall[engine->mEntry.mHall] += RoleToCome(*engine, aNow) == aFrom ? 1 : 0;
+  }
+  for (const role_change& change : aChanges) {
+    for (const runner_state* const engine : aEngines) {
+      byHall[engine->mEntry.mHall] -= engine->mId == change.mRunner ? 1 : 0;
     }
-    const engine_role from = reading > wanted ? engine_role::ePrefill : engine_role::eDecode;
-    const engine_role to = reading > wanted ? engine_role::eDecode : engine_role::ePrefill;
-    // The hall with the most engines of the role gives one, so that halls stay alike.
-    std::map<std::string, int> byHall;
-    for (const runner_state* const engine : engines) {
-      byHall[engine->mEntry.mHall] += engine->mEntry.mRole == from ? 1 : 0;
+  }
+  const runner_state* chosen = nullptr;
+  for (const runner_state* const engine : aEngines) {
+    const auto ordered = mOrdered.find(engine->mId);
+    const bool rests = ordered != mOrdered.end() && aNow - ordered->second.mAt < kDwell;
+    const bool taken = std::any_of(aChanges.begin(), aChanges.end(), [&](const auto& aChange) {
+      return aChange.mRunner == engine->mId;
+    });
+    if (rests || taken || engine->mEntry.mRole != aFrom || RoleToCome(*engine, aNow) != aFrom) {
+      continue;
     }
-    const runner_state* chosen = nullptr;
-    for (const runner_state* const engine : engines) {
-      const auto ordered = mOrdered.find(engine->mId);
-      const bool rests = ordered != mOrdered.end() && aNow - ordered->second < kLeaveAlone;
-      if (engine->mEntry.mRole != from || rests) {
-        continue;
-      }
-      const auto better = [&](const runner_state& aThis, const runner_state& aThat) {
-        const int left = byHall[aThis.mEntry.mHall];
-        const int right = byHall[aThat.mEntry.mHall];
-        return left != right ? left > right : aThis.mId < aThat.mId;
+    const auto better = [&](const runner_state& aThis, const runner_state& aThat) {
+      const int left = byHall[aThis.mEntry.mHall];
+      const int right = byHall[aThat.mEntry.mHall];
+      const auto runs = [&](const runner_state& aEngine) {
+        const auto found = mRuns.find(aEngine.mId);
+        return found == mRuns.end() ? 0 : found->second;
       };
-      if (chosen == nullptr || better(*engine, *chosen)) {
-        chosen = engine;
+      if (left != right) {
+        return left > right;
       }
-    }
-    const auto pending = std::count_if(engines.begin(), engines.end(), [&](const auto* aEngine) {
-      const auto ordered = mOrdered.find(aEngine->mId);
-      return aEngine->mEntry.mRole == from && ordered != mOrdered.end() &&
-             aNow - ordered->second < kLeaveAlone;
-    });
-    if (chosen != nullptr && pending < std::abs(reading - wanted)) {
-      changes.push_back({ chosen->mId, to });
+      return std::pair(runs(aThis), aThis.mId) < std::pair(runs(aThat), aThat.mId);
+    };
+    if (chosen == nullptr || better(*engine, *chosen)) {
+      chosen = engine;
     }
   }
-  return changes;
+  return chosen;
 }
 
 } // namespace dunehook
--- a/src/forward/run_message.cpp
+++ b/src/forward/run_message.cpp
@@ -2,7 +2,7 @@
  * @file run_message.cpp
  * Run messages as CBOR: [sender, digest, [[run, decode, prefill, prompt, answer, most, made,
  * age]...],
- * [ended...]].
+ * [ended...], [ordered...]].
  */
 #include "forward/run_message.h"
 
@@ -53,8 +53,15 @@
   for (const run_id run : aMessage.mEnded) {
     ended.push_back(run.mValue);
   }
-  const std::vector<std::uint8_t> bytes = json::to_cbor(
-    json::array({ aMessage.mDaemon, aMessage.mDigest, std::move(begun), std::move(ended) }));
+  json ordered = json::array();
+  for (const service_runner_id runner : aMessage.mOrdered) {
+    ordered.push_back(runner.mValue);
+  }
+  const std::vector<std::uint8_t> bytes = json::to_cbor(json::array({ aMessage.mDaemon,
+                                                                      aMessage.mDigest,
+                                                                      std::move(begun),
+                                                                      std::move(ended),
+                                                                      std::move(ordered) }));
   return { bytes.begin(), bytes.end() };
 }
 
@@ -74,6 +81,9 @@
     for (const json& item : body.at(3)) {
       message.mEnded.push_back({ item.get<std::uint64_t>() });
     }
+    for (const json& item : body.at(4)) {
+      message.mOrdered.push_back({ item.get<std::uint64_t>() });
+    }
     return message.mDaemon == 0 ? std::nullopt : std::optional<run_message>(message);
   } catch (const json::exception&) {
     return std::nullopt; // The receiver counts it.
--- a/src/forward/run_message.h
+++ b/src/forward/run_message.h
@@ -20,6 +20,7 @@
   bool mDigest = false;           ///< mBegun are all the runs that the sender has.
   std::vector<run_record> mBegun; ///< Runs placed; instants are the receiver's once decoded.
   std::vector<run_id> mEnded;     ///< Runs that ended.
+  std::vector<service_runner_id> mOrdered; ///< Engines that took an order to change their role.
 
   bool operator==(const run_message&) const = default;
 };
--- a/src/forward/runner_table.cpp
+++ b/src/forward/runner_table.cpp
@@ -17,6 +17,11 @@
 constexpr duration kLongestBackOff = std::chrono::milliseconds(1200);
 /** Avoidance of a runner that refused: about the time in which a place comes free. */
 constexpr duration kRefusedBackOff = std::chrono::milliseconds(30);
+/** An entry that a runner contradicted is followed again after this, if it hasn't changed: reads of
+ * the store may be some seconds behind. */
+constexpr duration kMisdirectedRest = std::chrono::seconds(4);
+/** The avoidance doubles with each refusal in a row, up to about a second. */
+constexpr std::uint32_t kMostRefusalSteps = 5;
 /** Weight of the newest outcome; a run of about ten decides. */
 constexpr double kOutcomeWeight = 0.12;
 /** Failures beyond the best runner's by this share don't count: services fail by themselves. */
@@ -28,6 +33,26 @@
 
 } // namespace
 
+std::string_view
+OutcomeName(send_outcome aOutcome)
+{
+  switch (aOutcome) {
+    case send_outcome::eServed:
+      return "served";
+    case send_outcome::eFailed:
+      return "failed";
+    case send_outcome::eRefused:
+      return "refused";
+    case send_outcome::eMisdirected:
+      return "misdirected";
+    case send_outcome::eUnreachable:
+      return "unreachable";
+    case send_outcome::eAbandoned:
+      return "abandoned";
+  }
+  return "unknown";
+}
+
 std::vector<service_runner_id>
 runner_table::Apply(const runner_listing& aListing, instant aNow, bool aAway)
 {
@@ -46,6 +71,10 @@
       changed.push_back(id);
     }
     state.mId = id;
+    if (state.mEntry != entry) {
+      state.mMisdirectedUntil = instant{ 0 };
+      state.mChangingUntil = instant{ 0 };
+    }
     state.mEntry = entry;
     state.mDraining = state.mDraining || entry.mLeaving;
     state.mListed = true;
@@ -90,7 +119,8 @@
 bool
 runner_table::TakesWork(const runner_state& aRunner, instant aNow) const
 {
-  return !aRunner.mDraining && !aRunner.mGone && aNow >= aRunner.mAvoidUntil;
+  return !aRunner.mDraining && !aRunner.mGone && aNow >= aRunner.mAvoidUntil &&
+         aNow >= aRunner.mMisdirectedUntil && aNow >= aRunner.mChangingUntil;
 }
 
 runner_state*
@@ -123,6 +153,14 @@
   return best;
 }
 
+void
+runner_table::NoteChanging(service_runner_id aId, instant aUntil)
+{
+  if (runner_state* const state = Find(aId)) {
+    state->mChangingUntil = aUntil;
+  }
+}
+
 void
 runner_table::NoteOutcome(service_runner_id aId, send_outcome aOutcome, instant aNow)
 {
@@ -130,14 +168,23 @@
   if (state == nullptr || aOutcome == send_outcome::eAbandoned) {
     return;
   }
+  if (aOutcome == send_outcome::eMisdirected) {
+    state->mMisdirectedUntil = aNow + kMisdirectedRest;
+    return;
+  }
   if (aOutcome == send_outcome::eRefused) {
-    state->mAvoidUntil = std::max(state->mAvoidUntil, aNow + kRefusedBackOff);
+    ++state->mRefusals;
+    // One refusal says that it's full; several in a row that it takes nothing now.
+    const std::uint32_t steps = std::min(state->mRefusals - 1, kMostRefusalSteps);
+    const duration rest = kRefusedBackOff * (std::int64_t{ 1 } << steps);
+    state->mAvoidUntil = std::max(state->mAvoidUntil, aNow + rest);
     return;
   }
   const double failed = aOutcome == send_outcome::eServed ? 0.0 : 1.0;
   state->mFailureShare += kOutcomeWeight * (failed - state->mFailureShare);
   if (aOutcome == send_outcome::eServed) {
     state->mBackOff = duration{ 0 };
+    state->mRefusals = 0;
   }
   if (aOutcome == send_outcome::eUnreachable) {
     state->mBackOff = std::clamp(state->mBackOff * 2, kFirstBackOff, kLongestBackOff);
--- a/src/forward/runner_table.h
+++ b/src/forward/runner_table.h
@@ -20,10 +20,15 @@
   eServed,      ///< A whole answer that isn't a failure.
   eFailed,      ///< A failure of the runner's own, or a broken answer.
   eRefused,     ///< It took no work.
+  eMisdirected, ///< Another runner has its address, or it has another role by now.
   eUnreachable, ///< No connection, or silence.
   eAbandoned,   ///< Ended by the caller; says nothing of the runner.
 };
 
+/** @return the outcome's name in records. */
+std::string_view
+OutcomeName(send_outcome aOutcome);
+
 /** A runner as this daemon sees it. */
 struct runner_state
 {
@@ -36,7 +41,10 @@
   std::uint32_t mUnderWay = 0; ///< Requests of this daemon there.
   double mFailureShare = 0.0;  ///< Of late, by outcome; within 0 and 1.
   instant mAvoidUntil{ 0 };    ///< No new work before this.
-  duration mBackOff{ 0 };      ///< Last span of avoidance; grows while it stays unreachable.
+  instant mChangingUntil{ 0 }; ///< It was ordered to another role: no work until its entry changes.
+  std::uint32_t mRefusals = 0; ///< Refusals since it last served.
+  instant mMisdirectedUntil{ 0 }; ///< Its entry is out of date: no work until it changes.
+  duration mBackOff{ 0 };         ///< Last span of avoidance; grows while it stays unreachable.
 };
 
 /** The table. */
@@ -70,6 +78,9 @@
                        instant aNow,
                        double aDraw);
 
+  /** Notes that an engine took an order to change its role: it gives no new work a place. */
+  void NoteChanging(service_runner_id aId, instant aUntil);
+
   /** Notes how a send ended. */
   void NoteOutcome(service_runner_id aId, send_outcome aOutcome, instant aNow);
 
--- a/src/forward/upstream_send.h
+++ b/src/forward/upstream_send.h
@@ -142,6 +142,20 @@
   co_return answer;
 }
 
+/** @return what a send that gave no answer says of the runner. */
+inline send_outcome
+OutcomeOf(const upstream_answer& aAnswer)
+{
+  if (aAnswer.mFacts.mMisdirected) {
+    return send_outcome::eMisdirected;
+  }
+  if (aAnswer.mEnd == send_end::eNotRun) {
+    return send_outcome::eRefused;
+  }
+  const bool silent = aAnswer.mEnd == send_end::eNotSent || aAnswer.mTimedOut;
+  return silent ? send_outcome::eUnreachable : send_outcome::eFailed;
+}
+
 /** Gives a connection back: from then on it's not this caller's to end. */
 inline void
 GiveBack(forward_state& aState,
