--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -33,7 +33,9 @@
 }
 
 run unit_tests
+run forward_tests
 run integration_tests
+run gateway_tests
 [ -z "$known" ] || { echo "known red:"; cat KNOWN-RED.txt; }
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- /dev/null
+++ b/standins/fleet/fleet.cpp
@@ -0,0 +1,437 @@
+/**
+ * @file fleet.cpp
+ * Stand-in of the users' platform: the store of configuration, runners and terms, and any number of
+ * runners, in one process. A test sets faults over the control address, and reads what runners saw.
+ * Control calls: POST /control/config, /control/server?id=, /control/store, /control/runner?id=;
+ * GET /control/seen, /control/holds, /control/terms.
+ */
+#include "core/text_func.h"
+#include "standins/common/standin.h"
+
+#include <absl/strings/escaping.h>
+
+#include <deque>
+#include <map>
+#include <set>
+
+using nlohmann::json;
+
+namespace dunehook {
+
+namespace {
+
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kOffsetBytes = 8;
+constexpr std::uint64_t kTokensPerEvent = 64;
+
+std::string
+BigEndian(std::uint64_t aNumber, std::size_t aBytes)
+{
+  std::string text;
+  for (std::size_t i = 0; i < aBytes; ++i) {
+    text.push_back(static_cast<char>((aNumber >> (8 * (aBytes - 1 - i))) & 0xFFU));
+  }
+  return text;
+}
+
+/** A topic with keys. */
+struct topic
+{
+  struct record
+  {
+    std::string mKey;   ///< Its key.
+    std::string mValue; ///< Empty if the key was removed.
+  };
+  std::vector<record> mRecords; ///< By offset.
+
+  void Append(const std::string& aKey, const std::string& aValue)
+  {
+    mRecords.push_back({ aKey, aValue });
+  }
+
+  json Newest() const
+  {
+    std::map<std::string, std::size_t> newest;
+    for (std::size_t offset = 0; offset < mRecords.size(); ++offset) {
+      newest[mRecords[offset].mKey] = offset;
+    }
+    json items = json::array();
+    for (const auto& [key, offset] : newest) {
+      if (!mRecords[offset].mValue.empty()) {
+        items.push_back({ { "key", key },
+                          { "value", absl::Base64Escape(mRecords[offset].mValue) },
+                          { "offset", offset } });
+      }
+    }
+    return { { "items", items }, { "more", false }, { "end", mRecords.size() } };
+  }
+
+  std::string ReadFrom(std::size_t aFrom) const
+  {
+    std::string out = BigEndian(mRecords.size(), kOffsetBytes) + BigEndian(0, kOffsetBytes);
+    for (std::size_t offset = aFrom; offset < mRecords.size(); ++offset) {
+      const record& one = mRecords[offset];
+      const std::string content = BigEndian(one.mKey.size(), 1) + one.mKey + one.mValue;
+      out += BigEndian(content.size(), kLengthBytes) + content;
+    }
+    return out;
+  }
+};
+
+/** A runner. */
+struct fake_runner
+{
+  std::string mId;              ///< Id of its life.
+  std::string mMode;            ///< Fault; empty if it's well.
+  int mFaults = -1;             ///< Requests that the fault still hits; -1: all.
+  int mStepMs = 10;             ///< Time between events.
+  std::string mRole;            ///< "prefill", "decode", or empty.
+  std::int64_t mFree = 0;       ///< Tokens that may be reserved.
+  tcp::acceptor mAcceptor;      ///< Where it listens.
+  std::set<std::string> mHolds; ///< Reserved and not used.
+  int mOpenRuns = 0;            ///< Requests that it works on.
+};
+
+/** The stand-in. */
+class fleet
+{
+public:
+  explicit fleet(asio::io_context& aIo)
+    : mIo(aIo)
+    , mChanged(aIo)
+  {
+  }
+
+  asio::awaitable<void> Serve(exchange_ptr aExchange)
+  {
+    const std::string path(aExchange->Path());
+    if (path.substr(0, 9) == "/control/") {
+      co_await ServeControl(aExchange, path.substr(9));
+      co_return;
+    }
+    ++mStoreCalls;
+    if (mStoreMode == "silent") {
+      co_await Sleep(std::chrono::seconds(60));
+    }
+    if (mStoreMode == "busy") {
+      co_await aExchange->Respond(503, "{}");
+      co_return;
+    }
+    topic& wanted = mTopics[aExchange->Query("topic")];
+    if (path == "/log-newest") {
+      const std::string body = wanted.Newest().dump();
+      co_await aExchange->Respond(200, body);
+    } else if (path == "/log-read") {
+      co_await ServeRead(aExchange, wanted);
+    } else if (path == "/log-append") {
+      co_await ServeAppend(aExchange, wanted);
+    } else {
+      co_await aExchange->Respond(404, "{}");
+    }
+  }
+
+private:
+  asio::awaitable<void> ServeRead(exchange_ptr aExchange, topic& aTopic)
+  {
+    const std::size_t from = std::stoul("0" + aExchange->Query("from"));
+    const int wait = std::stoi("0" + aExchange->Query("wait-ms"));
+    const instant until = steady_clock_source{}.Now() + std::chrono::milliseconds(wait);
+    while (aTopic.mRecords.size() <= from && steady_clock_source{}.Now() < until) {
+      co_await mChanged.Wait(until - steady_clock_source{}.Now());
+    }
+    const std::string body = aTopic.ReadFrom(from);
+    const header_list noHeaders;
+    co_await aExchange->Respond(200, body, noHeaders, "application/octet-stream");
+  }
+
+  asio::awaitable<void> ServeAppend(exchange_ptr aExchange, topic& aTopic)
+  {
+    const std::string at = aExchange->Query("at");
+    if (!at.empty() && std::stoul(at) != aTopic.mRecords.size()) {
+      const std::string body = json{ { "end", aTopic.mRecords.size() } }.dump();
+      co_await aExchange->Respond(412, body);
+      co_return;
+    }
+    const std::string content = aExchange->Body().substr(kLengthBytes);
+    const std::size_t keyLength = static_cast<unsigned char>(content.at(0));
+    const std::size_t offset = aTopic.mRecords.size();
+    aTopic.Append(content.substr(1, keyLength), content.substr(1 + keyLength));
+    const std::string body = json{ { "offset", offset }, { "end", offset + 1 } }.dump();
+    co_await aExchange->Respond(200, body);
+  }
+
+  asio::awaitable<void> ServeControl(exchange_ptr aExchange, std::string aWhat)
+  {
+    const std::string id = aExchange->Query("id");
+    const json body = BodyOf(*aExchange);
+    json answer = json::object();
+    if (aWhat == "config") {
+      mTopics["keyed.op"].Append("config", aExchange->Body());
+      mChanged.Notify();
+    } else if (aWhat == "server") {
+      mTopics["keyed.servers"].Append(id, body.empty() ? "" : aExchange->Body());
+    } else if (aWhat == "store") {
+      mStoreMode = body.value("mode", "");
+    } else if (aWhat == "runner") {
+      answer = SetRunner(id, body);
+    } else if (aWhat == "seen") {
+      answer["seen"] = mSeen;
+      answer["store_calls"] = mStoreCalls;
+    } else if (aWhat == "holds") {
+      for (const auto& [name, runner] : mRunners) {
+        answer[name] = { { "holds", runner->mHolds.size() }, { "runs", runner->mOpenRuns } };
+      }
+    } else if (aWhat == "terms") {
+      answer["terms"] = mTopics["keyed.dunehook"].mRecords.size();
+    }
+    const std::string text = answer.dump();
+    co_await aExchange->Respond(200, text);
+  }
+
+  /** Starts a runner, or sets its faults. @return its address. */
+  json SetRunner(const std::string& aId, const json& aBody)
+  {
+    auto found = mRunners.find(aId);
+    if (found == mRunners.end()) {
+      const endpoint any{ "127.0.0.1", static_cast<std::uint16_t>(aBody.value("port", 0)) };
+      auto acceptor = OpenAcceptor(mIo, any);
+      auto runner = std::make_shared<fake_runner>(fake_runner{ aId,
+                                                               "",
+                                                               -1,
+                                                               10,
+                                                               aBody.value("role", ""),
+                                                               aBody.value("free", 100000),
+                                                               std::move(acceptor.value()),
+                                                               {},
+                                                               0 });
+      found = mRunners.emplace(aId, runner).first;
+      Spawn(mIo, Accept(runner));
+    }
+    fake_runner& runner = *found->second;
+    runner.mMode = aBody.value("mode", "");
+    runner.mFaults = aBody.value("faults", -1);
+    runner.mStepMs = aBody.value("step_ms", runner.mStepMs);
+    runner.mFree = aBody.value("free", runner.mFree);
+    return { { "address", ToText(AddressOf(runner.mAcceptor)) } };
+  }
+
+  asio::awaitable<void> Accept(std::shared_ptr<fake_runner> aRunner)
+  {
+    for (;;) {
+      tcp::socket socket = co_await aRunner->mAcceptor.async_accept(asio::use_awaitable);
+      Spawn(mIo, Session(aRunner, std::move(socket)));
+    }
+  }
+
+  asio::awaitable<void> Session(std::shared_ptr<fake_runner> aRunner, tcp::socket aSocket)
+  {
+    beast::tcp_stream stream(std::move(aSocket));
+    beast::flat_buffer buffer;
+    bool open = true;
+    while (open) {
+      http::request<http::string_body> request;
+      boost::system::error_code error;
+      co_await http::async_read(
+        stream, buffer, request, asio::redirect_error(asio::use_awaitable, error));
+      open = !error;
+      if (open) {
+        ++aRunner->mOpenRuns;
+        open = co_await Answer(*aRunner, stream, request);
+        --aRunner->mOpenRuns;
+      }
+    }
+  }
+
+  static asio::awaitable<bool> Write(beast::tcp_stream& aStream, std::string aText)
+  {
+    boost::system::error_code error;
+    co_await asio::async_write(
+      aStream, asio::buffer(aText), asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+  }
+
+  static std::string Whole(unsigned aStatus, const std::string& aHeaders, const std::string& aBody)
+  {
+    return Join("HTTP/1.1 ",
+                aStatus,
+                " X\r\n",
+                aHeaders,
+                "Content-Length: ",
+                aBody.size(),
+                "\r\n\r\n",
+                aBody);
+  }
+
+  /** Notes a request for the test. */
+  void Note(const fake_runner& aRunner, const http::request<http::string_body>& aRequest)
+  {
+    json headers = json::object();
+    for (const auto& field : aRequest) {
+      headers[std::string(field.name_string())] = std::string(field.value());
+    }
+    mSeen.push_back({ { "runner", aRunner.mId },
+                      { "method", std::string(aRequest.method_string()) },
+                      { "target", std::string(aRequest.target()) },
+                      { "headers", headers },
+                      { "body", aRequest.body() } });
+  }
+
+  /** @return whether the connection goes on. */
+  asio::awaitable<bool> Answer(fake_runner& aRunner,
+                               beast::tcp_stream& aStream,
+                               const http::request<http::string_body>& aRequest)
+  {
+    Note(aRunner, aRequest);
+    const std::string target(aRequest.target());
+    const std::string id(aRequest["X-Request-Id"]);
+    const std::string own =
+      Join("X-Request-Id: ", id, "\r\nX-Server-Stamp: stamp-", aRunner.mId, "\r\n");
+    std::string mode = aRunner.mFaults == 0 ? "" : aRunner.mMode;
+    const bool isSideCall = id.empty();
+    if (!mode.empty() && !isSideCall && aRunner.mFaults > 0) {
+      --aRunner.mFaults;
+    }
+    if (isSideCall) {
+      const std::string text = SideAnswer(aRunner, aRequest, target);
+      co_return co_await Write(aStream, text);
+    }
+    const std::string expected(aRequest["X-Expect-Instance"]);
+    if (!expected.empty() && expected != aRunner.mId) {
+      const std::string text = Whole(421, Join("X-Instance-Id: ", aRunner.mId, "\r\n"), "");
+      co_return co_await Write(aStream, text);
+    }
+    if (mode == "reset") {
+      aStream.socket().set_option(asio::socket_base::linger(true, 0));
+      co_return false;
+    }
+    if (mode == "hang") {
+      co_await Sleep(std::chrono::seconds(60));
+      co_return false;
+    }
+    if (mode == "refuse") {
+      const std::string text = Whole(503, "X-Not-Executed: 1\r\n", "");
+      co_return co_await Write(aStream, text);
+    }
+    if (aRequest["X-Stage"] == "prefill") {
+      const std::string body =
+        json{ { "kv-handle", "h-" + id }, { "tokens", 1 }, { "version", 1 } }.dump();
+      const std::string text = Whole(200, own, body);
+      co_return co_await Write(aStream, text);
+    }
+    if (aRunner.mRole == "decode") {
+      co_return co_await Generate(aRunner, aStream, aRequest, own, mode);
+    }
+    co_return co_await AnswerPlain(aRunner, aStream, aRequest, own, mode);
+  }
+
+  asio::awaitable<bool> AnswerPlain(fake_runner& aRunner,
+                                    beast::tcp_stream& aStream,
+                                    const http::request<http::string_body>& aRequest,
+                                    std::string aOwn,
+                                    std::string aMode)
+  {
+    co_await Sleep(std::chrono::milliseconds(aRunner.mStepMs));
+    const std::string body =
+      Join("answer to ",
+           std::string_view(aRequest["X-Request-Id"].data(), aRequest["X-Request-Id"].size()));
+    if (aMode == "error") {
+      const std::string text = Whole(500, aOwn, "own failure");
+      co_return co_await Write(aStream, text);
+    }
+    if (aMode == "cut") {
+      const std::string text =
+        Join("HTTP/1.1 200 OK\r\n", aOwn, "Content-Length: 1000\r\n\r\nsome");
+      co_await Write(aStream, text);
+      co_return false;
+    }
+    if (aMode == "no_length") {
+      const std::string text = Join("HTTP/1.1 200 OK\r\n", aOwn, "\r\n", body);
+      co_await Write(aStream, text);
+      co_return false;
+    }
+    if (aMode == "wrong_id") {
+      const std::string text =
+        Whole(200, "X-Request-Id: another\r\nX-Server-Stamp: x\r\n", "not yours");
+      co_return co_await Write(aStream, text);
+    }
+    std::string text = Whole(200, aOwn, body);
+    if (aMode == "extra") {
+      text += Whole(200, "X-Request-Id: another\r\nX-Server-Stamp: x\r\n", "not yours");
+    }
+    co_return co_await Write(aStream, text);
+  }
+
+  asio::awaitable<bool> Generate(fake_runner& aRunner,
+                                 beast::tcp_stream& aStream,
+                                 const http::request<http::string_body>& aRequest,
+                                 std::string aOwn,
+                                 std::string aMode)
+  {
+    aRunner.mHolds.erase(std::string(aRequest["Hold"]));
+    const std::string counts(aRequest["X-Token-Counts"]);
+    const std::uint64_t events =
+      std::stoul("0" + counts.substr(counts.find(',') + 1)) / kTokensPerEvent;
+    const std::string last(aRequest["Last-Event-Id"]);
+    std::uint64_t event = last.empty() ? 0 : std::stoul(last) + 1;
+    bool open =
+      co_await Write(aStream,
+                     Join("HTTP/1.1 200 OK\r\n",
+                          aOwn,
+                          "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    for (; open && event < events; ++event) {
+      co_await Sleep(std::chrono::milliseconds(aRunner.mStepMs));
+      const std::string data = Join("id: ", event, "\ndata: piece ", event, "\n\n");
+      if (aMode == "cut" && event == events / 2) {
+        // The stream ends within an event.
+        co_await Write(aStream,
+                       Join(absl::Hex(data.size()), "\r\n", data.substr(0, data.size() / 2)));
+        co_return false;
+      }
+      open = co_await Write(aStream, Join(absl::Hex(data.size()), "\r\n", data, "\r\n"));
+    }
+    co_return open&& co_await Write(aStream, "0\r\n\r\n");
+  }
+
+  std::string SideAnswer(fake_runner& aRunner,
+                         const http::request<http::string_body>& aRequest,
+                         const std::string& aTarget)
+  {
+    const json body = json::parse(aRequest.body(), nullptr, false);
+    if (aTarget == "/hold-take") {
+      const std::int64_t tokens = body.value("tokens", 0);
+      if (tokens > aRunner.mFree) {
+        return Whole(503, "", "{}");
+      }
+      const std::string hold = Join("hold-", ++mHolds);
+      aRunner.mHolds.insert(hold);
+      return Whole(200, "", json{ { "hold", hold } }.dump());
+    }
+    if (aTarget.substr(0, 11) == "/hold-drop/") {
+      aRunner.mHolds.erase(aTarget.substr(11));
+      return Whole(200, "", "{}");
+    }
+    if (aTarget == "/order") {
+      return Whole(202, "", "{}");
+    }
+    return Whole(aTarget.substr(0, 11) == "/kv-handle/" ? 200 : 404, "", "{}");
+  }
+
+  asio::io_context& mIo;                                        ///< Runs everything.
+  wake_list mChanged;                                           ///< Reads that wait.
+  std::map<std::string, topic> mTopics;                         ///< By name.
+  std::map<std::string, std::shared_ptr<fake_runner>> mRunners; ///< By id.
+  json mSeen = json::array();                                   ///< Requests at runners.
+  std::string mStoreMode;                                       ///< Fault of the store.
+  std::uint64_t mStoreCalls = 0;                                ///< Calls to the store.
+  std::uint64_t mHolds = 0;                                     ///< Reservations granted.
+};
+
+} // namespace
+
+} // namespace dunehook
+
+int
+main(int aCount, char** aValues)
+{
+  return dunehook::RunStandin<dunehook::fleet>(aCount, aValues);
+}
--- /dev/null
+++ b/tests/platform/fleet_bed.cpp
@@ -0,0 +1,249 @@
+/**
+ * @file fleet_bed.cpp
+ * Starting of daemons on the stand-in of the platform.
+ */
+#include "tests/platform/fleet_bed.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <stdexcept>
+#include <unistd.h>
+
+namespace dunehook::test {
+
+namespace {
+
+constexpr int kPortsOfDaemon = 20;
+constexpr int kFirstPort = 20000;
+constexpr int kPortRange = 10000;
+constexpr int kTokensPerEvent = 64;
+
+std::string
+BuildFolderOf()
+{
+  const char* const set = std::getenv("DUNEHOOK_BUILD");
+  return set == nullptr ? "build" : set;
+}
+
+json
+Route(const std::string& aPrefix, const std::string& aKind, const std::string& aService)
+{
+  return { { "name", "route" + aPrefix },
+           { "host", "calls.example" },
+           { "path-prefix", aPrefix },
+           { "kind", aKind },
+           { "timeout-ms", aKind == "streaming" ? 14000 : 1500 },
+           { "target-latency-ms", aKind == "streaming" ? 900 : 300 },
+           { "priority", 1 },
+           { "service", aService },
+           { "max-attempts", aKind == "unsafe" ? 1 : 2 },
+           { "resumable", aPrefix == "/resumed/" },
+           { "gap_aim_ms", 300 } };
+}
+
+} // namespace
+
+headers
+CallerHeaders(const std::string& aId, const headers& aMore)
+{
+  headers all{ { "Host", "calls.example" }, { "X-Request-Id", aId }, { "X-Deadline-Ms", "14000" } };
+  all.insert(all.end(), aMore.begin(), aMore.end());
+  return all;
+}
+
+headers
+GenerationHeaders(const std::string& aId, int aPrompt, int aEvents, const headers& aMore)
+{
+  const std::string most = std::to_string(aEvents * kTokensPerEvent);
+  headers all =
+    CallerHeaders(aId,
+                  { { "X-Model", "m" },
+                    { "X-Token-Counts", std::to_string(aPrompt) + "," + most },
+                    { "Length-Hint", most },
+                    { "X-Prefix-Hash", "aa:200,bb:" + std::to_string(aPrompt - 200) } });
+  all.insert(all.end(), aMore.begin(), aMore.end());
+  return all;
+}
+
+fleet_bed::fleet_bed()
+{
+  char folder[] = "/tmp/dunehook-fleet-XXXXXX";
+  mFolder = ::mkdtemp(folder);
+  mPort = kFirstPort + (::getpid() * kPortsOfDaemon) % kPortRange;
+  mFleet = std::make_unique<process>(
+    std::vector<std::string>{ BuildFolderOf() + "/standins/standin_fleet" },
+    mFolder + "/fleet.out");
+  const std::string line = mFleet->WaitForLine("listening");
+  if (line.empty()) {
+    throw std::runtime_error("the stand-in of the platform didn't start");
+  }
+  mAddress = json::parse(line).at("listening").get<std::string>();
+}
+
+fleet_bed::~fleet_bed() = default;
+
+json
+fleet_bed::Control(const std::string& aTarget, const std::string& aBody) const
+{
+  const std::string method = aBody.empty() ? "GET" : "POST";
+  const answer got = Call(mAddress, method, "/control/" + aTarget, aBody);
+  if (got.mStatus != 200) {
+    throw std::runtime_error("control call failed: " + aTarget);
+  }
+  return got.Json();
+}
+
+void
+fleet_bed::AddRunner(const std::string& aId, const runner_options& aOptions)
+{
+  json start = aOptions.mFaults;
+  start["role"] = aOptions.mRole;
+  const json started = Control("runner?id=" + aId, start.dump());
+  json entry{ { "service", aOptions.mService },
+              { "address", started.at("address") },
+              { "zone", "hall-a" },
+              { "version", "v1" },
+              { "slots", 8 },
+              { "cold-remaining-ms", 0 },
+              { "sequence", 1 } };
+  if (!aOptions.mRole.empty()) {
+    entry["stage"] = aOptions.mRole;
+    entry["models"] = json::array({ { { "name", "m" }, { "version", 1 } } });
+  }
+  mEntries[aId] = entry;
+  List(aId, aOptions.mState);
+}
+
+void
+fleet_bed::List(const std::string& aId, const std::string& aState)
+{
+  json entry = aState.empty() ? json::object() : mEntries.at(aId);
+  if (!aState.empty()) {
+    entry["state"] = aState;
+  }
+  Control("server?id=" + aId, entry.dump());
+}
+
+void
+fleet_bed::ListAs(const std::string& aId, const std::string& aOther)
+{
+  mEntries[aId] = mEntries.at(aOther);
+  List(aId, "ready");
+}
+
+void
+fleet_bed::SetRunner(const std::string& aId, const json& aFaults)
+{
+  Control("runner?id=" + aId, aFaults.dump());
+}
+
+void
+fleet_bed::PutConfig(std::uint64_t aVersion, const json& aRoutes)
+{
+  json routes{ Route("/records/", "unsafe", "desk"),
+               Route("/pages/", "safe", "desk"),
+               Route("/turns/", "streaming", "tutor"),
+               Route("/resumed/", "streaming", "tutor") };
+  for (const json& route : aRoutes) {
+    routes.push_back(route);
+  }
+  const json engine{ { "slots", 64 },         { "kv-tokens", 90000 },    { "stride", 64 },
+                     { "handle-ttl-s", 0.5 }, { "stage-switch-s", 6.0 }, { "hold-ms", 2000.0 } };
+  const json services{ { { "name", "desk" }, { "max-connections", 100 } },
+                       { { "name", "tutor" }, { "max-connections", 100 }, { "engine", engine } } };
+  const json limits{ { "max-header-bytes", 16384 },
+                     { "max-body-bytes", 100000 },
+                     { "header-timeout-ms", 1000 },
+                     { "idle-timeout-ms", 5000 } };
+  const json config{
+    { "version", aVersion }, { "routes", routes }, { "services", services }, { "limits", limits }
+  };
+  Control("config", config.dump());
+}
+
+void
+fleet_bed::SetStore(const std::string& aMode)
+{
+  Control("store", json{ { "mode", aMode } }.dump());
+}
+
+std::string
+fleet_bed::Host(std::size_t aDaemon) const
+{
+  return "127.0.0." + std::to_string(aDaemon + 2);
+}
+
+std::string
+fleet_bed::Callers(std::size_t aDaemon) const
+{
+  return Host(aDaemon) + ":" + std::to_string(mPort + 4);
+}
+
+unsigned
+fleet_bed::Readiness(std::size_t aDaemon) const
+{
+  return Call(Host(aDaemon) + ":" + std::to_string(mPort + 5), "GET", "/ready", "", {}, 1000)
+    .mStatus;
+}
+
+std::size_t
+fleet_bed::StartDaemon(bool aWaitReady)
+{
+  const std::size_t number = mDaemons.size();
+  const std::string settings = mFolder + "/daemon-" + std::to_string(number) + ".toml";
+  std::ofstream(settings) << "node-name = \"entry-" << number << "\"\nip = \"" << Host(number)
+                          << "\"\nzone = \"hall-a\"\ninternal-ports = [" << mPort << ", "
+                          << mPort + 3 << "]\nseeds = [\"" << Host(0) << ":1\", \"" << Host(1)
+                          << ":1\"]\n[listen]\nfront = \"" << Callers(number) << "\"\nready = \""
+                          << Host(number) << ":" << mPort + 5 << "\"\n[platform]\naddress = \""
+                          << mAddress << "\"\n[bounds]\ngrace-s = 8\nretry-budget-ratio = 0.2\n"
+                          << "budget-window-s = 10\nretry-budget-slack = 60\nlease-ms = 1000\n";
+  ::setenv("DUNEHOOK_BOOT", settings.c_str(), 1);
+  mDaemons.push_back(std::make_unique<process>(
+    std::vector<std::string>{ BuildFolderOf() + "/src/dunehookd", "--platform" },
+    mFolder + "/daemon-" + std::to_string(number) + ".out"));
+  if (aWaitReady && !Eventually([&] { return Readiness(number) == 200; })) {
+    throw std::runtime_error("the daemon isn't ready: " + mDaemons.back()->Output());
+  }
+  return number;
+}
+
+void
+fleet_bed::StartUsual()
+{
+  AddRunner("desk-1");
+  AddRunner("desk-2");
+  AddRunner("prefill-1", { "tutor", "prefill" });
+  AddRunner("decode-1", { "tutor", "decode" });
+  AddRunner("decode-2", { "tutor", "decode" });
+  PutConfig(1);
+  StartDaemon();
+}
+
+std::vector<json>
+fleet_bed::Seen(const std::string& aRequest) const
+{
+  std::vector<json> seen;
+  const json answer = Control("seen", "");
+  for (const json& one : answer.at("seen")) {
+    if (aRequest.empty() || one["headers"].value("X-Request-Id", "") == aRequest) {
+      seen.push_back(one);
+    }
+  }
+  return seen;
+}
+
+json
+fleet_bed::Holds(const std::string& aId) const
+{
+  return Control("holds", "").at(aId);
+}
+
+std::uint64_t
+fleet_bed::Terms() const
+{
+  return Control("terms", "").at("terms").get<std::uint64_t>();
+}
+
+} // namespace dunehook::test
--- /dev/null
+++ b/tests/platform/fleet_bed.h
@@ -0,0 +1,77 @@
+/**
+ * @file fleet_bed.h
+ * Daemons on a stand-in of the platform, as real processes on loopback addresses.
+ */
+#pragma once
+
+#include "tests/support/testbed.h"
+
+namespace dunehook::test {
+
+/** A runner that a test adds. */
+struct runner_options
+{
+  std::string mService = "desk"; ///< Its service: "desk" is plain, "tutor" has engines.
+  std::string mRole;             ///< "prefill" or "decode" for engines.
+  std::string mState = "ready";  ///< As it's listed.
+  json mFaults = json::object(); ///< As the stand-in's control takes them.
+};
+
+/** A deployment on the platform. */
+class fleet_bed
+{
+public:
+  fleet_bed();
+  ~fleet_bed();
+
+  /** Adds a runner and lists it. */
+  void AddRunner(const std::string& aId, const runner_options& aOptions = {});
+  /** Lists a runner anew, or takes its entry away where @p aState is empty. */
+  void List(const std::string& aId, const std::string& aState);
+  /** Lists an entry with another runner's address: a life that has ended. */
+  void ListAs(const std::string& aId, const std::string& aOther);
+  /** Sets faults of a runner. */
+  void SetRunner(const std::string& aId, const json& aFaults);
+  /** Writes the configuration. @param aRoutes routes beside the usual ones. */
+  void PutConfig(std::uint64_t aVersion, const json& aRoutes = json::array());
+  /** Sets the store's fault: "busy", "silent", or "" for none. */
+  void SetStore(const std::string& aMode);
+  /** Starts a daemon. @return its number. */
+  std::size_t StartDaemon(bool aWaitReady = true);
+  /** Adds usual runners (desk-1, desk-2, prefill-1, decode-1, decode-2), a configuration, and one
+   * daemon. */
+  void StartUsual();
+
+  /** @return the daemon's address for callers. */
+  std::string Callers(std::size_t aDaemon = 0) const;
+  /** @return the status of the daemon's readiness; 0 if it doesn't answer. */
+  unsigned Readiness(std::size_t aDaemon = 0) const;
+  process& Daemon(std::size_t aDaemon = 0) { return *mDaemons.at(aDaemon); }
+  /** @return requests that runners saw, those of one request id if given. */
+  std::vector<json> Seen(const std::string& aRequest = "") const;
+  /** @return the runner's reservations and open requests. */
+  json Holds(const std::string& aId) const;
+  /** @return records in the topic of terms. */
+  std::uint64_t Terms() const;
+
+private:
+  json Control(const std::string& aTarget, const std::string& aBody) const;
+  std::string Host(std::size_t aDaemon) const;
+
+  std::string mFolder;                            ///< For files of the test.
+  std::unique_ptr<process> mFleet;                ///< The stand-in.
+  std::string mAddress;                           ///< Where it listens.
+  std::vector<std::unique_ptr<process>> mDaemons; ///< In the order of their start.
+  std::map<std::string, json> mEntries;           ///< Listed runners by id.
+  int mPort = 0;                                  ///< First of the daemons' ports.
+};
+
+/** @return headers of a caller's request. */
+headers
+CallerHeaders(const std::string& aId, const headers& aMore = {});
+
+/** @return headers of a generation of so many events. */
+headers
+GenerationHeaders(const std::string& aId, int aPrompt, int aEvents, const headers& aMore = {});
+
+} // namespace dunehook::test
--- /dev/null
+++ b/tests/platform/gateway_test.cpp
@@ -0,0 +1,412 @@
+/**
+ * @file gateway_test.cpp
+ * Promises of a daemon on the users' platform, with real processes: whose answer it is, how often
+ * a request runs, what is said of one that didn't run, and what a leaving caller, runner or daemon
+ * leaves behind.
+ */
+#include "tests/platform/fleet_bed.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <csignal>
+#include <future>
+
+using namespace dunehook;
+using namespace dunehook::test;
+
+namespace {
+
+/** The latest that a final refusal may come: a quarter of the latency target, and the way. */
+constexpr std::int64_t kRefusalMs = 400;
+/** The latest that a runner may still work for a caller that is gone. */
+constexpr int kLeftMs = 500;
+
+std::string
+Event(int aNumber)
+{
+  const std::string number = std::to_string(aNumber);
+  return "id: " + number + "\ndata: piece " + number + "\n\n";
+}
+
+/** Sends bytes on a fresh connection. @return what comes back until the daemon closes. */
+std::string
+RawCall(const std::string& aAddress, const std::string& aBytes)
+{
+  const endpoint to = ParseEndpoint(aAddress).value();
+  asio::io_context io(1);
+  tcp::socket socket(io);
+  socket.connect({ asio::ip::make_address(to.mAddress), to.mPort });
+  asio::write(socket, asio::buffer(aBytes));
+  std::string got;
+  boost::system::error_code ended; // The daemon closes after its answer.
+  asio::read(socket, asio::dynamic_buffer(got), ended);
+  return got;
+}
+
+std::string
+Events(int aFrom, int aTo)
+{
+  std::string text;
+  for (int number = aFrom; number < aTo; ++number) {
+    text += Event(number);
+  }
+  return text;
+}
+
+} // namespace
+
+TEST_GROUP(gateway)
+{
+  fleet_bed mBed; ///< The deployment.
+};
+
+TEST(gateway, ServesAPlainRequestUnchanged)
+{
+  mBed.StartUsual();
+  const answer got = Call(mBed.Callers(),
+                          "POST",
+                          "/records/a?b=c",
+                          "body",
+                          CallerHeaders("r1", { { "X-Other", "kept" } }));
+  CHECK_EQUAL(200U, got.mStatus);
+  CHECK_EQUAL("answer to r1", got.mBody);
+  CHECK_EQUAL("r1", got.mHeaders.at("x-request-id"));
+  const std::vector<json> seen = mBed.Seen("r1");
+  CHECK_EQUAL(1U, seen.size());
+  CHECK_EQUAL("/records/a?b=c", seen[0].value("target", ""));
+  CHECK_EQUAL("body", seen[0].value("body", ""));
+  CHECK_EQUAL("kept", seen[0]["headers"].value("X-Other", ""));
+}
+
+TEST(gateway, AnUnknownRouteIsNotFound)
+{
+  mBed.StartUsual();
+  CHECK_EQUAL(404U, Call(mBed.Callers(), "GET", "/none/", "", CallerHeaders("r1")).mStatus);
+}
+
+TEST(gateway, DropsWhatOnlyTheRouterMaySet)
+{
+  mBed.StartUsual();
+  Call(mBed.Callers(),
+       "POST",
+       "/records/a",
+       "body",
+       CallerHeaders("r1",
+                     { { "Hold", "forged" },
+                       { "Kv-From", "forged" },
+                       { "Kv-Backup", "forged" },
+                       { "Pin-Ms", "1" },
+                       { "Expect-Version", "9" },
+                       { "X-Stage", "prefill" },
+                       { "Priority", "0" },
+                       { "X-Expect-Instance", "other" } }));
+  const json headers = mBed.Seen("r1").at(0)["headers"];
+  for (const char* const name :
+       { "Hold", "Kv-From", "Kv-Backup", "Pin-Ms", "Expect-Version", "X-Stage" }) {
+    CHECK_FALSE_TEXT(headers.contains(name), name);
+  }
+  CHECK_EQUAL("1", headers.value("Priority", ""));
+  CHECK(headers.value("X-Expect-Instance", "") != "other");
+}
+
+TEST(gateway, AnAmbiguousLengthIsRefused)
+{
+  mBed.StartUsual();
+  const std::string got = RawCall(mBed.Callers(),
+                                  "POST /records/a HTTP/1.1\r\nHost: calls.example\r\n"
+                                  "X-Request-Id: r1\r\nContent-Length: 4\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+  CHECK_EQUAL("HTTP/1.1 400", got.substr(0, 12));
+  CHECK(mBed.Seen("r1").empty());
+}
+
+TEST(gateway, AWriteThatBreaksIsNotSentAgain)
+{
+  mBed.StartUsual();
+  mBed.SetRunner("desk-1", { { "mode", "reset" } });
+  mBed.SetRunner("desk-2", { { "mode", "reset" } });
+  const answer got = Call(mBed.Callers(), "POST", "/records/a", "body", CallerHeaders("r1"));
+  CHECK_EQUAL(502U, got.mStatus);
+  CHECK_EQUAL(1U, mBed.Seen("r1").size());
+}
+
+TEST(gateway, ARefusedWriteIsToldAsNotRun)
+{
+  mBed.StartUsual();
+  mBed.SetRunner("desk-1", { { "mode", "refuse" } });
+  mBed.SetRunner("desk-2", { { "mode", "refuse" } });
+  const answer got = Call(mBed.Callers(), "POST", "/records/a", "body", CallerHeaders("r1"));
+  CHECK_EQUAL(503U, got.mStatus);
+  CHECK(got.mHeaders.count("retry-after") == 1);
+  CHECK_EQUAL(1U, mBed.Seen("r1").size());
+}
+
+TEST(gateway, AReadThatBreaksIsServedByAnotherRunner)
+{
+  mBed.StartUsual();
+  mBed.SetRunner("desk-1", { { "mode", "cut" } });
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const answer got = Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders(id));
+    CHECK_EQUAL(200U, got.mStatus);
+    CHECK_EQUAL("answer to " + id, got.mBody);
+  }
+}
+
+TEST(gateway, AFailureOfTheRunnersOwnIsPassedOnWhenAllFail)
+{
+  mBed.StartUsual();
+  mBed.SetRunner("desk-1", { { "mode", "error" } });
+  mBed.SetRunner("desk-2", { { "mode", "error" } });
+  const answer got = Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders("r1"));
+  CHECK_EQUAL(500U, got.mStatus);
+  CHECK_EQUAL("own failure", got.mBody);
+  CHECK_EQUAL(2U, mBed.Seen("r1").size());
+}
+
+TEST(gateway, AnExtraAnswerReachesNobody)
+{
+  mBed.StartUsual();
+  mBed.SetRunner("desk-1", { { "mode", "extra" } });
+  mBed.SetRunner("desk-2", { { "mode", "extra" } });
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const answer got = Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders(id));
+    CHECK_EQUAL("answer to " + id, got.mBody);
+  }
+}
+
+TEST(gateway, AnAnswerToAnotherRequestIsNotGiven)
+{
+  mBed.StartUsual();
+  mBed.SetRunner("desk-1", { { "mode", "wrong_id" } });
+  mBed.SetRunner("desk-2", { { "mode", "wrong_id" } });
+  const answer got = Call(mBed.Callers(), "POST", "/records/a", "body", CallerHeaders("r1"));
+  CHECK_EQUAL(502U, got.mStatus);
+}
+
+TEST(gateway, AnAnswerWithoutLengthIsWhole)
+{
+  mBed.StartUsual();
+  mBed.SetRunner("desk-1", { { "mode", "no_length" } });
+  mBed.SetRunner("desk-2", { { "mode", "no_length" } });
+  const answer got = Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders("r1"));
+  CHECK_EQUAL(200U, got.mStatus);
+  CHECK_EQUAL("answer to r1", got.mBody);
+}
+
+TEST(gateway, ASilentRunnerOfARepeatableRequestIsReplaced)
+{
+  mBed.StartUsual();
+  mBed.SetRunner("desk-1", { { "mode", "hang" } });
+  const std::int64_t began = NowMs();
+  for (int i = 0; i < 3; ++i) {
+    const answer got =
+      Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders("r" + std::to_string(i)));
+    CHECK_EQUAL(200U, got.mStatus);
+  }
+  CHECK(NowMs() - began < 3000);
+}
+
+TEST(gateway, APromptIsReadElsewhereAndGeneratedInAReservedPlace)
+{
+  mBed.StartUsual();
+  const answer got =
+    Call(mBed.Callers(), "POST", "/turns/a", "prompt", GenerationHeaders("g1", 5000, 5));
+  CHECK_EQUAL(200U, got.mStatus);
+  CHECK_EQUAL(Events(0, 5), got.mBody);
+  const std::vector<json> seen = mBed.Seen("g1");
+  CHECK_EQUAL(2U, seen.size());
+  CHECK_EQUAL("prefill-1", seen[0].value("runner", ""));
+  CHECK_EQUAL("prefill", seen[0]["headers"].value("X-Stage", ""));
+  CHECK_FALSE(seen[1]["headers"].contains("X-Stage"));
+  CHECK(seen[1]["headers"].value("Kv-From", "").find("/h-g1") != std::string::npos);
+  CHECK(seen[1]["headers"].contains("Hold"));
+  CHECK_EQUAL("prompt", seen[1].value("body", ""));
+}
+
+TEST(gateway, WithoutAReservationNoPromptIsRead)
+{
+  mBed.StartUsual();
+  mBed.SetRunner("decode-1", { { "free", 10 } });
+  mBed.SetRunner("decode-2", { { "free", 10 } });
+  const std::int64_t began = NowMs();
+  const answer got =
+    Call(mBed.Callers(), "POST", "/turns/a", "prompt", GenerationHeaders("g1", 5000, 5));
+  CHECK_EQUAL(503U, got.mStatus);
+  CHECK(NowMs() - began < kRefusalMs);
+  CHECK(std::stod(got.mHeaders.at("retry-after")) > 0.0);
+  CHECK(mBed.Seen("g1").empty());
+}
+
+TEST(gateway, AResumableStreamGoesOnAtAnotherEngine)
+{
+  mBed.StartUsual();
+  mBed.SetRunner("decode-1", { { "mode", "cut" }, { "faults", 1 } });
+  mBed.SetRunner("decode-2", { { "mode", "cut" }, { "faults", 1 } });
+  // Whichever engine is first cuts the stream within an event; both have one fault to give.
+  mBed.SetRunner("decode-2", { { "mode", "" } });
+  for (int i = 0; i < 3; ++i) {
+    const answer got = Call(mBed.Callers(),
+                            "POST",
+                            "/resumed/a",
+                            "prompt",
+                            GenerationHeaders("g" + std::to_string(i), 2000, 10));
+    CHECK_EQUAL(200U, got.mStatus);
+    CHECK_EQUAL(Events(0, 10), got.mBody);
+  }
+}
+
+TEST(gateway, AStreamThatMayNotRunAgainIsTornWhenItBreaks)
+{
+  mBed.StartUsual();
+  mBed.SetRunner("decode-1", { { "mode", "cut" } });
+  mBed.SetRunner("decode-2", { { "mode", "cut" } });
+  const answer got =
+    Call(mBed.Callers(), "POST", "/turns/a", "prompt", GenerationHeaders("g1", 2000, 10));
+  CHECK_EQUAL(0U, got.mStatus); // No whole answer.
+  std::size_t runs = 0;
+  for (const json& one : mBed.Seen("g1")) {
+    runs += one["headers"].contains("X-Stage") ? 0 : 1;
+  }
+  CHECK_EQUAL(1U, runs);
+}
+
+TEST(gateway, ACallersLeaveEndsTheRun)
+{
+  mBed.StartUsual();
+  mBed.SetRunner("decode-1", { { "step_ms", 50 } });
+  mBed.SetRunner("decode-2", { { "step_ms", 50 } });
+  // The call gives up after 400 ms and closes its connection; the stream would last 10 s.
+  Call(mBed.Callers(), "POST", "/turns/a", "prompt", GenerationHeaders("g1", 2000, 200), 400);
+  const auto open = [&] {
+    return mBed.Holds("decode-1").value("runs", 0) + mBed.Holds("decode-2").value("runs", 0);
+  };
+  CHECK(Eventually([&] { return open() == 0; }, kLeftMs));
+  const json first = mBed.Holds("decode-1");
+  const json second = mBed.Holds("decode-2");
+  CHECK_EQUAL(0, first.value("holds", 0) + second.value("holds", 0));
+}
+
+TEST(gateway, ADrainingRunnerGetsNoNewWork)
+{
+  mBed.StartUsual();
+  mBed.List("desk-1", "draining");
+  CHECK(mBed.Daemon().WaitForLine("\"leaving\":true") != "");
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    CHECK_EQUAL(200U, Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders(id)).mStatus);
+    CHECK_EQUAL("desk-2", mBed.Seen(id).at(0).value("runner", ""));
+  }
+}
+
+TEST(gateway, AnEntryThatIsOutOfDateIsAskedOnce)
+{
+  mBed.StartUsual();
+  mBed.ListAs("ended", "desk-2"); // A life that has ended; desk-2 has its address now.
+  CHECK(mBed.Daemon().WaitForLine("\"runner\":\"ended\"") != "");
+  for (int i = 0; i < 12; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders(id));
+  }
+  std::size_t misdirected = 0;
+  for (const json& one : mBed.Seen()) {
+    misdirected += one["headers"].value("X-Expect-Instance", "") == "ended" ? 1 : 0;
+  }
+  CHECK_EQUAL(1U, misdirected);
+}
+
+TEST(gateway, ANewConfigurationIsInForceAndAnOlderOneIsNot)
+{
+  mBed.StartUsual();
+  const json added{ { "name", "added" }, { "host", "calls.example" }, { "path-prefix", "/new/" },
+                    { "kind", "safe" },  { "timeout-ms", 1500 },      { "target-latency-ms", 300 },
+                    { "priority", 2 },   { "service", "desk" },       { "max-attempts", 2 } };
+  mBed.PutConfig(5, json::array({ added }));
+  CHECK(Eventually(
+    [&] { return Call(mBed.Callers(), "GET", "/new/a", "", CallerHeaders("r1")).mStatus == 200; },
+    2000));
+  mBed.PutConfig(4);
+  mBed.PutConfig(3);
+  CHECK_FALSE(Eventually(
+    [&] { return Call(mBed.Callers(), "GET", "/new/a", "", CallerHeaders("r2")).mStatus != 200; },
+    1000));
+}
+
+TEST(gateway, StartsWithTheStoreAwayAndServesOnWithoutIt)
+{
+  mBed.AddRunner("desk-1");
+  mBed.PutConfig(1);
+  mBed.SetStore("busy");
+  mBed.StartDaemon(false);
+  CHECK(Eventually([&] { return mBed.Readiness() == 503; }));
+  const answer early = Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders("r1"));
+  CHECK_EQUAL(503U, early.mStatus);
+  mBed.SetStore("");
+  CHECK(Eventually([&] { return mBed.Readiness() == 200; }));
+  mBed.SetStore("busy");
+  CHECK(mBed.Daemon().WaitForLine("store_lost") != "");
+  CHECK_EQUAL(200U, Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders("r2")).mStatus);
+}
+
+TEST(gateway, APlannedStopLetsAStreamEndAndTurnsTheBalancerAway)
+{
+  mBed.StartUsual();
+  mBed.SetRunner("decode-1", { { "step_ms", 100 } });
+  mBed.SetRunner("decode-2", { { "step_ms", 100 } });
+  auto running = std::async(std::launch::async, [&] {
+    return Call(mBed.Callers(), "POST", "/turns/a", "prompt", GenerationHeaders("g1", 2000, 40));
+  });
+  CHECK(Eventually([&] { return mBed.Seen("g1").size() == 2; }));
+  mBed.Daemon().Signal(SIGTERM);
+  CHECK(Eventually([&] { return mBed.Readiness() == 503; }, 1000));
+  // Callers still come for a while.
+  CHECK_EQUAL(200U, Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders("r1")).mStatus);
+  const answer got = running.get();
+  CHECK_EQUAL(Events(0, 40), got.mBody);
+  CHECK_EQUAL(0, mBed.Daemon().WaitForExit(9000));
+}
+
+TEST(gateway, AReloadDoesNotEndTheProcess)
+{
+  mBed.StartUsual();
+  mBed.Daemon().Signal(SIGHUP);
+  CHECK(mBed.Daemon().WaitForLine("reloaded") != "");
+  CHECK_EQUAL(200U, Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders("r1")).mStatus);
+}
+
+TEST(gateway, OneDaemonGivesTheOrders)
+{
+  // Three prefill engines of five are too many: some are ordered to decode, each by one daemon.
+  for (const char* const id : { "prefill-1", "prefill-2", "prefill-3" }) {
+    mBed.AddRunner(id, { "tutor", "prefill" });
+  }
+  mBed.AddRunner("decode-1", { "tutor", "decode" });
+  mBed.AddRunner("decode-2", { "tutor", "decode" });
+  mBed.PutConfig(1);
+  for (int i = 0; i < 3; ++i) {
+    mBed.StartDaemon();
+  }
+  const auto orders = [&] {
+    std::map<std::string, int> byRunner;
+    std::map<std::string, int> byHolder;
+    for (const json& one : mBed.Seen()) {
+      if (one.value("target", "") == "/order") {
+        const json body = json::parse(one.value("body", ""));
+        ++byRunner[one.value("runner", "")];
+        ++byHolder[body.value("holder", "")];
+      }
+    }
+    return std::pair(byRunner, byHolder);
+  };
+  CHECK(Eventually([&] { return orders().first.size() == 2; }));
+  CHECK_FALSE(Eventually([&] { return orders().first.size() != 2; }, 2000));
+  CHECK_EQUAL(1U, orders().second.size());
+  CHECK_EQUAL(1U, mBed.Terms());
+  for (const auto& [runner, count] : orders().first) {
+    CHECK_EQUAL(1, count);
+  }
+}
--- /dev/null
+++ b/tests/unit/forward_test.cpp
@@ -0,0 +1,260 @@
+/**
+ * @file forward_test.cpp
+ * What forwarding decides without I/O: routes, runners, budgets, events and messages.
+ */
+#include "forward/event_splitter.h"
+#include "forward/retry_budget.h"
+#include "forward/route_table.h"
+#include "forward/run_message.h"
+#include "forward/runner_table.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace dunehook;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr instant kNow = 100s;
+
+runner_entry
+Entry(const std::string& aName, const std::string& aService = "desk")
+{
+  runner_entry entry;
+  entry.mName = aName;
+  entry.mService = aService;
+  entry.mAddress = { "127.0.0.1", 1 };
+  return entry;
+}
+
+runner_listing
+Listing(std::uint64_t aEnd, const std::vector<runner_entry>& aEntries)
+{
+  return { aEntries, aEnd };
+}
+
+forward_route
+Route(const std::string& aPrefix, const std::string& aName)
+{
+  forward_route route;
+  route.mHost = "Calls.example";
+  route.mPathPrefix = aPrefix;
+  route.mName = aName;
+  route.mServices = { { "desk", 90.0 }, { "other", 10.0 } };
+  return route;
+}
+
+} // namespace
+
+TEST_GROUP(routes){};
+
+TEST(routes, TheLongestPrefixWinsAndHostsIgnoreCaseAndPort)
+{
+  routing_config config;
+  config.mRoutes = { Route("/a/", "short"), Route("/a/b/", "long") };
+  const route_table table(config);
+  CHECK_EQUAL("long", table.Find("calls.EXAMPLE:80", "/a/b/c")->mName);
+  CHECK_EQUAL("short", table.Find("calls.example", "/a/bc")->mName);
+  CHECK(table.Find("calls.example", "/b/") == nullptr);
+  CHECK(table.Find("other.example", "/a/") == nullptr);
+}
+
+TEST(routes, ServicesArePickedByWeight)
+{
+  routing_config config;
+  config.mRoutes = { Route("/a/", "split") };
+  config.mServices["desk"].mName = "desk";
+  config.mServices["other"].mName = "other";
+  const route_table table(config);
+  const forward_route& route = *table.Find("calls.example", "/a/");
+  CHECK_EQUAL("desk", table.PickService(route, 0.0)->mName);
+  CHECK_EQUAL("desk", table.PickService(route, 0.89)->mName);
+  CHECK_EQUAL("other", table.PickService(route, 0.91)->mName);
+  CHECK_EQUAL("other", table.PickService(route, 0.999999)->mName);
+}
+
+TEST_GROUP(runners)
+{
+  runner_table mTable; ///< The table under test.
+
+  runner_state* Pick(instant aNow = kNow)
+  {
+    return mTable.Choose("desk", {}, aNow, 0.5);
+  }
+};
+
+TEST(runners, AnOlderListingChangesNothing)
+{
+  mTable.Apply(Listing(10, { Entry("a"), Entry("b") }), kNow, false);
+  mTable.Apply(Listing(9, { Entry("a") }), kNow, false);
+  CHECK_EQUAL(2U, mTable.Rows().size());
+}
+
+TEST(runners, ALeavingRunnerGetsNoWorkAndDoesNotComeBack)
+{
+  runner_entry leaving = Entry("a");
+  leaving.mLeaving = true;
+  mTable.Apply(Listing(1, { leaving }), kNow, false);
+  CHECK(Pick() == nullptr);
+  mTable.Apply(Listing(2, { Entry("a") }), kNow, false);
+  CHECK(Pick() == nullptr);
+}
+
+TEST(runners, AnEntryThatLapsedWithTheStoreIsKeptForAWhile)
+{
+  mTable.Apply(Listing(1, { Entry("a") }), kNow, false);
+  mTable.Apply(Listing(2, {}), kNow, true);
+  CHECK(Pick() != nullptr);
+  mTable.Forget(kNow + 2600ms, true);
+  CHECK(Pick(kNow + 2600ms) == nullptr);
+}
+
+TEST(runners, AnEntryThatIsGoneWithTheStoreWellEndsAtOnce)
+{
+  mTable.Apply(Listing(1, { Entry("a") }), kNow, false);
+  mTable.Apply(Listing(2, {}), kNow, false);
+  CHECK(Pick() == nullptr);
+}
+
+TEST(runners, ALapsedEntryThatReturnsTakesWorkAgain)
+{
+  mTable.Apply(Listing(1, { Entry("a") }), kNow, false);
+  runner_state* const state = mTable.Find(RunnerIdOf("a"));
+  state->mUnderWay = 1;
+  mTable.Apply(Listing(2, {}), kNow, false);
+  mTable.Apply(Listing(3, { Entry("a") }), kNow, false);
+  CHECK(Pick() != nullptr);
+}
+
+TEST(runners, AMisdirectedEntryIsLeftAloneUntilItChanges)
+{
+  mTable.Apply(Listing(1, { Entry("a") }), kNow, false);
+  mTable.NoteOutcome(RunnerIdOf("a"), send_outcome::eMisdirected, kNow);
+  CHECK(Pick(kNow + 2s) == nullptr);
+  runner_entry changed = Entry("a");
+  changed.mAddress.mPort = 2;
+  mTable.Apply(Listing(2, { changed }), kNow, false);
+  CHECK(Pick(kNow + 2s) != nullptr);
+}
+
+TEST(runners, AnOrderedEngineGetsNoWorkUntilItsRoleChanges)
+{
+  mTable.Apply(Listing(1, { Entry("a") }), kNow, false);
+  mTable.NoteChanging(RunnerIdOf("a"), kNow + 20s);
+  CHECK(Pick(kNow + 5s) == nullptr);
+  runner_entry changed = Entry("a");
+  changed.mRole = engine_role::ePrefill;
+  mTable.Apply(Listing(2, { changed }), kNow + 6s, false);
+  CHECK(Pick(kNow + 6s) != nullptr);
+}
+
+TEST(runners, RefusalsInARowRestLongerAndAnAnswerEndsThat)
+{
+  mTable.Apply(Listing(1, { Entry("a") }), kNow, false);
+  const service_runner_id id = RunnerIdOf("a");
+  mTable.NoteOutcome(id, send_outcome::eRefused, kNow);
+  CHECK(Pick(kNow + 40ms) != nullptr);
+  for (int i = 0; i < 4; ++i) {
+    mTable.NoteOutcome(id, send_outcome::eRefused, kNow);
+  }
+  CHECK(Pick(kNow + 400ms) == nullptr);
+  CHECK(Pick(kNow + 500ms) != nullptr);
+  mTable.NoteOutcome(id, send_outcome::eServed, kNow + 500ms);
+  mTable.NoteOutcome(id, send_outcome::eRefused, kNow + 500ms);
+  CHECK(Pick(kNow + 540ms) != nullptr);
+}
+
+TEST(runners, OneThatFailsOftenIsChosenLess)
+{
+  mTable.Apply(Listing(1, { Entry("a"), Entry("b") }), kNow, false);
+  for (int i = 0; i < 20; ++i) {
+    mTable.NoteOutcome(
+      RunnerIdOf("a"), i % 2 == 0 ? send_outcome::eFailed : send_outcome::eServed, kNow);
+    mTable.NoteOutcome(RunnerIdOf("b"), send_outcome::eServed, kNow);
+  }
+  mTable.Find(RunnerIdOf("b"))->mUnderWay = 2;
+  CHECK(Pick()->mEntry.mName == "b");
+}
+
+TEST(runners, AFailureShareThatAllHaveDoesNotCount)
+{
+  mTable.Apply(Listing(1, { Entry("a"), Entry("b") }), kNow, false);
+  for (int i = 0; i < 20; ++i) {
+    mTable.NoteOutcome(RunnerIdOf("a"), send_outcome::eFailed, kNow);
+    mTable.NoteOutcome(RunnerIdOf("b"), send_outcome::eFailed, kNow);
+  }
+  mTable.Find(RunnerIdOf("b"))->mUnderWay = 2;
+  CHECK(Pick()->mEntry.mName == "a");
+}
+
+TEST_GROUP(budget){};
+
+TEST(budget, ADaemonKeepsToItsShare)
+{
+  const retry_limits limits{ 0.2, 10s, 80.0 };
+  retry_budget budget(limits, 8.0);
+  int taken = 0;
+  instant now = kNow;
+  for (int request = 0; request < 1000; ++request) {
+    budget.NoteRequest();
+    now += 10ms;
+    taken += budget.Take(now) ? 1 : 0;
+  }
+  // In 10 s: at most a fifth of the 1000 requests and an eighth of the allowance.
+  CHECK(taken <= 210);
+  CHECK(taken >= 100);
+}
+
+TEST_GROUP(events){};
+
+TEST(events, OnlyWholeEventsPass)
+{
+  event_splitter splitter;
+  CHECK_EQUAL("", splitter.Feed("id: 1\nda"));
+  CHECK_EQUAL("id: 1\ndata: x\n\n", splitter.Feed("ta: x\n\nid: 2\n"));
+  CHECK_EQUAL(1U, *splitter.LastId());
+  splitter.DropRest();
+  CHECK_EQUAL("id: 2\ndata: y\n\n", splitter.Feed("id: 2\ndata: y\n\n"));
+  CHECK_EQUAL(2U, splitter.Count());
+}
+
+TEST(events, AFirstLineBeforeTheIdIsKept)
+{
+  event_splitter splitter;
+  CHECK_EQUAL("versions: 3\r\nid: 7\r\n\r\n", splitter.Feed("versions: 3\r\nid: 7\r\n\r\n"));
+  CHECK_EQUAL(7U, *splitter.LastId());
+}
+
+TEST_GROUP(run_messages){};
+
+TEST(run_messages, AgesTravelInsteadOfInstants)
+{
+  run_message message;
+  message.mDaemon = 9;
+  run_record run;
+  run.mRun = { 1 };
+  run.mDecode = { 2 };
+  run.mPrefill = { 3 };
+  run.mPromptTokens = 4;
+  run.mAnswerTokens = 5;
+  run.mMostTokens = 6;
+  run.mMadeTokens = 7;
+  run.mSeen = kNow - 30ms;
+  message.mBegun = { run };
+  message.mEnded = { { 8 } };
+  message.mOrdered = { { 10 } };
+  const instant theirs = 5s;
+  const auto read = DecodeRunMessage(Encode(message, kNow), theirs);
+  CHECK(read.has_value());
+  CHECK(read->mBegun[0].mSeen == theirs - 30ms);
+  CHECK_EQUAL(9U, read->mBegun[0].mDaemon);
+  message.mBegun[0].mSeen = theirs - 30ms;
+  message.mBegun[0].mDaemon = 9;
+  CHECK(*read == message);
+}
+
+TEST(run_messages, BytesThatAreNoMessageAreNothing)
+{
+  CHECK_FALSE(DecodeRunMessage("no message", kNow).has_value());
+  CHECK_FALSE(DecodeRunMessage("", kNow).has_value());
+}
--- /dev/null
+++ b/tests/unit/placement_test.cpp
@@ -0,0 +1,333 @@
+/**
+ * @file placement_test.cpp
+ * Placement of generations and the plan of roles, in virtual time.
+ */
+#include "forward/placement.h"
+#include "forward/role_plan.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cmath>
+
+using namespace dunehook;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr instant kNow = 100s;
+
+engine_traits
+Traits()
+{
+  engine_traits traits;
+  traits.mSlots = 64;
+  traits.mMemoryTokens = 90000;
+  traits.mTokensPerEvent = 64;
+  return traits;
+}
+
+runner_entry
+Engine(const std::string& aName, engine_role aRole, const std::string& aHall = "a")
+{
+  runner_entry entry;
+  entry.mName = aName;
+  entry.mService = "tutor";
+  entry.mHall = aHall;
+  entry.mRole = aRole;
+  entry.mModels["m"] = 1;
+  return entry;
+}
+
+generation_demand
+Demand(std::uint64_t aRun, std::uint32_t aPrompt = 5000, std::uint32_t aAnswer = 4000)
+{
+  generation_demand demand;
+  demand.mRun = { aRun };
+  demand.mService = "tutor";
+  demand.mModel = "m";
+  demand.mHall = "a";
+  demand.mPromptTokens = aPrompt;
+  demand.mAnswerTokens = aAnswer;
+  demand.mMostTokens = 11000;
+  demand.mEventGap = 300ms;
+  demand.mFirstEventWithin = 850ms;
+  return demand;
+}
+
+} // namespace
+
+TEST_GROUP(placement)
+{
+  runner_table mRunners;       ///< The engines.
+  placement_table mPlacement;  ///< The table under test.
+  std::uint64_t mRuns = 0;     ///< Runs begun.
+  std::uint64_t mListings = 0; ///< Listings applied.
+
+  void List(const std::vector<runner_entry>& aEntries)
+  {
+    mRunners.Apply({ aEntries, ++mListings }, kNow, false);
+  }
+  placement_answer Choose(const generation_demand& aDemand, instant aNow = kNow)
+  {
+    return mPlacement.Choose(aDemand, Traits(), mRunners, aNow);
+  }
+  /** Places runs until there's no place for another. @return how many. */
+  int Fill(instant aNow = kNow)
+  {
+    int placed = 0;
+    for (; placed < 1000; ++placed) {
+      generation_demand demand = Demand(++mRuns);
+      demand.mFirstEventWithin = 1h;
+      const placement_answer answer = Choose(demand, aNow);
+      if (!answer.mChoice) {
+        break;
+      }
+      Begin(demand, *answer.mChoice, aNow);
+    }
+    return placed;
+  }
+  void Begin(const generation_demand& aDemand, const placement_choice& aChoice, instant aNow)
+  {
+    run_record run;
+    run.mRun = aDemand.mRun;
+    run.mDecode = aChoice.mDecode;
+    run.mPrefill = aChoice.mPrefill.value_or(service_runner_id{});
+    run.mPromptTokens = aDemand.mPromptTokens;
+    run.mAnswerTokens = aDemand.mAnswerTokens;
+    run.mMostTokens = aDemand.mMostTokens;
+    run.mSeen = aNow;
+    mPlacement.Begin(run, aNow);
+  }
+};
+
+TEST(placement, APlaceNeedsADecodeEngine)
+{
+  List({ Engine("p", engine_role::ePrefill) });
+  const placement_answer answer = Choose(Demand(1));
+  CHECK_FALSE(answer.mChoice.has_value());
+  CHECK(answer.mReason == no_place::eNoEngine);
+}
+
+TEST(placement, ReadsElsewhereWhereAPrefillEngineIsFree)
+{
+  List({ Engine("p", engine_role::ePrefill), Engine("d", engine_role::eDecode) });
+  const placement_answer answer = Choose(Demand(1));
+  CHECK(answer.mChoice->mPrefill == RunnerIdOf("p"));
+  CHECK(answer.mChoice->mDecode == RunnerIdOf("d"));
+}
+
+TEST(placement, StopsBeforeAnEnginesMemoryIsFull)
+{
+  List({ Engine("p", engine_role::ePrefill), Engine("d", engine_role::eDecode) });
+  const int placed = Fill();
+  // 90,000 tokens hold 10 runs of 9,000; the growing ones leave room for some more.
+  CHECK(placed >= 7);
+  CHECK(placed <= 12);
+  generation_demand demand = Demand(++mRuns);
+  const placement_answer answer = Choose(demand);
+  CHECK(answer.mReason == no_place::eNoMemory);
+  CHECK(answer.mFreeIn > 0ms);
+}
+
+TEST(placement, RunsOfOtherDaemonsCountAndTheirEndGivesRoom)
+{
+  List({ Engine("p", engine_role::ePrefill), Engine("d", engine_role::eDecode) });
+  std::vector<run_record> theirs;
+  for (std::uint64_t i = 1; i <= 12; ++i) {
+    run_record run;
+    run.mRun = { 1000 + i };
+    run.mDecode = RunnerIdOf("d");
+    run.mPromptTokens = 5000;
+    run.mAnswerTokens = 4000;
+    run.mSeen = kNow;
+    run.mDaemon = 7;
+    theirs.push_back(run);
+  }
+  mPlacement.ReplaceRuns(7, theirs, kNow);
+  CHECK_FALSE(Choose(Demand(1)).mChoice.has_value());
+  mPlacement.ReplaceRuns(7, {}, kNow);
+  CHECK(Choose(Demand(1)).mChoice.has_value());
+}
+
+TEST(placement, LoadIsSpreadOverHalls)
+{
+  List({ Engine("p", engine_role::ePrefill),
+         Engine("near", engine_role::eDecode, "a"),
+         Engine("far", engine_role::eDecode, "b") });
+  for (int i = 0; i < 8; ++i) {
+    generation_demand demand = Demand(++mRuns);
+    demand.mFirstEventWithin = 1h;
+    Begin(demand, *Choose(demand).mChoice, kNow);
+  }
+  const auto runs = mPlacement.RunsByEngine();
+  CHECK(runs.at(RunnerIdOf("near")) <= 5);
+  CHECK(runs.at(RunnerIdOf("far")) >= 3);
+}
+
+TEST(placement, AReadThatWouldBeLateIsRefused)
+{
+  List({ Engine("p", engine_role::ePrefill), Engine("d", engine_role::eDecode) });
+  for (int i = 0; i < 12; ++i) { // About 1.2 s of reads are ahead, by a run that then ends.
+    generation_demand demand = Demand(++mRuns);
+    Begin(demand, { RunnerIdOf("d"), RunnerIdOf("p"), 0ms, 0ms, 0.0 }, kNow);
+    mPlacement.End(demand.mRun);
+  }
+  const placement_answer answer = Choose(Demand(++mRuns, 9000));
+  CHECK_FALSE(answer.mChoice.has_value());
+  CHECK(answer.mReason == no_place::eTooLate);
+}
+
+TEST(placement, ADecodeEngineReadsShortPromptsOneAtATimeWherePrefillIsBehind)
+{
+  List({ Engine("p", engine_role::ePrefill), Engine("d", engine_role::eDecode) });
+  for (int i = 0; i < 12; ++i) {
+    generation_demand demand = Demand(++mRuns);
+    Begin(demand, { RunnerIdOf("d"), RunnerIdOf("p"), 0ms, 0ms, 0.0 }, kNow);
+    mPlacement.End(demand.mRun);
+  }
+  const generation_demand first = Demand(++mRuns, 2000);
+  const placement_answer answer = Choose(first);
+  CHECK(answer.mChoice.has_value());
+  CHECK_FALSE(answer.mChoice->mPrefill.has_value());
+  Begin(first, *answer.mChoice, kNow);
+  CHECK_FALSE(Choose(Demand(++mRuns, 2000)).mChoice.has_value());
+}
+
+TEST(placement, WeightsOfAnotherVersionAreNotHandedOver)
+{
+  runner_entry newer = Engine("p", engine_role::ePrefill);
+  newer.mModels["m"] = 2;
+  List({ newer, Engine("d", engine_role::eDecode) });
+  const placement_answer answer = Choose(Demand(1, 9000));
+  CHECK_FALSE(answer.mChoice.has_value());
+}
+
+TEST(placement, AnEngineThatSaidItIsFullRests)
+{
+  List({ Engine("p", engine_role::ePrefill), Engine("d", engine_role::eDecode) });
+  mPlacement.NoteFull(RunnerIdOf("d"), kNow + 60ms);
+  CHECK_FALSE(Choose(Demand(1)).mChoice.has_value());
+  CHECK(Choose(Demand(1), kNow + 61ms).mChoice.has_value());
+}
+
+TEST(placement, RunsNobodyEndsAreForgotten)
+{
+  List({ Engine("p", engine_role::ePrefill), Engine("d", engine_role::eDecode) });
+  run_record run;
+  run.mRun = { 5 };
+  run.mDecode = RunnerIdOf("d");
+  run.mAnswerTokens = 1000;
+  run.mSeen = kNow;
+  run.mDaemon = 7;
+  mPlacement.Begin(run, kNow);
+  mPlacement.Prune(mRunners, kNow + 1s);
+  CHECK_EQUAL(1U, mPlacement.RunCount());
+  mPlacement.Prune(mRunners, kNow + 10s);
+  CHECK_EQUAL(0U, mPlacement.RunCount());
+}
+
+TEST_GROUP(forecast){};
+
+TEST(forecast, ARunCountsLessTheLongerItHasOutlivedItsGuess)
+{
+  const guess_model model;
+  const growing_run none;
+  growing_run young{ 5000, 100, 2000, 0, 0 };
+  const double atStart = memory_forecast({ young }, 800, model).Peak(none, 0.0);
+  growing_run old{ 5000, 8000, 2000, 8064, 0 };
+  const double atEnd = memory_forecast({ old }, 800, model).Peak(none, 0.0);
+  CHECK(atStart >= 5100);
+  CHECK(atEnd >= 13000);
+  CHECK(atEnd <= 13100);
+}
+
+TEST(forecast, CautionAddsRoom)
+{
+  const guess_model model;
+  const std::vector<growing_run> runs(8, growing_run{ 5000, 1000, 4000, 11000, 0 });
+  const growing_run newcomer{ 5000, 0, 4000, 11000, 0 };
+  const memory_forecast forecast(runs, 800, model);
+  CHECK(forecast.Peak(newcomer, 2.0) > forecast.Peak(newcomer, 0.0) + 5000);
+}
+
+TEST(forecast, GuessesAreLearned)
+{
+  guess_model model;
+  for (int i = 0; i < 400; ++i) {
+    model.Learn(1000, 2000);
+  }
+  CHECK(std::abs(model.Bias() - std::log(2.0)) < 0.01);
+  CHECK(model.Spread() < 0.3);
+}
+
+TEST_GROUP(roles)
+{
+  runner_table mRunners;         ///< The engines.
+  role_planner mPlanner{ 0.22 }; ///< The planner under test.
+  std::uint64_t mListings = 0;   ///< Listings applied.
+
+  /** @param aChanged a prefill engine that generates by now. */
+  void List(int aPrefills, int aDecodes, instant aNow = kNow, service_runner_id aChanged = {})
+  {
+    std::vector<runner_entry> entries;
+    for (int i = 0; i < aPrefills; ++i) {
+      entries.push_back(Engine("p" + std::to_string(i), engine_role::ePrefill, std::to_string(i)));
+    }
+    for (int i = 0; i < aDecodes; ++i) {
+      entries.push_back(
+        Engine("d" + std::to_string(i), engine_role::eDecode, std::to_string(i % 3)));
+    }
+    for (runner_entry& entry : entries) {
+      entry.mRole = RunnerIdOf(entry.mName) == aChanged ? engine_role::eDecode : entry.mRole;
+    }
+    mRunners.Apply({ entries, ++mListings }, aNow, false);
+  }
+  std::vector<role_change> Plan(instant aNow = kNow)
+  {
+    return mPlanner.Plan(mRunners, {}, aNow);
+  }
+};
+
+TEST(roles, TooManyPrefillEnginesGenerateAtTheStart)
+{
+  List(3, 6);
+  const auto changes = Plan();
+  CHECK_EQUAL(1U, changes.size());
+  CHECK(changes[0].mRole == engine_role::eDecode);
+}
+
+TEST(roles, AnOrderUnderWayIsNotGivenTwice)
+{
+  List(3, 6);
+  mPlanner.NoteOrdered(Plan().at(0), kNow);
+  CHECK(Plan(kNow + 2s).empty());
+}
+
+TEST(roles, AMissingPrefillEngineIsReplacedOnceItIsMissingForAWhile)
+{
+  List(2, 7);
+  CHECK(Plan().empty());
+  List(1, 7, kNow + 20s);
+  CHECK(Plan(kNow + 20s).empty());
+  const auto changes = Plan(kNow + 24s);
+  CHECK_EQUAL(1U, changes.size());
+  CHECK(changes[0].mRole == engine_role::ePrefill);
+}
+
+TEST(roles, ADoneOrderDoesNotHoldBackTheNext)
+{
+  List(3, 6);
+  const role_change ordered = Plan().at(0);
+  mPlanner.NoteOrdered(ordered, kNow);
+  List(3, 6, kNow + 8s, ordered.mRunner); // Done.
+  CHECK(Plan(kNow + 8s).empty());
+  List(2, 6, kNow + 10s, ordered.mRunner); // An engine that reads is lost.
+  Plan(kNow + 10s);
+  CHECK_EQUAL(1U, Plan(kNow + 14s).size());
+}
+
+TEST(roles, TheLastEngineKeepsItsRole)
+{
+  List(0, 1);
+  CHECK(Plan().empty());
+}
