--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -22,6 +22,8 @@
 /** Rest after a failed read of the store; doubled up to the longest. */
 inline constexpr duration kFirstStoreRest = std::chrono::milliseconds(150);
 inline constexpr duration kLongestStoreRest = std::chrono::milliseconds(600);
+/** Another daemon's newer configuration is read for after this: it comes by itself mostly. */
+inline constexpr duration kBehindFor = std::chrono::milliseconds(250);
 /** The store counts as away until it has answered for this long. */
 inline constexpr duration kStoreBackFor = std::chrono::milliseconds(2500);
 /** Time between heartbeats, and silence after which a daemon is gone. */
@@ -58,10 +60,8 @@
 
   gateway(asio::io_context& aIo, const gateway_settings& aSettings)
     : mState(aIo, aSettings)
-    , mConfigStore(aSettings.mStore)
-    , mRunnerStore(aSettings.mStore)
-    , mTermStore(aSettings.mStore)
-    , mKeeper(mState, mTermStore)
+    , mStore(aSettings.mStore)
+    , mKeeper(mState, mStore)
     , mMembers(SelfOf(aSettings), HeartbeatSettings(), {})
     , mHeartbeats(aIo)
     , mRunDatagrams(aIo)
@@ -268,9 +268,9 @@
       // Two statements: GCC 12 destroys a result twice that a conditional expression awaits.
       result<config_reading> reading = make_error_code(errc::eLogUnavailable);
       if (next) {
-        reading = co_await mConfigStore.AwaitConfig(*next, kConfigWait);
+        reading = co_await mStore.AwaitConfig(*next, kConfigWait);
       } else {
-        reading = co_await mConfigStore.ReadConfig();
+        reading = co_await mStore.ReadConfig();
       }
       NoteStore(reading.has_value(), "config");
       if (!reading) {
@@ -294,7 +294,7 @@
   {
     duration rest = kFirstStoreRest;
     for (;;) {
-      const result<runner_listing> listing = co_await mRunnerStore.ReadRunners();
+      const result<runner_listing> listing = co_await mStore.ReadRunners();
       NoteStore(listing.has_value(), "runners");
       if (!listing) {
         co_await Sleep(rest);
@@ -311,6 +311,31 @@
     }
   }
 
+  /** Reads the configuration where another daemon has a newer one: the answer that should have
+   * brought it may be lost or late. */
+  asio::awaitable<void> CatchUp(instant aNow)
+  {
+    const std::uint64_t own = mState.mRoutes ? mState.mRoutes->Config().mVersion : 0;
+    const std::uint64_t newest = mMembers.HighestNext();
+    if (own == 0 || newest <= own) {
+      mBehindSince = instant{ 0 };
+      co_return;
+    }
+    if (mBehindSince == instant{ 0 }) {
+      mBehindSince = aNow;
+    }
+    if (aNow - mBehindSince < kBehindFor) {
+      co_return;
+    }
+    mBehindSince = aNow;
+    LogEvent(log_level::eInfo, "config_behind", { { "own", own }, { "newest", newest } });
+    result<config_reading> reading = co_await mStore.ReadConfig();
+    NoteStore(reading.has_value(), "config");
+    if (reading && reading.value().mConfig) {
+      Adopt(std::move(*reading.value().mConfig));
+    }
+  }
+
   void LogRunner(service_runner_id aId)
   {
     const runner_state* const runner = mState.mRunners.Find(aId);
@@ -345,6 +370,7 @@
         mState.mPlacement.ReplaceRuns(gone.mIncarnation.mValue, {}, now);
       }
       mState.mDaemons = mMembers.CountServing();
+      SpawnGuarded(mState.mIo, CatchUp(now));
     }
   }
 
@@ -484,9 +510,7 @@
   static constexpr duration kStartComeBack = std::chrono::milliseconds(500);
 
   forward_state mState;                       ///< Shared by all parts.
-  Store mConfigStore;                         ///< Waits for the configuration.
-  Store mRunnerStore;                         ///< Reads the runners.
-  Store mTermStore;                           ///< Reads and takes terms.
+  Store mStore;                               ///< Configuration, runners and terms.
   role_keeper<Wire, Store> mKeeper;           ///< Gives engines their roles.
   member_table mMembers;                      ///< The other daemons.
   udp::socket mHeartbeats;                    ///< Heartbeats.
@@ -494,6 +518,7 @@
   std::unique_ptr<caller_listener> mListener; ///< For callers.
   std::unique_ptr<http_listener> mReadiness;  ///< For the balancer.
   bool mRunnersKnown = false;                 ///< A listing with runners was read.
+  instant mBehindSince{ 0 };                  ///< Another daemon has a newer configuration.
   bool mStoreWell = true;                     ///< The last call was answered.
   instant mStoreAwayAt{ 0 };                  ///< Last failed call; zero if none.
 };
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -139,6 +139,10 @@
     while (aTopic.mRecords.size() <= from && steady_clock_source{}.Now() < until) {
       co_await mChanged.Wait(until - steady_clock_source{}.Now());
     }
+    if (mStoreMode == "lose_one" && aTopic.mRecords.size() > from) {
+      mStoreMode.clear();
+      co_await Sleep(std::chrono::seconds(60));
+    }
     const std::string body = aTopic.ReadFrom(from);
     const header_list noHeaders;
     co_await aExchange->Respond(200, body, noHeaders, "application/octet-stream");
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -336,6 +336,24 @@
     1000));
 }
 
+TEST(gateway, AConfigurationWhoseAnswerIsLostComesByWayOfTheOthers)
+{
+  mBed.StartUsual();
+  mBed.StartDaemon();
+  CHECK(mBed.Daemon(0).WaitForLine("daemon_heard") != "");
+  const json added{ { "name", "added" }, { "host", "calls.example" }, { "path-prefix", "/new/" },
+                    { "kind", "safe" },  { "timeout-ms", 1500 },      { "service", "desk" } };
+  mBed.SetStore("lose_one"); // One of the two that wait gets no answer.
+  mBed.PutConfig(5, json::array({ added }));
+  for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+    CHECK(Eventually(
+      [&] {
+        return Call(mBed.Callers(daemon), "GET", "/new/a", "", CallerHeaders("r1")).mStatus == 200;
+      },
+      1900));
+  }
+}
+
 TEST(gateway, StartsWithTheStoreAwayAndServesOnWithoutIt)
 {
   mBed.AddRunner("desk-1");
