Change: [Decide] large requests leave room, returned callers go first; Fix: a placement anew counts twice

Change: requests above the mean size leave up to 12% of an engine's memory; refused prompts are told to the other daemons, and one that comes back needs a standard deviation less; caution 2.5; a placement anew takes two from the budget.

--- a/src/daemon/gateway_main.cpp
+++ b/src/daemon/gateway_main.cpp
@@ -33,6 +33,14 @@
           dunehook::placement_tuning{}.mPrefillShare,
           "part of the engines that read prompts");
 ABSL_FLAG(bool, decode_reads, true, "decode engines read where prefill engines are behind");
+ABSL_FLAG(double,
+          large_reserve,
+          dunehook::placement_tuning{}.mLargeReserve,
+          "part of memory that large requests leave");
+ABSL_FLAG(double,
+          returned_credit,
+          dunehook::placement_tuning{}.mReturnedCredit,
+          "caution spared for returned callers");
 ABSL_FLAG(bool, reserve, true, "off: baseline without reservations");
 ABSL_FLAG(bool, forecast, true, "off: baseline that takes the engine with the fewest runs");
 
@@ -46,6 +54,8 @@
   placement_tuning tuning;
   tuning.mMemoryShare = absl::GetFlag(FLAGS_memory_share);
   tuning.mCaution = absl::GetFlag(FLAGS_caution);
+  tuning.mLargeReserve = absl::GetFlag(FLAGS_large_reserve);
+  tuning.mReturnedCredit = absl::GetFlag(FLAGS_returned_credit);
   tuning.mReservedShare = absl::GetFlag(FLAGS_reserved_share);
   tuning.mPrefillShare = absl::GetFlag(FLAGS_prefill_share);
   tuning.mDecodeReads = absl::GetFlag(FLAGS_decode_reads);
--- a/src/forward/forward_state.h
+++ b/src/forward/forward_state.h
@@ -8,6 +8,7 @@
 #include "forward/caller_session.h"
 #include "forward/gateway_settings.h"
 #include "forward/placement.h"
+#include "forward/refused_table.h"
 #include "forward/route_table.h"
 #include "forward/run_message.h"
 #include "forward/upstream_connection.h"
@@ -45,6 +46,7 @@
   gateway_settings mSettings;                   ///< From the settings source.
   std::shared_ptr<const route_table> mRoutes;   ///< Null until a configuration is known.
   runner_table mRunners;                        ///< All runners.
+  refused_table mRefused;                       ///< Prompts refused by any daemon.
   placement_table mPlacement;                   ///< All generations.
   upstream_pool mPool;                          ///< Connections to runners, for requests.
   http_pool mSideCalls;                         ///< Connections to runners, for side calls.
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -365,6 +365,7 @@
       mState.mRunners.Forget(now, StoreAway());
       mState.mPlacement.Prune(mState.mRunners, now);
       mState.mPool.Prune(now);
+      mState.mRefused.Prune(now);
       for (const member_info& gone : mMembers.Sweep(now).mGone) {
         LogEvent(log_level::eInfo, "daemon_silent", { { "daemon", gone.mName } });
         mState.mPlacement.ReplaceRuns(gone.mIncarnation.mValue, {}, now);
@@ -478,6 +479,9 @@
       for (const run_id run : message->mEnded) {
         mState.mPlacement.End(run);
       }
+      for (const std::uint64_t prompt : message->mRefused) {
+        mState.mRefused.Note(prompt, now);
+      }
       for (const service_runner_id runner : message->mOrdered) {
         mState.mRunners.NoteChanging(runner, now + kLongestChange);
       }
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -61,6 +61,7 @@
     mDemand.mModel = mFacts.mModel;
     mDemand.mHall = mState.mSettings.mHall;
     mDemand.mEventGap = aRoute.mEventGap;
+    mDemand.mReturned = mState.mRefused.Contains(mFacts.mPromptKey, aArrived);
     mDemand.mPromptTokens = mFacts.mPromptTokens;
     mDemand.mAnswerTokens = GuessedTokens();
     mDemand.mMostTokens = mFacts.mMostTokens;
@@ -83,6 +84,12 @@
 private:
   duration TimeLeft() const { return mDeadline - mState.Now(); }
 
+  /** @return whether the request may be placed anew, which sends it to a reader and a generator. */
+  bool TakeReplacement()
+  {
+    return mState.BudgetOf(mService.mName).Take(mState.Now(), kSendsOfPlacement);
+  }
+
   std::uint32_t GuessedTokens() const
   {
     const double most = mFacts.mMostTokens > 0 ? mFacts.mMostTokens : mTraits.mMemoryTokens / 8;
@@ -260,7 +267,7 @@
       if (!read) {
         ReleaseReservation();
         mPrefillFailed = true;
-        if (mState.BudgetOf(mService.mName).Take(mState.Now()) && ++mReads <= kMostReads) {
+        if (++mReads <= kMostReads && TakeReplacement()) {
           co_return true;
         }
         co_await GiveUp("prefill_failed");
@@ -372,7 +379,7 @@
                  { "outcome", OutcomeName(outcome) },
                  { "status", answer.mFacts.mStatus } });
       ++mHandoffsLost;
-      if (mState.BudgetOf(mService.mName).Take(mState.Now()) && mHandoffsLost <= kMostReads) {
+      if (mHandoffsLost <= kMostReads && TakeReplacement()) {
         co_return true;
       }
       co_await GiveUp("handoff_refused");
@@ -488,7 +495,7 @@
                { "resumable", mRoute.mResumable } });
     const bool mayGoOn = mRoute.mResumable && mSends < mRoute.mMaxRunners &&
                          TimeLeft() > mRoute.mFirstAnswer && !mExchange->Gone();
-    if (mayGoOn && mState.BudgetOf(mService.mName).Take(mState.Now())) {
+    if (mayGoOn && TakeReplacement()) {
       if (mEvents.Count() > mCountedEvents) {
         SkipMade(mEvents.Count() - mCountedEvents);
         mCountedEvents = mEvents.Count();
@@ -532,10 +539,22 @@
       mExchange->Tear();
       co_return;
     }
+    if (status == 503) {
+      NoteRefused();
+    }
     co_await Refuse<Wire>(
       *mExchange, mFacts.mId, status, status == 503 ? back : duration{ 0 }, aReason);
   }
 
+  /** Notes the refusal here and at the other daemons, so that a caller that comes back is known. */
+  void NoteRefused()
+  {
+    mState.mRefused.Note(mFacts.mPromptKey, mState.Now());
+    run_message message;
+    message.mRefused.push_back(mFacts.mPromptKey);
+    mState.mTell(std::move(message));
+  }
+
   void NoteFirstEvent(instant aNow)
   {
     LogEvent(log_level::eInfo,
@@ -559,6 +578,8 @@
                { "ms", (mState.Now() - mArrived).count() / 1000 } });
   }
 
+  /** Sends of a placement beyond the first: one for the read, one for the answer. */
+  static constexpr double kSendsOfPlacement = 2.0;
   /** Reads of a prompt, or handoffs, that may fail before a request is given up on. */
   static constexpr std::uint32_t kMostReads = 2;
   /** Largest answer that is held whole. */
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -19,6 +19,10 @@
                                           duration{ 120000 }, duration{ 250000 },
                                           duration{ 500000 }, duration{ 1000000 },
                                           duration{ 2000000 } };
+/** A request of this many times the mean size beyond the mean counts as large in full. */
+constexpr double kLargeFactor = 2.0;
+/** Weight of the newest run in the mean size. */
+constexpr double kSizeWeight = 0.03;
 /** With no engine at all, one may be back after this. */
 constexpr duration kNoEngineRest = std::chrono::seconds(1);
 /** With engines that read too late, the queue is shorter after this. */
@@ -70,6 +74,14 @@
   return newcomer;
 }
 
+/** @return what a run takes of memory over its time, in tokens squared. */
+double
+SizeOf(std::uint32_t aPrompt, std::uint32_t aAnswer)
+{
+  const double answer = aAnswer;
+  return answer * (aPrompt + answer / 2.0);
+}
+
 duration
 FromMicros(double aMicros)
 {
@@ -152,8 +164,9 @@
                         instant aNow) const
 {
   const growing_run newcomer = NewcomerOf(aDemand);
+  const double caution = mTuning.mCaution - (aDemand.mReturned ? mTuning.mReturnedCredit : 0.0);
   for (const duration wait : kWaits) {
-    if (ForecastOf(aDecode, aNow + wait).Peak(newcomer, mTuning.mCaution) <= aMemory) {
+    if (ForecastOf(aDecode, aNow + wait).Peak(newcomer, caution) <= aMemory) {
       return wait;
     }
   }
@@ -179,6 +192,15 @@
   return sets;
 }
 
+double
+placement_table::MemoryFor(const generation_demand& aDemand, const engine_traits& aTraits) const
+{
+  const double size = SizeOf(aDemand.mPromptTokens, aDemand.mAnswerTokens);
+  const double excess = mMeanSize > 0.0 ? size / mMeanSize - 1.0 : 0.0;
+  const double reserve = mTuning.mLargeReserve * std::clamp(excess / kLargeFactor, 0.0, 1.0);
+  return (mTuning.mMemoryShare - reserve) * static_cast<double>(aTraits.mMemoryTokens);
+}
+
 duration
 placement_table::RoomIn(const runner_state& aDecode,
                         const generation_demand& aDemand,
@@ -191,7 +213,7 @@
   if (!mTuning.mForecast) {
     return wait;
   }
-  const double memory = mTuning.mMemoryShare * static_cast<double>(aTraits.mMemoryTokens);
+  const double memory = MemoryFor(aDemand, aTraits);
   wait = std::max(wait, FitsIn(aDecode.mId, aDemand, memory, aNow));
   return RunsOn(aDecode.mId).size() >= aTraits.mSlots ? std::max(wait, kWaits[1]) : wait;
 }
@@ -279,6 +301,10 @@
 placement_table::Begin(const run_record& aRun, instant aNow)
 {
   const auto [place, fresh] = mRuns.insert_or_assign(aRun.mRun, aRun);
+  if (fresh) {
+    const double size = SizeOf(aRun.mPromptTokens, aRun.mAnswerTokens);
+    mMeanSize += (mMeanSize > 0.0 ? kSizeWeight : 1.0) * (size - mMeanSize);
+  }
   if (fresh && aRun.mPrefill) {
     prefill_state& state = mPrefills[aRun.mPrefill];
     const duration read = FromMicros(aRun.mPromptTokens / state.mTokensPerMicro);
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -90,6 +90,8 @@
   engine_sets UsableEngines(const generation_demand& aDemand,
                             const runner_table& aRunners,
                             instant aNow) const;
+  /** @return the memory that a demand may fill: large ones leave some to smaller ones. */
+  double MemoryFor(const generation_demand& aDemand, const engine_traits& aTraits) const;
   /** @return how long until the engine has room for the demand, zero if it has. */
   duration RoomIn(const runner_state& aDecode,
                   const generation_demand& aDemand,
@@ -120,7 +122,8 @@
   std::unordered_map<run_id, run_record> mRuns;                   ///< All runs known.
   std::unordered_map<service_runner_id, decode_state> mDecodes;   ///< By engine.
   std::unordered_map<service_runner_id, prefill_state> mPrefills; ///< By engine.
-  guess_model mGuesses;                                           ///< Of the answers' length.
+  double mMeanSize = 0.0; ///< Of the runs, see SizeOf(); 0 until one was placed.
+  guess_model mGuesses;   ///< Of the answers' length.
 };
 
 } // namespace dunehook
--- a/src/forward/placement_type.h
+++ b/src/forward/placement_type.h
@@ -21,7 +21,11 @@
   /** Part of an engine's memory that the forecast may fill. */
   double mMemoryShare = 0.97;
   /** Standard deviations that the forecast adds to the expected use of memory. */
-  double mCaution = 2.0;
+  double mCaution = 2.5;
+  /** Part of an engine's memory that large requests leave to smaller ones. */
+  double mLargeReserve = 0.12;
+  /** Standard deviations less for a request that was refused before and has come back. */
+  double mReturnedCredit = 1.0;
   /** Part of the guessed answer that is reserved at the engine before the prompt is read. */
   double mReservedShare = 0.3;
   /** Part of the engines that read prompts. */
@@ -46,6 +50,7 @@
   std::uint32_t mPromptTokens = 0; ///< Length of the prompt.
   std::uint32_t mAnswerTokens = 0; ///< Guessed length of the answer.
   std::uint32_t mMostTokens = 0;   ///< Most tokens of the answer; 0 if unknown.
+  bool mReturned = false;          ///< It was refused before, and its caller has come back.
   duration mEventGap{ 0 };         ///< Longest pause between events that is in time.
   duration mFirstEventWithin{ 0 }; ///< Time left until the first event is late.
 
--- a/src/forward/retry_budget.h
+++ b/src/forward/retry_budget.h
@@ -35,14 +35,17 @@
   /** Notes a request's first send. */
   void NoteRequest() { mEarned = std::min(mEarned + mShare, kMostEarned); }
 
-  /** @return whether one more send is allowed; it counts as made. */
-  bool Take(instant aNow)
+  /**
+   * @param aSends sends to be made beyond those that the request may make anyway.
+   * @return whether they are allowed; they count as made.
+   */
+  bool Take(instant aNow, double aSends = 1.0)
   {
-    if (mEarned >= 1.0) {
-      mEarned -= 1.0;
+    if (mEarned >= aSends) {
+      mEarned -= aSends;
       return true;
     }
-    return mFixed.Take(aNow);
+    return mFixed.Take(aNow, aSends);
   }
 
 private:
--- a/src/forward/run_message.cpp
+++ b/src/forward/run_message.cpp
@@ -2,7 +2,7 @@
  * @file run_message.cpp
  * Run messages as CBOR: [sender, digest, [[run, decode, prefill, prompt, answer, most, made,
  * age]...],
- * [ended...], [ordered...]].
+ * [ended...], [ordered...], [refused...]].
  */
 #include "forward/run_message.h"
 
@@ -61,7 +61,8 @@
                                                                       aMessage.mDigest,
                                                                       std::move(begun),
                                                                       std::move(ended),
-                                                                      std::move(ordered) }));
+                                                                      std::move(ordered),
+                                                                      aMessage.mRefused }));
   return { bytes.begin(), bytes.end() };
 }
 
@@ -84,6 +85,9 @@
     for (const json& item : body.at(4)) {
       message.mOrdered.push_back({ item.get<std::uint64_t>() });
     }
+    for (const json& item : body.at(5)) {
+      message.mRefused.push_back(item.get<std::uint64_t>());
+    }
     return message.mDaemon == 0 ? std::nullopt : std::optional<run_message>(message);
   } catch (const json::exception&) {
     return std::nullopt; // The receiver counts it.
--- a/src/forward/run_message.h
+++ b/src/forward/run_message.h
@@ -16,10 +16,11 @@
 /** What a datagram tells. */
 struct run_message
 {
-  std::uint64_t mDaemon = 0;      ///< The sender's run: its incarnation.
-  bool mDigest = false;           ///< mBegun are all the runs that the sender has.
-  std::vector<run_record> mBegun; ///< Runs placed; instants are the receiver's once decoded.
-  std::vector<run_id> mEnded;     ///< Runs that ended.
+  std::uint64_t mDaemon = 0;           ///< The sender's run: its incarnation.
+  bool mDigest = false;                ///< mBegun are all the runs that the sender has.
+  std::vector<run_record> mBegun;      ///< Runs placed; instants are the receiver's once decoded.
+  std::vector<run_id> mEnded;          ///< Runs that ended.
+  std::vector<std::uint64_t> mRefused; ///< Prompts whose requests were refused, by key.
   std::vector<service_runner_id> mOrdered; ///< Engines that took an order to change their role.
 
   bool operator==(const run_message&) const = default;
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -205,6 +205,19 @@
   CHECK(taken >= 100);
 }
 
+TEST(budget, APlacementAnewCountsForBothOfItsSends)
+{
+  const retry_limits limits{ 0.0, 10s, 80.0 };
+  retry_budget budget(limits, 8.0);
+  int taken = 0;
+  for (int i = 0; i < 100; ++i) {
+    taken += budget.Take(kNow, 2.0) ? 1 : 0;
+  }
+  // An eighth of the allowance, of which half may go at once, by two each.
+  CHECK(taken <= 2);
+  CHECK(taken >= 1);
+}
+
 TEST_GROUP(events){};
 
 TEST(events, OnlyWholeEventsPass)
