--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -4,6 +4,7 @@
  */
 #include "cli/cli_func.h"
 
+#include "cli/explain_func.h"
 #include "core/attempt_type.h"
 #include "core/text_func.h"
 #include "net/http_client.h"
@@ -319,6 +320,39 @@
   return kExitOk;
 }
 
+/** Tells the story of a request from files, or from standard input where none is named. */
+int
+Explain(const cli_options& aOptions)
+{
+  std::vector<log_line> lines;
+  const auto take = [&](std::istream& aInput) {
+    const std::vector<log_line> more = ReadLogLines(aInput);
+    lines.insert(lines.end(), more.begin(), more.end());
+  };
+  for (std::size_t word = 2; word < aOptions.mWords.size(); ++word) {
+    std::ifstream file(aOptions.mWords[word]);
+    if (!file) {
+      std::cerr << aOptions.mWords[word] << ": can't be read\n";
+      return kExitBadInput;
+    }
+    take(file);
+  }
+  if (aOptions.mWords.size() == 2) {
+    take(std::cin);
+  }
+  const request_story story = ExplainRequest(lines, aOptions.mWords[1]);
+  if (aOptions.mJson) {
+    std::cout << ToJson(story).dump(2) << "\n";
+  } else {
+    for (const story_step& step : story.mSteps) {
+      std::cout << absl::StrFormat(
+        "%9.3f s  %-22s %-18s %s\n", step.mAfter, step.mHost, step.mRequest, step.mText);
+    }
+    std::cout << "cause: " << (story.mCause.empty() ? "no line about it" : story.mCause) << "\n";
+  }
+  return story.mCause.empty() ? kExitRefused : kExitOk;
+}
+
 } // namespace
 
 int
@@ -329,6 +363,10 @@
     return aOptions.mWords.size() == 2 ? CheckSettings(aOptions.mWords[1])
                                        : cli_run::Usage("check needs a file");
   }
+  if (command == "explain") {
+    return aOptions.mWords.size() >= 2 ? Explain(aOptions)
+                                       : cli_run::Usage("explain needs a request's id");
+  }
   const result<endpoint> server = ParseEndpoint(aOptions.mServer);
   const result<std::string> token = LoadSecret(aOptions.mTokenFile);
   if (!server || !token) {
--- /dev/null
+++ b/src/cli/explain.cpp
@@ -0,0 +1,285 @@
+/**
+ * @file explain.cpp
+ * The story of a request.
+ */
+#include "cli/explain_func.h"
+
+#include "core/text_func.h"
+
+#include <algorithm>
+#include <functional>
+#include <istream>
+#include <map>
+#include <set>
+
+namespace dunehook {
+
+namespace {
+
+using json = nlohmann::json;
+
+/** Changes of a runner this long before a try are part of its story, in seconds. */
+constexpr double kContextSeconds = 10.0;
+
+std::string
+Text(const json& aFields, const char* aName)
+{
+  const auto found = aFields.find(aName);
+  if (found == aFields.end()) {
+    return "?";
+  }
+  return found->is_string() ? found->get<std::string>() : found->dump();
+}
+
+/** @return what a reason of a refusal or failure means. */
+std::string
+ReasonText(const std::string& aReason)
+{
+  static const std::map<std::string, std::string> sTexts{
+    { "no_engine", "no engine could be given work" },
+    { "no_memory", "no decode engine would have memory for it in time" },
+    { "too_late", "every prefill engine was so far behind that its first event would be late" },
+    { "prefill_failed", "the engine that was to read the prompt did not" },
+    { "handoff_refused", "the decode engine turned away the prompt that was read for it" },
+    { "generation_broke", "the decode engine broke off and the request may not run again" },
+    { "answer_broken", "the runner's answer was cut or not its own, and it may have run" },
+    { "runner_silent", "the runner did not answer within the time limit, and it may have run" },
+    { "runner_refused", "the runner took no work, and the request may go to no other" },
+    { "no_runner", "no runner of the service could be given work" },
+    { "unreachable", "no connection to a runner could be made in time" },
+    { "no_route", "no route of the configuration in force matches its host and path" },
+    { "starting", "the daemon had just started and knew no configuration or no runners" },
+  };
+  const auto found = sTexts.find(aReason);
+  return found == sTexts.end() ? aReason : found->second;
+}
+
+/** @return a line in plain words. */
+std::string
+Describe(const log_line& aLine)
+{
+  const json& fields = aLine.mFields;
+  const auto text = [&](const char* aName) { return Text(fields, aName); };
+  using describer = std::function<std::string()>;
+  const std::map<std::string, describer> describers{
+    { "request_answered",
+      [&] {
+        return Join("runner ",
+                    text("runner"),
+                    " answered ",
+                    text("status"),
+                    " after ",
+                    text("ms"),
+                    " ms, send ",
+                    text("sends"));
+      } },
+    { "answer_lost",
+      [&] {
+        return Join("the answer of runner ", text("runner"), " was lost: ", text("outcome"));
+      } },
+    { "request_given_up",
+      [&] {
+        return Join("given up with ",
+                    text("status"),
+                    " after ",
+                    text("held_ms"),
+                    " ms and ",
+                    text("sends"),
+                    " sends: ",
+                    ReasonText(text("reason")));
+      } },
+    { "reservation_refused",
+      [&] {
+        return Join("engine ", text("runner"), " did not reserve ", text("tokens"), " tokens");
+      } },
+    { "prefill_failed",
+      [&] {
+        return Join("engine ",
+                    text("runner"),
+                    " did not read the prompt: ",
+                    text("outcome"),
+                    ", status ",
+                    text("status"));
+      } },
+    { "handoff_failed",
+      [&] {
+        return Join("engine ",
+                    text("runner"),
+                    " did not take the prompt over: ",
+                    text("outcome"),
+                    ", status ",
+                    text("status"));
+      } },
+    { "generation_started",
+      [&] {
+        return Join("engine ",
+                    text("runner"),
+                    " sent the first event after ",
+                    text("first_ms"),
+                    " ms; ",
+                    text("expected_ms"),
+                    " were expected");
+      } },
+    { "generation_broke",
+      [&] {
+        return Join("engine ", text("runner"), " broke off after ", text("events"), " events");
+      } },
+    { "generation_served",
+      [&] {
+        return Join(
+          "served whole after ", text("ms"), " ms, longest pause ", text("longest_gap_ms"), " ms");
+      } },
+    { "generation_given_up",
+      [&] {
+        return Join("given up with ",
+                    text("status"),
+                    " after ",
+                    text("held_ms"),
+                    " ms, to come back in ",
+                    text("come_back_ms"),
+                    " ms: ",
+                    ReasonText(text("reason")));
+      } },
+    { "caller_left", [&] { return Join("the caller left after ", text("ms"), " ms"); } },
+    { "no_route",
+      [&] { return Join("no route for ", text("path"), " in version ", text("config")); } },
+    { "not_started", [&] { return std::string("refused, the daemon was starting"); } },
+    { "runner_changed",
+      [&] {
+        return Join("runner ",
+                    text("runner"),
+                    ": listed ",
+                    text("listed"),
+                    ", leaving ",
+                    text("leaving"),
+                    ", role ",
+                    text("role"));
+      } },
+    { "role_ordered",
+      [&] { return Join("runner ", text("runner"), " was ordered to ", text("role")); } },
+  };
+  const auto found = describers.find(aLine.mEvent);
+  return found == describers.end() ? aLine.mEvent : found->second();
+}
+
+/** @return why a try ended, from its last line. */
+std::string
+CauseOf(const log_line& aLast)
+{
+  if (aLast.mEvent == "request_given_up" || aLast.mEvent == "generation_given_up") {
+    return ReasonText(Text(aLast.mFields, "reason"));
+  }
+  if (aLast.mEvent == "generation_broke") {
+    return ReasonText("generation_broke");
+  }
+  return Describe(aLast);
+}
+
+/** @return ids of all tries with the prompt of @p aRequest. */
+std::set<std::string>
+TriesOf(const std::vector<log_line>& aLines, const std::string& aRequest)
+{
+  std::set<std::string> prompts;
+  for (const log_line& line : aLines) {
+    if (line.mRequest == aRequest && line.mFields.contains("prompt_key")) {
+      prompts.insert(Text(line.mFields, "prompt_key"));
+    }
+  }
+  std::set<std::string> tries{ aRequest };
+  for (const log_line& line : aLines) {
+    const bool same =
+      line.mFields.contains("prompt_key") && prompts.count(Text(line.mFields, "prompt_key")) > 0;
+    if (same && !line.mRequest.empty()) {
+      tries.insert(line.mRequest);
+    }
+  }
+  return tries;
+}
+
+/** @return whether a line tells of a runner that the tries met, shortly before. */
+bool
+IsContext(const log_line& aLine, const std::vector<const log_line*>& aOwn)
+{
+  if (aLine.mEvent != "runner_changed" && aLine.mEvent != "role_ordered") {
+    return false;
+  }
+  return std::any_of(aOwn.begin(), aOwn.end(), [&](const log_line* aOne) {
+    const double before = aOne->mTime - aLine.mTime;
+    return aOne->mHost == aLine.mHost && before >= 0.0 && before <= kContextSeconds &&
+           Text(aOne->mFields, "runner") == Text(aLine.mFields, "runner");
+  });
+}
+
+} // namespace
+
+std::vector<log_line>
+ReadLogLines(std::istream& aInput)
+{
+  std::vector<log_line> lines;
+  std::string text;
+  while (std::getline(aInput, text)) {
+    const std::size_t brace = text.find('{');
+    if (brace == std::string::npos) {
+      continue;
+    }
+    json fields = json::parse(text.substr(brace), nullptr, false);
+    if (!fields.is_object() || !fields.contains("event")) {
+      continue;
+    }
+    log_line line;
+    line.mTime = fields.value("time", 0.0);
+    line.mHost = fields.value("host", "");
+    line.mEvent = fields.value("event", "");
+    line.mRequest = fields.value("request", "");
+    line.mFields = std::move(fields);
+    line.mPlace = lines.size();
+    lines.push_back(std::move(line));
+  }
+  return lines;
+}
+
+request_story
+ExplainRequest(const std::vector<log_line>& aLines, const std::string& aRequest)
+{
+  const std::set<std::string> tries = TriesOf(aLines, aRequest);
+  std::vector<const log_line*> own;
+  for (const log_line& line : aLines) {
+    if (tries.count(line.mRequest) > 0) {
+      own.push_back(&line);
+    }
+  }
+  std::vector<const log_line*> told = own;
+  for (const log_line& line : aLines) {
+    if (IsContext(line, own)) {
+      told.push_back(&line);
+    }
+  }
+  std::stable_sort(told.begin(), told.end(), [](const log_line* aLeft, const log_line* aRight) {
+    return aLeft->mTime < aRight->mTime;
+  });
+  request_story story;
+  std::map<std::string, double> firstOf;
+  const log_line* last = nullptr;
+  for (const log_line* const line : told) {
+    const double first = firstOf.try_emplace(line->mHost, line->mTime).first->second;
+    story.mSteps.push_back({ line->mTime - first, line->mHost, line->mRequest, Describe(*line) });
+    last = line->mRequest == aRequest ? line : last;
+  }
+  story.mCause = last == nullptr ? "" : CauseOf(*last);
+  return story;
+}
+
+nlohmann::json
+ToJson(const request_story& aStory)
+{
+  json steps = json::array();
+  for (const story_step& step : aStory.mSteps) {
+    steps.push_back({ { "after", step.mAfter },
+                      { "host", step.mHost },
+                      { "request", step.mRequest },
+                      { "text", step.mText } });
+  }
+  return { { "steps", steps }, { "cause", aStory.mCause } };
+}
+
+} // namespace dunehook
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -25,7 +25,9 @@
     "  dunehook delete KIND NAME       delete a resource\n"
     "  dunehook watch                  show changes as they come into force\n"
     "  dunehook status                 show the daemons and what each has in force\n"
-    "  dunehook check FILE             check a daemon's settings file\n\n"
+    "  dunehook check FILE             check a daemon's settings file\n"
+    "  dunehook explain ID [FILE...]   tell a request's story from log lines, files or standard\n"
+    "                                  input, of any number of daemons\n\n"
     "Flags: -server=ADDRESS:PORT -token_file=FILE -o=table|json\n"
     "Exit codes: 0 done, 1 refused or not reachable, 2 faulty input or usage.");
   const std::vector<char*> rest = absl::ParseCommandLine(aCount, aValues);
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -23,6 +23,13 @@
   return sName;
 }
 
+std::string&
+HostName()
+{
+  static std::string sName;
+  return sName;
+}
+
 log_writer&
 Writer()
 {
@@ -70,6 +77,9 @@
 {
   aFields["event"] = aEvent;
   aFields["program"] = ProgramName();
+  if (!HostName().empty()) {
+    aFields["host"] = HostName();
+  }
   aFields["time"] = UnixSeconds();
   const std::string line = aFields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   Sink().mKind = aEvent;
@@ -89,9 +99,10 @@
 } // namespace
 
 void
-InitLogging(std::string_view aProgram)
+InitLogging(std::string_view aProgram, std::string_view aHost)
 {
   ProgramName() = aProgram;
+  HostName() = aHost;
   FLAGS_logtostderr = false;
   FLAGS_log_prefix = false;
   google::InitGoogleLogging(ProgramName().c_str());
--- a/src/core/log_func.h
+++ b/src/core/log_func.h
@@ -22,9 +22,10 @@
 /**
  * Sets glog up: lines to standard output, without glog's own prefix.
  * @param aProgram name of the running program, printed in each line.
+ * @param aHost name of the host it runs on, printed in each line unless empty.
  */
 void
-InitLogging(std::string_view aProgram);
+InitLogging(std::string_view aProgram, std::string_view aHost = {});
 
 /**
  * Writes one line.
--- a/src/daemon/gateway_main.cpp
+++ b/src/daemon/gateway_main.cpp
@@ -107,7 +107,7 @@
   if (!report.mFindings.empty()) {
     return kExitBadSettings;
   }
-  InitLogging("dunehookd");
+  InitLogging("dunehookd", report.mSettings.mName);
   std::signal(SIGPIPE, SIG_IGN); // Writes to closed connections are errors, not ends.
   asio::io_context io(1);
   auto opened = host_gateway::Open(io, report.mSettings);
