--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -210,6 +210,28 @@
   });
 }
 
+/**
+ * @return 1 for hosts that only saw the caller come back after a refusal, 0 for the others: clocks
+ *   of hosts differ, but a return comes after the first try.
+ */
+std::map<std::string, int>
+RanksOfHosts(const std::vector<const log_line*>& aOwn)
+{
+  std::set<std::string> returned;
+  for (const log_line* const line : aOwn) {
+    if (line->mFields.value("returned", false)) {
+      returned.insert(line->mRequest);
+    }
+  }
+  std::map<std::string, int> ranks;
+  for (const log_line* const line : aOwn) {
+    const int rank = returned.count(line->mRequest) > 0 ? 1 : 0;
+    const auto [place, fresh] = ranks.try_emplace(line->mHost, rank);
+    place->second = std::min(place->second, rank);
+  }
+  return ranks;
+}
+
 } // namespace
 
 std::vector<log_line>
@@ -254,8 +276,11 @@
       told.push_back(&line);
     }
   }
-  std::stable_sort(told.begin(), told.end(), [](const log_line* aLeft, const log_line* aRight) {
-    return aLeft->mTime < aRight->mTime;
+  const std::map<std::string, int> ranks = RanksOfHosts(own);
+  std::stable_sort(told.begin(), told.end(), [&](const log_line* aLeft, const log_line* aRight) {
+    const int left = ranks.at(aLeft->mHost);
+    const int right = ranks.at(aRight->mHost);
+    return left != right ? left < right : aLeft->mTime < aRight->mTime;
   });
   request_story story;
   std::map<std::string, double> firstOf;
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -520,6 +520,11 @@
   /** Decides how a request goes on whose run ended without a whole answer. */
   asio::awaitable<bool> AfterBreak()
   {
+    if (mExchange->Gone()) { // The caller's leave ended the run, not the engine.
+      ThrowAway("caller_left");
+      mState.mRunners.NoteOutcome(mChoice.mDecode, send_outcome::eAbandoned, mState.Now());
+      co_return false;
+    }
     mState.mRunners.NoteOutcome(mChoice.mDecode, send_outcome::eFailed, mState.Now());
     mUnknown = true;
     ThrowAway("run_broke");
--- /dev/null
+++ b/tests/unit/explain_test.cpp
@@ -0,0 +1,72 @@
+/**
+ * @file explain_test.cpp
+ * The stories of requests of a played day, against committed files. DUNEHOOK_GOLDEN_WRITE=1 writes
+ * them anew, for review.
+ */
+#include "cli/explain_func.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+using namespace dunehook;
+
+namespace {
+
+const std::string kFolder = "tests/golden/explain/";
+
+std::vector<log_line>
+DayLines()
+{
+  std::ifstream file(kFolder + "day.log");
+  return ReadLogLines(file);
+}
+
+void
+CompareStory(const std::string& aRequest)
+{
+  const std::string story = ToJson(ExplainRequest(DayLines(), aRequest)).dump(2) + "\n";
+  if (std::getenv("DUNEHOOK_GOLDEN_WRITE") != nullptr) {
+    std::ofstream(kFolder + aRequest + ".json") << story;
+  }
+  std::ifstream file(kFolder + aRequest + ".json");
+  std::stringstream expected;
+  expected << file.rdbuf();
+  CHECK_TRUE(story.size() > 100);
+  STRCMP_EQUAL(expected.str().c_str(), story.c_str());
+}
+
+} // namespace
+
+TEST_GROUP(explain){};
+
+TEST(explain, ARefusalAndTheCallersReturnAreOneStory)
+{
+  CompareStory("b655f3d61b0c9acd");
+  const request_story story = ExplainRequest(DayLines(), "b655f3d61b0c9acd");
+  CHECK(story.mSteps.front().mRequest == "b655f3d61b0c9acd"); // Although its host's clock is ahead.
+  CHECK(story.mSteps.size() >= 2);
+}
+
+TEST(explain, ACallOfUnknownOutcome)
+{
+  CompareStory("cf359b784a44b8ba");
+}
+
+TEST(explain, AStreamThatBrokeOff)
+{
+  CompareStory("57f398142bd943e1");
+}
+
+TEST(explain, ARequestNobodyLoggedHasNoCause)
+{
+  CHECK(ExplainRequest(DayLines(), "nobody").mCause.empty());
+}
+
+TEST(explain, LinesThatAreNoJsonAreLeftOut)
+{
+  std::istringstream input("noise\n{broken\n 1.5 host {\"event\":\"x\",\"request\":\"r\"}\n{}\n");
+  CHECK_EQUAL(1U, ReadLogLines(input).size());
+}
