Fix: [Decide] a request waits for the only runner that rests, and failing engines are avoided

Two of three runners had left; the third was full for moments, and refusals in a row made it rest for up to a second, while it would have served.

Ruled out: too few places (the runner served 141 requests in the same 1.5 s with a median of 251 ms).

Change: only engines rest longer with refusals in a row (they're given work only where there should be room); a plain request waits up to a fifth of its target for a runner that rests; engines that failed a request are taken again for it only where there's no other, and a share of failures weighs in the choice of engines.

--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -369,6 +369,7 @@
     }
     const send_outcome outcome = OutcomeOf(aAnswer);
     mState.mRunners.NoteOutcome(aRunner, outcome, mState.Now());
+    mDemand.mFailed.push_back(aRunner);
     mState.LogDecision(log_level::eWarning,
                        "prefill_failed",
                        mFacts.mId,
@@ -399,6 +400,7 @@
       }
       const send_outcome outcome = OutcomeOf(answer);
       mState.mRunners.NoteOutcome(mChoice.mDecode, outcome, mState.Now());
+      mDemand.mFailed.push_back(mChoice.mDecode);
       ThrowAway("handoff_refused");
       mState.LogDecision(log_level::eWarning,
                          "handoff_failed",
@@ -526,6 +528,7 @@
       co_return false;
     }
     mState.mRunners.NoteOutcome(mChoice.mDecode, send_outcome::eFailed, mState.Now());
+    mDemand.mFailed.push_back(mChoice.mDecode);
     mUnknown = true;
     ThrowAway("run_broke");
     mState.LogDecision(log_level::eWarning,
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -23,6 +23,12 @@
 constexpr double kLargeFactor = 2.0;
 /** Weight of the newest run in the mean size. */
 constexpr double kSizeWeight = 0.03;
+/** An engine that always fails is worth this much waiting for another. */
+constexpr double kFailureMicros = 1500000.0;
+/** A share of failures that any engine may have: a single failure of late. */
+constexpr double kFailuresLeftOut = 0.06;
+/** An engine that has failed a request is taken again for it only where there's no other. */
+constexpr double kFailedThisMicros = 5000000.0;
 /** With no engine at all, one may be back after this. */
 constexpr duration kNoEngineRest = std::chrono::seconds(1);
 /** With engines that read too late, the queue is shorter after this. */
@@ -82,6 +88,16 @@
   return answer * (aPrompt + answer / 2.0);
 }
 
+/** @return what an engine's failures weigh, as waiting. */
+double
+FailureMicros(const runner_state& aEngine, const generation_demand& aDemand)
+{
+  const bool failedThis =
+    std::find(aDemand.mFailed.begin(), aDemand.mFailed.end(), aEngine.mId) != aDemand.mFailed.end();
+  const double share = std::max(0.0, aEngine.mFailureShare - kFailuresLeftOut);
+  return (failedThis ? kFailedThisMicros : 0.0) + kFailureMicros * share;
+}
+
 duration
 FromMicros(double aMicros)
 {
@@ -231,7 +247,7 @@
   const double peak = ForecastOf(aDecode.mId, aNow).Peak(NewcomerOf(aDemand), 0.0) / memory;
   const double load = mTuning.mForecast ? peak : kRunWeight * static_cast<double>(runs.size());
   const double event = aTraits.mTokensPerEvent * MicrosPerToken(aDecode.mId);
-  const double base = kFullEngineMicros * load * load +
+  const double base = kFullEngineMicros * load * load + FailureMicros(aDecode, aDemand) +
                       (aDecode.mEntry.mHall == aDemand.mHall ? 0.0 : kOtherHallCallMicros);
   const auto consider =
     [&](std::optional<service_runner_id> aPrefill, duration aRead, double aExtra) {
@@ -252,7 +268,7 @@
       const bool sameHall = prefill->mEntry.mHall == aDecode.mEntry.mHall;
       consider(prefill->mId,
                ReadTime(prefill->mId, aDemand.mPromptTokens, aNow),
-               sameHall ? 0.0 : kOtherHallMoveMicros);
+               FailureMicros(*prefill, aDemand) + (sameHall ? 0.0 : kOtherHallMoveMicros));
     }
   }
   const duration ownRead =
--- a/src/forward/placement_type.h
+++ b/src/forward/placement_type.h
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace dunehook {
 
@@ -43,16 +44,17 @@
 /** A generation that wants a place. */
 struct generation_demand
 {
-  run_id mRun;                     ///< Its id.
-  std::string mService;            ///< Service that takes it.
-  std::string mModel;              ///< Model wanted; empty if any.
-  std::string mHall;               ///< Data hall of this daemon.
-  std::uint32_t mPromptTokens = 0; ///< Length of the prompt.
-  std::uint32_t mAnswerTokens = 0; ///< Guessed length of the answer.
-  std::uint32_t mMostTokens = 0;   ///< Most tokens of the answer; 0 if unknown.
-  bool mReturned = false;          ///< It was refused before, and its caller has come back.
-  duration mEventGap{ 0 };         ///< Longest pause between events that is in time.
-  duration mFirstEventWithin{ 0 }; ///< Time left until the first event is late.
+  run_id mRun;                            ///< Its id.
+  std::string mService;                   ///< Service that takes it.
+  std::string mModel;                     ///< Model wanted; empty if any.
+  std::string mHall;                      ///< Data hall of this daemon.
+  std::uint32_t mPromptTokens = 0;        ///< Length of the prompt.
+  std::uint32_t mAnswerTokens = 0;        ///< Guessed length of the answer.
+  std::uint32_t mMostTokens = 0;          ///< Most tokens of the answer; 0 if unknown.
+  std::vector<service_runner_id> mFailed; ///< Engines that failed this request already.
+  bool mReturned = false;                 ///< It was refused before, and its caller has come back.
+  duration mEventGap{ 0 };                ///< Longest pause between events that is in time.
+  duration mFirstEventWithin{ 0 };        ///< Time left until the first event is late.
 
   auto operator<=>(const generation_demand&) const = default;
 };
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -14,6 +14,11 @@
 inline constexpr std::size_t kHeldAnswerBytes = 65536;
 /** A repeatable request waits this many latency targets for one runner before it tries another. */
 inline constexpr int kTargetsBeforeRepeat = 2;
+/** A request waits for a runner that rests for this part of its latency target: a refusal that
+ * comes later is no use to the caller. */
+inline constexpr int kTargetPartToWait = 5;
+/** Time between looks for a runner. */
+inline constexpr duration kLookForRunner = std::chrono::milliseconds(10);
 /** Connections that may fail before a request is given up on; nothing is sent by them. */
 inline constexpr std::uint32_t kMostConnects = 4;
 /** A caller whose request found no runner may come back about then. */
@@ -72,6 +77,12 @@
   {
     runner_state* const runner =
       mState.mRunners.Choose(mService.mName, mTried, mState.Now(), mState.Draw());
+    const duration waited = mState.Now() - mArrived;
+    const bool mayWait = mConnects == 0 && waited < mRoute.mFirstAnswer / kTargetPartToWait;
+    if (runner == nullptr && mayWait && mState.mRunners.HasRunner(mService.mName)) {
+      co_await Sleep(kLookForRunner);
+      co_return true;
+    }
     if (runner == nullptr || mConnects >= kMostConnects || TimeLeft() <= duration{ 0 }) {
       co_await GiveUp(runner == nullptr ? "no_runner" : "unreachable");
       co_return false;
--- a/src/forward/runner_table.cpp
+++ b/src/forward/runner_table.cpp
@@ -153,6 +153,15 @@
   return best;
 }
 
+bool
+runner_table::HasRunner(const std::string& aService) const
+{
+  return std::any_of(mRunners.begin(), mRunners.end(), [&](const auto& aRow) {
+    const runner_state& runner = aRow.second;
+    return runner.mEntry.mService == aService && !runner.mDraining && !runner.mGone;
+  });
+}
+
 void
 runner_table::NoteChanging(service_runner_id aId, instant aUntil)
 {
@@ -174,8 +183,10 @@
   }
   if (aOutcome == send_outcome::eRefused) {
     ++state->mRefusals;
-    // One refusal says that it's full; several in a row that it takes nothing now.
-    const std::uint32_t steps = std::min(state->mRefusals - 1, kMostRefusalSteps);
+    // One refusal says that it's full; several in a row say that an engine takes nothing now, since
+    // it's given work only where it should have room. Plain services are full for moments only.
+    const bool engine = state->mEntry.mRole != engine_role::eNone;
+    const std::uint32_t steps = engine ? std::min(state->mRefusals - 1, kMostRefusalSteps) : 0;
     const duration rest = kRefusedBackOff * (std::int64_t{ 1 } << steps);
     state->mAvoidUntil = std::max(state->mAvoidUntil, aNow + rest);
     return;
--- a/src/forward/runner_table.h
+++ b/src/forward/runner_table.h
@@ -78,6 +78,9 @@
                        instant aNow,
                        double aDraw);
 
+  /** @return whether the service has a runner that isn't leaving, though it may rest. */
+  bool HasRunner(const std::string& aService) const;
+
   /** Notes that an engine took an order to change its role: it gives no new work a place. */
   void NoteChanging(service_runner_id aId, instant aUntil);
 
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -144,6 +144,16 @@
   CHECK_EQUAL(1U, mBed.Seen("r1").size());
 }
 
+TEST(gateway, ARequestWaitsAMomentForTheOnlyRunner)
+{
+  mBed.AddRunner("desk-1", { "desk", "", "ready", { { "mode", "refuse" }, { "faults", 1 } } });
+  mBed.PutConfig(1);
+  mBed.StartDaemon();
+  // The first is refused, after which the runner is left alone for some milliseconds.
+  CHECK_EQUAL(503U, Call(mBed.Callers(), "POST", "/records/a", "", CallerHeaders("r1")).mStatus);
+  CHECK_EQUAL(200U, Call(mBed.Callers(), "POST", "/records/a", "", CallerHeaders("r2")).mStatus);
+}
+
 TEST(gateway, AReadThatBreaksIsServedByAnotherRunner)
 {
   mBed.StartUsual();
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -202,6 +202,30 @@
   CHECK_FALSE(answer.mChoice.has_value());
 }
 
+TEST(placement, AnEngineThatFailedTheRequestIsTakenAgainOnlyIfThereIsNoOther)
+{
+  List({ Engine("p", engine_role::ePrefill),
+         Engine("q", engine_role::ePrefill, "b"),
+         Engine("d", engine_role::eDecode) });
+  generation_demand demand = Demand(1, 9000); // Too long for a read at the decode engine.
+  CHECK(Choose(demand).mChoice->mPrefill == RunnerIdOf("p"));
+  demand.mFailed = { RunnerIdOf("p") };
+  CHECK(Choose(demand).mChoice->mPrefill == RunnerIdOf("q"));
+  List({ Engine("p", engine_role::ePrefill), Engine("d", engine_role::eDecode) });
+  CHECK(Choose(demand).mChoice->mPrefill == RunnerIdOf("p"));
+}
+
+TEST(placement, AnEngineThatFailsOthersIsChosenLess)
+{
+  List({ Engine("p", engine_role::ePrefill),
+         Engine("q", engine_role::ePrefill, "b"),
+         Engine("d", engine_role::eDecode) });
+  for (int i = 0; i < 5; ++i) {
+    mRunners.NoteOutcome(RunnerIdOf("p"), send_outcome::eFailed, kNow);
+  }
+  CHECK(Choose(Demand(1)).mChoice->mPrefill == RunnerIdOf("q"));
+}
+
 TEST(placement, AnEngineThatSaidItIsFullRests)
 {
   List({ Engine("p", engine_role::ePrefill), Engine("d", engine_role::eDecode) });
