--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -208,6 +208,7 @@
       mDatagrams.send_to(asio::buffer(beat.mData), target, 0, ignored);
     }
     TakeChanges(mMembers.Sweep(Now()));
+    TickLogging();
     co_await Sleep(mSettings.mHeartbeat);
   }
 }
