--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -294,6 +294,7 @@
   void List(int aPrefills, int aDecodes, instant aNow = kNow, service_runner_id aChanged = {})
   {
     std::vector<runner_entry> entries;
+    entries.reserve(static_cast<std::size_t>(aPrefills) + static_cast<std::size_t>(aDecodes));
     for (int i = 0; i < aPrefills; ++i) {
       entries.push_back(Engine("p" + std::to_string(i), engine_role::ePrefill, std::to_string(i)));
     }
