--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -367,6 +367,18 @@
     }
   }
 
+  /** @return connections to one runner that may rest, by the service that takes the fewest. */
+  std::size_t MostIdle() const
+  {
+    std::size_t most = MostIdleConnections(std::numeric_limits<std::uint32_t>::max(), 1);
+    if (mState.mRoutes) {
+      for (const auto& [name, service] : mState.mRoutes->Config().mServices) {
+        most = std::min(most, MostIdleConnections(service.mMaxConnections, mState.mDaemons));
+      }
+    }
+    return most;
+  }
+
   /** Reads the configuration where another daemon has a newer one: the answer that should have
    * brought it may be lost or late. */
   asio::awaitable<void> CatchUp(instant aNow)
@@ -427,6 +439,7 @@
         mState.mPlacement.ReplaceRuns(gone.mIncarnation.mValue, {}, now);
       }
       mState.mDaemons = mMembers.CountServing();
+      mState.mPool.SetMostIdle(MostIdle());
       SpawnGuarded(mState.mIo, CatchUp(now));
       mLogTotals = TickLogging();
     }
@@ -536,8 +549,9 @@
       for (const run_id run : message->mEnded) {
         mState.mPlacement.End(run);
       }
-      for (const std::uint64_t prompt : message->mRefused) {
-        mState.mRefused.Note(prompt, now);
+      for (const refused_prompt& prompt : message->mRefused) {
+        mState.mRefused.Note(prompt.mKey, now);
+        mState.mPlacement.NoteRefused(prompt.mPromptTokens, prompt.mAnswerTokens);
       }
       for (const service_runner_id runner : message->mOrdered) {
         mState.mRunners.NoteChanging(runner, now + kLongestChange);
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -598,8 +598,9 @@
   void NoteRefused()
   {
     mState.mRefused.Note(mFacts.mPromptKey, mState.Now());
+    mState.mPlacement.NoteRefused(mDemand.mPromptTokens, mDemand.mAnswerTokens);
     run_message message;
-    message.mRefused.push_back(mFacts.mPromptKey);
+    message.mRefused.push_back({ mFacts.mPromptKey, mDemand.mPromptTokens, mDemand.mAnswerTokens });
     mState.mTell(std::move(message));
   }
 
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -19,10 +19,6 @@
                                           duration{ 120000 }, duration{ 250000 },
                                           duration{ 500000 }, duration{ 1000000 },
                                           duration{ 2000000 } };
-/** A request of this many times the mean size beyond the mean counts as large in full. */
-constexpr double kLargeFactor = 2.0;
-/** Weight of the newest run in the mean size. */
-constexpr double kSizeWeight = 0.03;
 /** An engine that always fails is worth this much waiting for another. */
 constexpr double kFailureMicros = 1500000.0;
 /** A share of failures that any engine may have: a single failure of late. */
@@ -212,8 +208,7 @@
 placement_table::MemoryFor(const generation_demand& aDemand, const engine_traits& aTraits) const
 {
   const double size = SizeOf(aDemand.mPromptTokens, aDemand.mAnswerTokens);
-  const double excess = mMeanSize > 0.0 ? size / mMeanSize - 1.0 : 0.0;
-  const double reserve = mTuning.mLargeReserve * std::clamp(excess / kLargeFactor, 0.0, 1.0);
+  const double reserve = mTuning.mLargeReserve * mSizes.PartLeft(size);
   return (mTuning.mMemoryShare - reserve) * static_cast<double>(aTraits.mMemoryTokens);
 }
 
@@ -318,8 +313,7 @@
 {
   const auto [place, fresh] = mRuns.insert_or_assign(aRun.mRun, aRun);
   if (fresh) {
-    const double size = SizeOf(aRun.mPromptTokens, aRun.mAnswerTokens);
-    mMeanSize += (mMeanSize > 0.0 ? kSizeWeight : 1.0) * (size - mMeanSize);
+    mSizes.Note(SizeOf(aRun.mPromptTokens, aRun.mAnswerTokens), true);
   }
   if (fresh && aRun.mPrefill) {
     prefill_state& state = mPrefills[aRun.mPrefill];
@@ -328,6 +322,12 @@
   }
 }
 
+void
+placement_table::NoteRefused(std::uint32_t aPromptTokens, std::uint32_t aAnswerTokens)
+{
+  mSizes.Note(SizeOf(aPromptTokens, aAnswerTokens), false);
+}
+
 void
 placement_table::Progress(run_id aRun, std::uint32_t aMadeTokens, instant aNow)
 {
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -12,6 +12,7 @@
 #include "forward/memory_forecast.h"
 #include "forward/placement_type.h"
 #include "forward/runner_table.h"
+#include "forward/size_balance.h"
 
 #include <limits>
 #include <unordered_map>
@@ -36,6 +37,8 @@
 
   /** Notes a run that was placed here or by another daemon. */
   void Begin(const run_record& aRun, instant aNow);
+  /** Notes that a request was refused, here or by another daemon. */
+  void NoteRefused(std::uint32_t aPromptTokens, std::uint32_t aAnswerTokens);
   /** Notes how far a run of this daemon has come. */
   void Progress(run_id aRun, std::uint32_t aMadeTokens, instant aNow);
   /** Notes that a run has ended, or was never begun. */
@@ -122,8 +125,8 @@
   std::unordered_map<run_id, run_record> mRuns;                   ///< All runs known.
   std::unordered_map<service_runner_id, decode_state> mDecodes;   ///< By engine.
   std::unordered_map<service_runner_id, prefill_state> mPrefills; ///< By engine.
-  double mMeanSize = 0.0; ///< Of the runs, see SizeOf(); 0 until one was placed.
-  guess_model mGuesses;   ///< Of the answers' length.
+  size_balance mSizes;                                            ///< Large and small requests.
+  guess_model mGuesses;                                           ///< Of the answers' length.
 };
 
 } // namespace dunehook
--- a/src/forward/run_message.cpp
+++ b/src/forward/run_message.cpp
@@ -53,6 +53,10 @@
   for (const run_id run : aMessage.mEnded) {
     ended.push_back(run.mValue);
   }
+  json refused = json::array();
+  for (const refused_prompt& prompt : aMessage.mRefused) {
+    refused.push_back({ prompt.mKey, prompt.mPromptTokens, prompt.mAnswerTokens });
+  }
   json ordered = json::array();
   for (const service_runner_id runner : aMessage.mOrdered) {
     ordered.push_back(runner.mValue);
@@ -62,7 +66,7 @@
                                                                       std::move(begun),
                                                                       std::move(ended),
                                                                       std::move(ordered),
-                                                                      aMessage.mRefused }));
+                                                                      std::move(refused) }));
   return { bytes.begin(), bytes.end() };
 }
 
@@ -86,7 +90,9 @@
       message.mOrdered.push_back({ item.get<std::uint64_t>() });
     }
     for (const json& item : body.at(5)) {
-      message.mRefused.push_back(item.get<std::uint64_t>());
+      message.mRefused.push_back({ item.at(0).get<std::uint64_t>(),
+                                   item.at(1).get<std::uint32_t>(),
+                                   item.at(2).get<std::uint32_t>() });
     }
     return message.mDaemon == 0 ? std::nullopt : std::optional<run_message>(message);
   } catch (const json::exception&) {
--- a/src/forward/run_message.h
+++ b/src/forward/run_message.h
@@ -13,14 +13,24 @@
 
 namespace dunehook {
 
+/** A request that was refused. */
+struct refused_prompt
+{
+  std::uint64_t mKey = 0;          ///< Of the prompt's own part; 0 if it has none.
+  std::uint32_t mPromptTokens = 0; ///< Length of the prompt.
+  std::uint32_t mAnswerTokens = 0; ///< Guessed length of the answer.
+
+  auto operator<=>(const refused_prompt&) const = default;
+};
+
 /** What a datagram tells. */
 struct run_message
 {
-  std::uint64_t mDaemon = 0;           ///< The sender's run: its incarnation.
-  bool mDigest = false;                ///< mBegun are all the runs that the sender has.
-  std::vector<run_record> mBegun;      ///< Runs placed; instants are the receiver's once decoded.
-  std::vector<run_id> mEnded;          ///< Runs that ended.
-  std::vector<std::uint64_t> mRefused; ///< Prompts whose requests were refused, by key.
+  std::uint64_t mDaemon = 0;            ///< The sender's run: its incarnation.
+  bool mDigest = false;                 ///< mBegun are all the runs that the sender has.
+  std::vector<run_record> mBegun;       ///< Runs placed; instants are the receiver's once decoded.
+  std::vector<run_id> mEnded;           ///< Runs that ended.
+  std::vector<refused_prompt> mRefused; ///< Requests that were refused.
   std::vector<service_runner_id> mOrdered; ///< Engines that took an order to change their role.
 
   bool operator==(const run_message&) const = default;
--- a/src/forward/upstream_connection.cpp
+++ b/src/forward/upstream_connection.cpp
@@ -22,6 +22,8 @@
 constexpr duration kDefaultKeep = std::chrono::milliseconds(1500);
 /** A kept connection counts as proven this long after its last answer. */
 constexpr duration kProvenFor = std::chrono::milliseconds(400);
+/** Most connections to one runner that rest, however many it takes: peaks are short. */
+constexpr std::size_t kMostIdle = 8;
 /** Taken off the time that a runner keeps idle connections, for clocks and the way. */
 constexpr duration kKeepMargin = std::chrono::milliseconds(700);
 
@@ -155,6 +157,13 @@
   return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
+std::size_t
+MostIdleConnections(std::uint32_t aTaken, std::size_t aDaemons)
+{
+  const std::size_t part = aTaken / std::max<std::size_t>(1, aDaemons) / 2;
+  return std::clamp<std::size_t>(part, 1, kMostIdle);
+}
+
 asio::awaitable<result<upstream_ptr>>
 upstream_pool::Take(const endpoint& aTo, bool aOnlyProven, instant aNow, duration aLimit)
 {
--- a/src/forward/upstream_connection.h
+++ b/src/forward/upstream_connection.h
@@ -83,6 +83,15 @@
 
 using upstream_ptr = std::shared_ptr<upstream_connection>;
 
+/**
+ * @param aTaken connections that one runner takes from all daemons together.
+ * @param aDaemons daemons that share them; at least 1.
+ * @return connections to one runner that a daemon keeps while they rest. Half of its part: requests
+ *   under way need the rest, and a runner resets what is over its limit.
+ */
+std::size_t
+MostIdleConnections(std::uint32_t aTaken, std::size_t aDaemons);
+
 /** Kept connections to runners. */
 class upstream_pool
 {
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -7,6 +7,7 @@
 #include "forward/route_table.h"
 #include "forward/run_message.h"
 #include "forward/runner_table.h"
+#include "forward/upstream_connection.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -231,6 +232,19 @@
   CHECK(taken >= 1);
 }
 
+TEST_GROUP(connections){};
+
+TEST(connections, AllDaemonsTogetherKeepToWhatARunnerTakes)
+{
+  for (const std::size_t daemons : { 1U, 8U, 24U, 85U }) {
+    CHECK(MostIdleConnections(110, daemons) * daemons <= 110);
+    CHECK(MostIdleConnections(110, daemons) >= 1);
+  }
+  CHECK_EQUAL(8U, MostIdleConnections(10000, 8));
+  CHECK_EQUAL(6U, MostIdleConnections(110, 8));
+  CHECK_EQUAL(1U, MostIdleConnections(1, 1400));
+}
+
 TEST_GROUP(events){};
 
 TEST(events, OnlyWholeEventsPass)
@@ -269,6 +283,7 @@
   message.mBegun = { run };
   message.mEnded = { { 8 } };
   message.mOrdered = { { 10 } };
+  message.mRefused = { { 11, 12, 13 } };
   const instant theirs = 5s;
   const auto read = DecodeRunMessage(Encode(message, kNow), theirs);
   CHECK(read.has_value());
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -250,6 +250,45 @@
   CHECK_EQUAL(0U, mPlacement.RunCount());
 }
 
+TEST_GROUP(sizes)
+{
+  size_balance mSizes; ///< The balance under test.
+
+  void Note(int aTimes, double aSize, bool aServed)
+  {
+    for (int i = 0; i < aTimes; ++i) {
+      mSizes.Note(aSize, aServed);
+    }
+  }
+};
+
+TEST(sizes, LargeRequestsLeaveRoomWhileTheyAreServedLikeOthers)
+{
+  Note(100, 1.0, true);
+  CHECK(mSizes.PartLeft(1.0) < 0.05);
+  CHECK(mSizes.PartLeft(4.0) > 0.95);
+}
+
+TEST(sizes, SmallRequestsLeaveRoomOnceLargeOnesFallBehind)
+{
+  for (int i = 0; i < 60; ++i) {
+    Note(9, 1.0, true);
+    Note(1, 8.0, false);
+  }
+  CHECK(mSizes.Ratio() < 0.5);
+  CHECK(mSizes.PartLeft(0.5) > 0.9);
+  CHECK(mSizes.PartLeft(8.0) < 0.1);
+}
+
+TEST(sizes, RefusalsOfAllSizesAlikeChangeNothing)
+{
+  for (int i = 0; i < 200; ++i) {
+    Note(9, 1.0, i % 2 == 0);
+    Note(1, 8.0, i % 2 == 0);
+  }
+  CHECK(mSizes.Ratio() > 0.85);
+}
+
 TEST_GROUP(forecast){};
 
 TEST(forecast, ARunCountsLessTheLongerItHasOutlivedItsGuess)
