--- a/src/forward/forward_state.h
+++ b/src/forward/forward_state.h
@@ -38,7 +38,7 @@
   /** @return this daemon's budget of repeats for a service. */
   retry_budget& BudgetOf(const std::string& aService)
   {
-    const auto daemons = static_cast<double>(std::max<std::size_t>(mDaemons, kFewestDaemons));
+    const auto daemons = static_cast<double>(mMostDaemons);
     return mBudgets.try_emplace(aService, mSettings.mRetries, daemons).first->second;
   }
 
@@ -58,7 +58,20 @@
     LogEvent(aLevel, aEvent, std::move(aFields));
   }
 
-  /** The allowance is split among at least so many, since others may not be seen yet. */
+  /** Notes how many daemons are heard. One that is cut off hears few, so the most ever heard count.
+   */
+  void NoteDaemons(std::size_t aHeard)
+  {
+    mDaemons = aHeard;
+    if (aHeard > mMostDaemons) {
+      mMostDaemons = aHeard;
+      for (auto& [service, budget] : mBudgets) {
+        budget.SetDaemons(static_cast<double>(mMostDaemons));
+      }
+    }
+  }
+
+  /** The allowance is split among at least so many: a daemon that starts hears nobody yet. */
   static constexpr std::size_t kFewestDaemons = 8;
 
   asio::io_context& mIo;                        ///< Runs everything.
@@ -73,6 +86,7 @@
   http_pool mSideCalls;                         ///< Connections to runners, for side calls.
   std::map<std::string, retry_budget> mBudgets; ///< By service.
   std::mt19937_64 mRandom;                      ///< Spreads choices and times.
+  std::size_t mMostDaemons = kFewestDaemons;    ///< The most ever heard, or kFewestDaemons.
   std::size_t mDaemons = 1;                     ///< Daemons that take callers, as known.
   bool mStopping = false;                       ///< A planned stop is under way.
   instant mStopBy{ 0 };                         ///< End of the planned stop.
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -438,7 +438,7 @@
         LogEvent(log_level::eInfo, "daemon_silent", { { "daemon", gone.mName } });
         mState.mPlacement.ReplaceRuns(gone.mIncarnation.mValue, {}, now);
       }
-      mState.mDaemons = mMembers.CountServing();
+      mState.NoteDaemons(mMembers.CountServing());
       mState.mPool.SetMostIdle(MostIdle());
       SpawnGuarded(mState.mIo, CatchUp(now));
       mLogTotals = TickLogging();
--- a/src/forward/retry_budget.h
+++ b/src/forward/retry_budget.h
@@ -26,14 +26,16 @@
    * @param aDaemons daemons that share them; at least 1.
    */
   retry_budget(const retry_limits& aLimits, double aDaemons)
-    : mShare(aLimits.mShare * kCaution)
-    , mFixed(kCaution * aLimits.mAllowance / aDaemons / ToSeconds(aLimits.mWindow) / 2.0,
-             kCaution * aLimits.mAllowance / aDaemons / 2.0)
+    : mLimits(aLimits)
+    , mFixed(RateFor(aDaemons), BurstFor(aDaemons))
   {
   }
 
+  /** Sets how many daemons share the limits. */
+  void SetDaemons(double aDaemons) { mFixed.Reshape(RateFor(aDaemons), BurstFor(aDaemons)); }
+
   /** Notes a request's first send. */
-  void NoteRequest() { mEarned = std::min(mEarned + mShare, kMostEarned); }
+  void NoteRequest() { mEarned = std::min(mEarned + kCaution * mLimits.mShare, kMostEarned); }
 
   /**
    * @param aSends sends to be made beyond those that the request may make anyway.
@@ -55,7 +57,15 @@
    */
   static constexpr double kMostEarned = 10.0;
 
-  double mShare;        ///< Repeats earned by a request.
+  /** @return a daemon's part of half the allowance, spread over the window. */
+  double RateFor(double aDaemons) const { return BurstFor(aDaemons) / ToSeconds(mLimits.mWindow); }
+  /** @return a daemon's part of half the allowance, to be taken at once. */
+  double BurstFor(double aDaemons) const
+  {
+    return kCaution * mLimits.mAllowance / std::max(1.0, aDaemons) / 2.0;
+  }
+
+  retry_limits mLimits; ///< Of all daemons together.
   double mEarned = 0.0; ///< Repeats saved up; within 0 and kMostEarned.
   token_bucket mFixed;  ///< Part of the allowance: half at once, half over the window.
 };
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -219,6 +219,18 @@
   CHECK(taken >= 100);
 }
 
+TEST(budget, MoreDaemonsThatAreHeardLeaveASmallerPart)
+{
+  const retry_limits limits{ 0.0, 10s, 800.0 };
+  retry_budget budget(limits, 8.0);
+  budget.SetDaemons(80.0);
+  int taken = 0;
+  for (int i = 0; i < 100; ++i) {
+    taken += budget.Take(kNow) ? 1 : 0;
+  }
+  CHECK(taken <= 5); // Half of an eightieth of the allowance at once.
+}
+
 TEST(budget, APlacementAnewCountsForBothOfItsSends)
 {
   const retry_limits limits{ 0.0, 10s, 80.0 };
