--- /dev/null
+++ b/src/forward/daemon_link.h
@@ -0,0 +1,52 @@
+/**
+ * @file daemon_link.h
+ * What daemons tell each other, in datagrams: heartbeats of the member table, and runs. All of it
+ * is hints; a lost datagram is made good by the next heartbeat or digest.
+ */
+#pragma once
+
+#include "forward/forward_state.h"
+#include "members/member_base.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+namespace dunehook {
+
+/** The link of one daemon to all others. */
+class daemon_link
+{
+public:
+  explicit daemon_link(forward_state& aState);
+
+  /** Opens the sockets: heartbeats at the daemons' port, runs at the one behind it. */
+  result<void> Open();
+  /** Starts to send and to take. @param aReady tells whether this daemon takes callers. */
+  void Start(std::function<bool()> aReady);
+  /** Adds the seeds of the settings. */
+  void AddSeeds();
+  /** Tells all daemons that are heard of runs. */
+  void Tell(run_message aMessage);
+  /** Drops daemons that fell silent, with the runs that they told of. */
+  void Sweep(instant aNow);
+
+  member_table& Members() { return mMembers; }
+  const member_table& Members() const { return mMembers; }
+
+private:
+  using udp = asio::ip::udp;
+
+  asio::awaitable<void> SendHeartbeats();
+  asio::awaitable<void> SendDigests();
+  asio::awaitable<void> TakeHeartbeats();
+  asio::awaitable<void> TakeRuns();
+  void Apply(const run_message& aMessage, instant aNow);
+  void SendTo(udp::socket& aSocket, const std::string& aData, const endpoint& aTo);
+
+  forward_state& mState;        ///< Shared.
+  member_table mMembers;        ///< The other daemons.
+  udp::socket mHeartbeats;      ///< Heartbeats.
+  udp::socket mRuns;            ///< Run messages.
+  std::function<bool()> mReady; ///< Whether this daemon takes callers.
+};
+
+} // namespace dunehook
--- a/src/forward/role_keeper.h
+++ b/src/forward/role_keeper.h
@@ -8,6 +8,7 @@
 #include "core/log_func.h"
 #include "forward/forward_state.h"
 #include "forward/role_plan.h"
+#include "forward/role_timing.h"
 #include "forward/wire_type.h"
 
 namespace dunehook {
@@ -20,10 +21,6 @@
 /** Longest wait for an engine's answer to an order. */
 inline constexpr duration kOrderTime = std::chrono::milliseconds(500);
 
-/** An engine that took an order gets no work until its entry changes, or for this long: its runs
- * end first, and then it's out of work for some seconds. */
-inline constexpr duration kLongestChange = std::chrono::seconds(20);
-
 /** What the keeper needs to know of the other daemons. */
 struct role_peers
 {
@@ -140,7 +137,7 @@
     LogEvent(log_level::eInfo,
              "role_ordered",
              { { "runner", order.mRunnerName },
-               { "role", order.mRole == engine_role::ePrefill ? "prefill" : "decode" },
+               { "role", RoleName(order.mRole) },
                { "term", order.mTerm },
                { "status", status } });
   }
--- a/src/forward/runner_type.h
+++ b/src/forward/runner_type.h
@@ -23,6 +23,21 @@
   eDecode,  ///< Generates tokens.
 };
 
+/** @return the role's name in records. */
+inline std::string_view
+RoleName(engine_role aRole)
+{
+  switch (aRole) {
+    case engine_role::eNone:
+      return "none";
+    case engine_role::ePrefill:
+      return "prefill";
+    case engine_role::eDecode:
+      return "decode";
+  }
+  return "unknown";
+}
+
 /** A runner's entry in the discovery. */
 struct runner_entry
 {
