--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -301,6 +301,16 @@
   CHECK_EQUAL(0, first.value("holds", 0) + second.value("holds", 0));
 }
 
+TEST(gateway, ACallersLeaveIsNotBlamedOnTheEngine)
+{
+  mBed.StartUsual();
+  mBed.SetRunner("decode-1", { { "step_ms", 50 } });
+  mBed.SetRunner("decode-2", { { "step_ms", 50 } });
+  Call(mBed.Callers(), "POST", "/turns/a", "prompt", GenerationHeaders("g1", 2000, 200), 400);
+  CHECK(mBed.Daemon().WaitForLine("caller_left") != "");
+  CHECK(mBed.Daemon().Output().find("generation_broke") == std::string::npos);
+}
+
 TEST(gateway, ADrainingRunnerGetsNoNewWork)
 {
   mBed.StartUsual();
