Codechange: [Forward] side calls to engines and the ends of a plain send stand by themselves

Cause: generation_call.h held the calls beside the request, and one function judged every end of a plain send. Ruled out: moving the placement out too (it shares the request's state). Change: engine_calls; AfterRefusal, AfterLoss, PassAnswer.

--- /dev/null
+++ b/src/forward/engine_calls.h
@@ -0,0 +1,65 @@
+/**
+ * @file engine_calls.h
+ * Calls to engines beside the requests themselves: reservations, and freeing what isn't needed.
+ */
+#pragma once
+
+#include "core/log_func.h"
+#include "forward/forward_state.h"
+#include "forward/wire_type.h"
+
+namespace dunehook {
+
+/** Longest wait for a reservation or a release: the engine answers at once. */
+inline constexpr duration kSideCallTime = std::chrono::milliseconds(250);
+
+/** The calls. Each may be repeated: what a lost answer reserved lapses by itself. */
+template<wire_format Wire>
+class engine_calls
+{
+public:
+  explicit engine_calls(forward_state& aState)
+    : mState(aState)
+  {
+  }
+
+  /**
+   * Reserves a place to generate.
+   * @return the reservation, eRunnerRefused if the engine has no room, or why it isn't known.
+   */
+  asio::awaitable<result<reservation>> Reserve(endpoint aAt, std::uint32_t aTokens, duration aLife)
+  {
+    const http_call call = Wire::ReserveCall(aTokens, aLife);
+    BOOST_OUTCOME_CO_TRY(const http_answer answer,
+                         co_await mState.mSideCalls.Call(aAt, call, kSideCallTime));
+    if (answer.mStatus != 200) {
+      co_return make_error_code(errc::eRunnerRefused);
+    }
+    co_return Wire::ReadReservation(answer.mBody);
+  }
+
+  /** Gives a reservation back; nobody waits for the answer. */
+  void Release(const endpoint& aAt, const reservation& aReservation)
+  {
+    SpawnGuarded(mState.mIo, SendLater(mState, aAt, Wire::ReleaseCall(aReservation)));
+  }
+
+  /** Frees a prefill result; nobody waits for the answer. */
+  void Free(const endpoint& aAt, const prefill_result& aResult)
+  {
+    SpawnGuarded(mState.mIo, SendLater(mState, aAt, Wire::FreePrefillCall(aResult)));
+  }
+
+private:
+  static asio::awaitable<void> SendLater(forward_state& aState, endpoint aAt, http_call aCall)
+  {
+    const result<http_answer> answer = co_await aState.mSideCalls.Call(aAt, aCall, kSideCallTime);
+    if (!answer) { // The engine's own limit ends what it was to free.
+      LogEvent(log_level::eInfo, "release_unanswered", { { "at", ToText(aAt) } });
+    }
+  }
+
+  forward_state& mState; ///< Shared.
+};
+
+} // namespace dunehook
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include "forward/engine_calls.h"
 #include "forward/event_splitter.h"
 #include "forward/upstream_send.h"
 
@@ -22,8 +23,6 @@
 inline constexpr std::uint32_t kLeastLeft = 64;
 /** Part of the most tokens that is expected where the caller has no guess. */
 inline constexpr double kNoGuessShare = 0.5;
-/** Longest wait for a reservation or a release: the engine answers at once. */
-inline constexpr duration kSideCallTime = std::chrono::milliseconds(250);
 /** A reservation outlives the expected end of the read by this. */
 inline constexpr duration kReservationSlack = std::chrono::milliseconds(600);
 /** An engine that had no room isn't asked again before this. */
@@ -47,6 +46,7 @@
                   const forward_service& aService,
                   instant aArrived)
     : mState(aState)
+    , mEngines(aState)
     , mExchange(std::move(aExchange))
     , mFacts(std::move(aFacts))
     , mRoutes(std::move(aRoutes))
@@ -197,29 +197,10 @@
       co_return true;
     }
     const duration life = std::min(mChoice.mUntilRead + kReservationSlack, mTraits.mLongestHold);
-    const http_call call = Wire::ReserveCall(mState.mPlacement.ReservedTokens(mDemand), life);
-    const result<http_answer> answer = co_await SideCall(mDecodeAt, call);
-    if (!answer || answer.value().mStatus != 200) {
-      const bool reached = answer.has_value();
-      mState.mPlacement.NoteFull(mChoice.mDecode, mState.Now() + kFullRest);
-      if (!reached) {
-        mState.mRunners.NoteOutcome(mChoice.mDecode, send_outcome::eUnreachable, mState.Now());
-      }
-      ++mRefusals;
-      mState.mMetrics.CountPlace(reached ? "refused" : "unreachable");
-      mState.LogDecision(log_level::eWarning,
-                         "reservation_refused",
-                         mFacts.mId,
-                         { { "runner", mDecodeName },
-                           { "reached", reached },
-                           { "tokens", mState.mPlacement.ReservedTokens(mDemand) },
-                           { "expected_peak", mChoice.mPeakShare } });
-      Forget();
-      co_return false;
-    }
-    const result<reservation> granted = Wire::ReadReservation(answer.value().mBody);
+    const std::uint32_t tokens = mState.mPlacement.ReservedTokens(mDemand);
+    const result<reservation> granted = co_await mEngines.Reserve(mDecodeAt, tokens, life);
     if (!granted) {
-      LogEvent(log_level::eWarning, "reservation_unreadable", { { "runner", mDecodeName } });
+      NoteNoReservation(granted.error(), tokens);
       Forget();
       co_return false;
     }
@@ -229,6 +210,25 @@
     co_return true;
   }
 
+  /** Notes that the decode engine didn't reserve a place. */
+  void NoteNoReservation(const std::error_code& aError, std::uint32_t aTokens)
+  {
+    const bool reached = aError == errc::eRunnerRefused || aError == errc::eBadRequest;
+    ++mRefusals;
+    mState.mPlacement.NoteFull(mChoice.mDecode, mState.Now() + kFullRest);
+    if (!reached) {
+      mState.mRunners.NoteOutcome(mChoice.mDecode, send_outcome::eUnreachable, mState.Now());
+    }
+    mState.mMetrics.CountPlace(reached ? "refused" : "unreachable");
+    mState.LogDecision(log_level::eWarning,
+                       "reservation_refused",
+                       mFacts.mId,
+                       { { "runner", mDecodeName },
+                         { "reached", reached },
+                         { "tokens", aTokens },
+                         { "expected_peak", mChoice.mPeakShare } });
+  }
+
   void Tell(const run_record& aRun)
   {
     mTold = true;
@@ -237,36 +237,10 @@
     mState.mTell(std::move(message));
   }
 
-  /** Makes a side call on a kept connection; it may be repeated, since a lost one only lapses. */
-  asio::awaitable<result<http_answer>> SideCall(const endpoint& aTo, const http_call& aCall)
-  {
-    return SideCallTo(mState, aTo, aCall);
-  }
-
-  static asio::awaitable<result<http_answer>> SideCallTo(forward_state& aState,
-                                                         endpoint aTo,
-                                                         http_call aCall)
-  {
-    co_return co_await aState.mSideCalls.Call(aTo, aCall, kSideCallTime);
-  }
-
-  /** Makes a side call whose answer nobody waits for: if it's lost, the engine's own limit ends
-   * what it was to free. */
-  void SideCallLater(const endpoint& aTo, const http_call& aCall)
-  {
-    SpawnGuarded(mState.mIo,
-                 [](forward_state& aState, endpoint aAt, http_call aFree) -> asio::awaitable<void> {
-                   const result<http_answer> answer = co_await SideCallTo(aState, aAt, aFree);
-                   if (!answer) {
-                     LogEvent(log_level::eInfo, "release_unanswered", { { "at", ToText(aAt) } });
-                   }
-                 }(mState, aTo, aCall));
-  }
-
   void ReleaseReservation()
   {
     if (!mReservation.mId.empty()) {
-      SideCallLater(mDecodeAt, Wire::ReleaseCall(mReservation));
+      mEngines.Release(mDecodeAt, mReservation);
       mReservation = {};
     }
   }
@@ -357,7 +331,7 @@
     mState.mMetrics.CountPromptTokens("read", mDemand.mPromptTokens);
     mState.mPlacement.NoteRead(id, mChoice.mUntilRead, mState.Now() - began);
     if (mExchange->Gone()) {
-      SideCallLater(address, Wire::FreePrefillCall(read.value()));
+      mEngines.Free(address, read.value());
     }
     co_return Join(ToText(address), "/", read.value().mHandle);
   }
@@ -644,6 +618,7 @@
   static constexpr std::size_t kMostPrefillAnswer = 65536;
 
   forward_state& mState;                      ///< Shared.
+  engine_calls<Wire> mEngines;                ///< Calls beside the request.
   caller_exchange_ptr mExchange;              ///< The caller's side.
   request_facts mFacts;                       ///< Of the request's head.
   std::shared_ptr<const route_table> mRoutes; ///< Keeps mRoute and mService alive.
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -144,43 +144,67 @@
       Note(aRunner, send_outcome::eAbandoned);
       co_return false;
     }
-    if (aAnswer.mEnd == send_end::eNotRun) {
-      Note(aRunner, OutcomeOf(aAnswer));
-      if (TakeRepeat()) {
-        co_return true;
-      }
-      co_await GiveUp("runner_refused");
-      co_return false;
-    }
     const bool success = aAnswer.mFacts.mStatus < 300;
     if (aAnswer.mEnd == send_end::eAnswered && success && !aAnswer.mFacts.mHasReceipt) {
       aAnswer.mEnd = send_end::eUnknown; // Not the runner's own answer.
     }
-    if (aAnswer.mEnd == send_end::eUnknown) {
-      Note(aRunner, OutcomeOf(aAnswer));
-      mState.LogDecision(log_level::eWarning,
-                         "answer_lost",
-                         mFacts.mId,
-                         { { "runner", mRunnerName },
-                           { "outcome", OutcomeName(OutcomeOf(aAnswer)) },
-                           { "may_repeat", MayRepeat() },
-                           { "sends", mSends } });
-      mUnknown = true;
-      if (MayRepeat() && TakeRepeat()) {
-        co_return true;
-      }
-      co_await GiveUp(aAnswer.mTimedOut ? "runner_silent" : "answer_broken");
-      co_return false;
+    bool again = false;
+    if (aAnswer.mEnd == send_end::eNotRun) {
+      again = co_await AfterRefusal(aRunner, aAnswer);
+    } else if (aAnswer.mEnd == send_end::eUnknown) {
+      again = co_await AfterLoss(aRunner, aAnswer);
+    } else {
+      again = co_await PassAnswer(aRunner, aAnswer, body);
+    }
+    co_return again;
+  }
+
+  /** The runner didn't run the request. @return whether to try another. */
+  asio::awaitable<bool> AfterRefusal(service_runner_id aRunner, const upstream_answer& aAnswer)
+  {
+    Note(aRunner, OutcomeOf(aAnswer));
+    if (TakeRepeat()) {
+      co_return true;
     }
-    Note(aRunner, aAnswer.mFacts.mStatus < 500 ? send_outcome::eServed : send_outcome::eFailed);
+    co_await GiveUp("runner_refused");
+    co_return false;
+  }
+
+  /** The request may have run, and there's no whole answer. @return whether to try another. */
+  asio::awaitable<bool> AfterLoss(service_runner_id aRunner, const upstream_answer& aAnswer)
+  {
+    Note(aRunner, OutcomeOf(aAnswer));
+    mState.LogDecision(log_level::eWarning,
+                       "answer_lost",
+                       mFacts.mId,
+                       { { "runner", mRunnerName },
+                         { "outcome", OutcomeName(OutcomeOf(aAnswer)) },
+                         { "may_repeat", MayRepeat() },
+                         { "sends", mSends } });
+    mUnknown = true;
+    if (MayRepeat() && TakeRepeat()) {
+      co_return true;
+    }
+    co_await GiveUp(aAnswer.mTimedOut ? "runner_silent" : "answer_broken");
+    co_return false;
+  }
+
+  /** Passes a whole answer on, unless it's a failure that another runner may mend. */
+  asio::awaitable<bool> PassAnswer(service_runner_id aRunner,
+                                   const upstream_answer& aAnswer,
+                                   const std::string& aBody)
+  {
+    const bool failed = aAnswer.mFacts.mStatus >= 500;
+    Note(aRunner, failed ? send_outcome::eFailed : send_outcome::eServed);
     LogAnswer(aAnswer.mFacts.mStatus);
-    if (aAnswer.mFacts.mStatus >= 500 && MayRepeat() && TakeRepeat()) {
-      mFailure.emplace(failure_answer{ aAnswer.mFacts.mStatus, aAnswer.mHead, body });
+    if (failed && MayRepeat() && TakeRepeat()) {
+      mFailure.emplace(failure_answer{ aAnswer.mFacts.mStatus, aAnswer.mHead, aBody });
       co_return true;
     }
+    const bool success = aAnswer.mFacts.mStatus < 300;
     mState.mMetrics.CountRequest(
       mRoute.mName, success ? "served" : "failed", success ? "" : "runner_failure");
-    co_await mExchange->Answer(aAnswer.mFacts.mStatus, aAnswer.mHead, body);
+    co_await mExchange->Answer(aAnswer.mFacts.mStatus, aAnswer.mHead, aBody);
     co_return false;
   }
 
