Fix: [Platform] another daemon's trouble with the store keeps no runner that is gone

Change: only a daemon's own calls tell it that the store was away; the datagram no longer says so. Found beside it: a runner that is gone was dropped before its line was written; it's dropped at the next tick now.

Figures: test WhatAnotherDaemonSaysOfTheStoreKeepsNoRunnerThatIsGone fails before (the first request went to the runner that was gone) and passes after.

--- a/src/forward/run_message.cpp
+++ b/src/forward/run_message.cpp
@@ -63,7 +63,7 @@
   }
   json store;
   if (aMessage.mStore) {
-    store = { aMessage.mStore->mRunners, aMessage.mStore->mConfig, aMessage.mStore->mWasAway };
+    store = { aMessage.mStore->mRunners, aMessage.mStore->mConfig };
   }
   const std::vector<std::uint8_t> bytes = json::to_cbor(json::array({ aMessage.mDaemon,
                                                                       aMessage.mDigest,
@@ -101,9 +101,7 @@
     }
     const json& store = body.at(6);
     if (!store.is_null()) {
-      message.mStore = { store.at(0).get<std::uint64_t>(),
-                         store.at(1).get<std::uint64_t>(),
-                         store.at(2).get<bool>() };
+      message.mStore = { store.at(0).get<std::uint64_t>(), store.at(1).get<std::uint64_t>() };
     }
     return message.mDaemon == 0 ? std::nullopt : std::optional<run_message>(message);
   } catch (const json::exception&) {
--- a/src/forward/run_message.h
+++ b/src/forward/run_message.h
@@ -28,7 +28,6 @@
 {
   std::uint64_t mRunners = 0; ///< Position of the runners' list.
   std::uint64_t mConfig = 0;  ///< Version of the configuration in force there.
-  bool mWasAway = false;      ///< The store was away lately: entries may have lapsed unasked.
 
   auto operator<=>(const store_position&) const = default;
 };
--- a/src/forward/runner_table.cpp
+++ b/src/forward/runner_table.cpp
@@ -87,17 +87,23 @@
       changed.push_back(id);
     }
   }
-  Forget(aNow, aAway);
+  MarkGone(aNow, aAway);
   return changed;
 }
 
 void
-runner_table::Forget(instant aNow, bool aAway)
+runner_table::MarkGone(instant aNow, bool aAway)
 {
   for (auto& [id, state] : mRunners) {
     const bool lapseOver = !aAway || aNow - state.mUnlistedAt > kLapseGrace;
     state.mGone = state.mGone || (!state.mListed && lapseOver);
   }
+}
+
+void
+runner_table::Forget(instant aNow, bool aAway)
+{
+  MarkGone(aNow, aAway);
   std::erase_if(mRunners,
                 [](const auto& aRow) { return aRow.second.mGone && aRow.second.mUnderWay == 0; });
 }
--- a/src/forward/runner_table.h
+++ b/src/forward/runner_table.h
@@ -91,6 +91,9 @@
   std::uint64_t End() const { return mEnd; }
 
 private:
+  /** Marks runners as gone that are missing for longer than a lapse may last. */
+  void MarkGone(instant aNow, bool aAway);
+
   std::unordered_map<service_runner_id, runner_state> mRunners; ///< By id.
   std::uint64_t mEnd = 0; ///< Position of the newest read; never goes down.
 };
--- a/src/forward/store_follower.h
+++ b/src/forward/store_follower.h
@@ -56,13 +56,9 @@
   bool Known() const { return mState.mRoutes && mRunnersKnown; }
   /** @return whether the last call was answered. */
   bool Answers() const { return mAnswers; }
-  /** @return whether the store was away lately, so that entries may have lapsed unasked. */
-  bool WasAway() const
-  {
-    const instant now = mState.Now();
-    const bool told = mState.mToldStore.mWasAway && now - mState.mToldStoreAt < kStoreBackFor;
-    return told || (mAwayAt != instant{ 0 } && now - mAwayAt < kStoreBackFor);
-  }
+  /** @return whether the store was away lately, so that entries may have lapsed unasked. Only this
+   * daemon's own calls count: another may be cut off from a store that is well. */
+  bool WasAway() const { return mAwayAt != instant{ 0 } && mState.Now() - mAwayAt < kStoreBackFor; }
   /** @return when the configuration came into force. */
   instant ConfigSince() const { return mConfigSince; }
 
@@ -102,8 +98,7 @@
       return;
     }
     run_message message;
-    message.mStore =
-      store_position{ mState.mRunners.End(), mState.mRoutes->Config().mVersion, WasAway() };
+    message.mStore = store_position{ mState.mRunners.End(), mState.mRoutes->Config().mVersion };
     mLink.Tell(std::move(message));
   }
 
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -4,6 +4,8 @@
  */
 #include "tests/platform/fleet_bed.h"
 
+#include <boost/asio/ip/udp.hpp>
+
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -272,6 +274,17 @@
   return Control("holds", "").at(aId);
 }
 
+void
+fleet_bed::SendToRuns(const std::vector<std::uint8_t>& aData, std::size_t aDaemon) const
+{
+  asio::io_context io(1);
+  using udp = asio::ip::udp;
+  udp::socket socket(io, udp::v4());
+  const udp::endpoint at(asio::ip::make_address(Host(aDaemon)),
+                         static_cast<std::uint16_t>(mPort + 1));
+  socket.send_to(asio::buffer(aData), at);
+}
+
 std::uint64_t
 fleet_bed::StoreCalls() const
 {
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -55,6 +55,8 @@
   std::vector<json> Seen(const std::string& aRequest = "") const;
   /** @return the runner's reservations and open requests. */
   json Holds(const std::string& aId) const;
+  /** Sends a datagram to where a daemon takes run messages. */
+  void SendToRuns(const std::vector<std::uint8_t>& aData, std::size_t aDaemon = 0) const;
   /** @return calls to the store so far. */
   std::uint64_t StoreCalls() const;
   /** @return records in the topic of terms. */
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -323,6 +323,22 @@
   }
 }
 
+TEST(gateway, WhatAnotherDaemonSaysOfTheStoreKeepsNoRunnerThatIsGone)
+{
+  mBed.StartUsual();
+  // Another daemon tells that it could not reach the store lately: its own trouble.
+  const json store{ 1, 1, true };
+  mBed.SendToRuns(json::to_cbor(
+    json::array({ 77, false, json::array(), json::array(), json::array(), json::array(), store })));
+  mBed.List("desk-1", "");
+  CHECK(mBed.Daemon().WaitForLine("\"listed\":false") != "");
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    CHECK_EQUAL(200U, Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders(id)).mStatus);
+    CHECK_EQUAL("desk-2", mBed.Seen(id).at(0).value("runner", ""));
+  }
+}
+
 TEST(gateway, AnEntryThatIsOutOfDateIsAskedOnce)
 {
   mBed.StartUsual();
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -296,7 +296,7 @@
   message.mEnded = { { 8 } };
   message.mOrdered = { { 10 } };
   message.mRefused = { { 11, 12, 13 } };
-  message.mStore = store_position{ 14, 15, true };
+  message.mStore = store_position{ 14, 15 };
   const instant theirs = 5s;
   const auto read = DecodeRunMessage(Encode(message, kNow), theirs);
   CHECK(read.has_value());
