Fix: [Demo] the scripts look for log lines where they are

Ruled out: the daemons (they started and stopped as planned). Change: both streams go into the daemon's file, in both scripts.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -36,7 +36,7 @@
 log = "$platform"
 host_list = "$platform"
 TOML
-  "$build/src/dunehookd" --settings="$work/daemon$n.toml" 2>"$work/daemon$n.log" &
+  "$build/src/dunehookd" --settings="$work/daemon$n.toml" >"$work/daemon$n.log" 2>&1 &
   pids+=($!)
   for _ in $(seq 200); do
     grep -q '"event":"listening"' "$work/daemon$n.log" 2>/dev/null && break
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -15,7 +15,7 @@
   local n=$1
   printf '[daemon]\nname = "entry-%s"\nhall = "h"\n[callers]\nlisten = "127.0.0.1:0"\n[operators]\nlisten = "127.0.0.1:0"\ntoken_file = "%s"\n[peers]\nlisten = "127.0.0.1:0"\nsecret_file = "%s"\n[platform]\nlog = "%s"\nhost_list = "%s"\n' \
     "$n" "$work/secret" "$work/secret" "$platform" "$platform" >"$work/$n.toml"
-  "$build/src/dunehookd" --settings="$work/$n.toml" 2>"$work/$n.log" &
+  "$build/src/dunehookd" --settings="$work/$n.toml" >"$work/$n.log" 2>&1 &
   pids+=($!)
   printf -v "pid$n" '%s' "$!"
   until grep -q '"event":"listening"' "$work/$n.log" 2>/dev/null; do sleep 0.02; done
