Change: [Forward] a read is repeated at its engine, costs no repeats if unsent, and its result is kept

Change: prompt_read and generation_place stand by themselves (generation_call.h 653 -> 460 lines); a lost answer to a read is asked for once more at the same engine; what wasn't sent costs nothing; a result that no engine took is handed to another; a request at the start waits up to 25 ms.

--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -92,6 +92,10 @@
       [&] {
         return Join("engine ", text("runner"), " did not reserve ", text("tokens"), " tokens");
       } },
+    { "prefill_repeated",
+      [&] {
+        return Join("engine ", text("runner"), " was asked again for a read whose answer was lost");
+      } },
     { "prefill_failed",
       [&] {
         return Join("engine ",
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -159,6 +159,10 @@
   {
     const instant arrived = mState.Now();
     const request_facts facts = Wire::ReadRequest(aExchange->Request());
+    const instant startedBy = arrived + kStartWait;
+    while (!mFollower.Known() && mState.Now() < startedBy) {
+      co_await Sleep(kLookAtStart);
+    }
     if (!mFollower.Known()) {
       mState.mMetrics.CountRequest("none", "refused", "starting");
       mState.LogDecision(log_level::eWarning,
@@ -273,6 +277,11 @@
     mState.mIo.stop();
   }
 
+  /** A request waits so long for the first configuration, which comes some 15 ms after the start of
+   * a daemon whose store is well: less than a quarter of the shortest latency target seen. */
+  static constexpr duration kStartWait = std::chrono::milliseconds(25);
+  /** Time between looks for the first configuration. */
+  static constexpr duration kLookAtStart = std::chrono::milliseconds(5);
   /** A caller of a daemon that starts may come back then. */
   static constexpr duration kStartComeBack = std::chrono::milliseconds(500);
 
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -6,29 +6,18 @@
  */
 #pragma once
 
-#include "forward/engine_calls.h"
 #include "forward/event_splitter.h"
-#include "forward/upstream_send.h"
+#include "forward/generation_place.h"
+#include "forward/prompt_read.h"
 
 namespace dunehook {
 
-/** Part of the latency target in which a request may wait for a place: later, a refusal costs the
- * caller its chance to be on time elsewhere. */
-inline constexpr double kWaitShare = 0.2;
-/** Time between looks for a place while a request waits. */
-inline constexpr duration kLookAgain = std::chrono::milliseconds(15);
 /** Kept off the latency target for the way to the caller. */
 inline constexpr duration kWayToCaller = std::chrono::milliseconds(30);
 /** A resumed answer is expected to go on for so many tokens at least. */
 inline constexpr std::uint32_t kLeastLeft = 64;
 /** Part of the most tokens that is expected where the caller has no guess. */
 inline constexpr double kNoGuessShare = 0.5;
-/** A reservation outlives the expected end of the read by this. */
-inline constexpr duration kReservationSlack = std::chrono::milliseconds(600);
-/** An engine that had no room isn't asked again before this. */
-inline constexpr duration kFullRest = std::chrono::milliseconds(60);
-/** A read that takes this much longer than expected is given up. */
-inline constexpr duration kReadSlack = std::chrono::milliseconds(900);
 /** Earliest and latest time for a refused caller to come back, beside the expected free time. */
 inline constexpr duration kEarliestComeBack = std::chrono::milliseconds(1500);
 inline constexpr duration kComeBackSpread = std::chrono::milliseconds(3000);
@@ -46,7 +35,6 @@
                   const forward_service& aService,
                   instant aArrived)
     : mState(aState)
-    , mEngines(aState)
     , mExchange(std::move(aExchange))
     , mFacts(std::move(aFacts))
     , mRoutes(std::move(aRoutes))
@@ -55,6 +43,8 @@
     , mTraits(*aService.mEngines)
     , mArrived(aArrived)
     , mDeadline(aArrived + std::min(aRoute.mTimeout, mFacts.mTimeLeft.value_or(aRoute.mTimeout)))
+    , mPlace(aState, *mExchange, mFacts.mId)
+    , mRead(aState, *mExchange, mFacts.mId)
   {
     mDemand.mRun = { HashBytes(mFacts.mId) | 1U };
     mDemand.mService = aService.mName;
@@ -77,19 +67,25 @@
     bool again = true;
     while (again && !mExchange->Gone()) {
       again = co_await TryOnce();
-      Forget();
+      mPlace.Forget();
     }
   }
 
 private:
   duration TimeLeft() const { return mDeadline - mState.Now(); }
 
-  /** @return whether the request may be placed anew, which sends it to a reader and a generator. */
-  bool TakeReplacement()
+  /**
+   * @param aSends sends that the service will see beyond those of a request that goes well.
+   * @return whether the request may be placed anew.
+   */
+  bool TakeReplacement(double aSends)
   {
-    const bool allowed = mState.BudgetOf(mService.mName).Take(mState.Now(), kSendsOfPlacement);
+    if (aSends <= 0.0) {
+      return true;
+    }
+    const bool allowed = mState.BudgetOf(mService.mName).Take(mState.Now(), aSends);
     if (allowed) {
-      mState.mMetrics.CountRepeats(mService.mName, kSendsOfPlacement);
+      mState.mMetrics.CountRepeats(mService.mName, aSends);
     }
     return allowed;
   }
@@ -113,166 +109,61 @@
     mDemand.mMostTokens = mDemand.mMostTokens > 0 ? left(mDemand.mMostTokens) : 0;
   }
 
-  /** Counts the prompt's tokens as thrown away, if it was read. */
-  void ThrowAway(std::string_view aWhy)
-  {
-    if (mRead) {
-      mState.mMetrics.CountPromptTokens(aWhy, mDemand.mPromptTokens);
-      mRead = false;
-    }
-  }
-
-  /** Takes the run out of the table and tells the others. */
-  void Forget()
+  /** One placement and its run. @return whether to go on with another. */
+  asio::awaitable<bool> TryOnce()
   {
-    if (!mPlaced) {
-      return;
+    const instant firstEventBy =
+      mStarted ? mDeadline : mArrived + mRoute.mFirstAnswer - kWayToCaller;
+    const instant waitUntil = mArrived + FromSeconds(ToSeconds(mRoute.mFirstAnswer) * kWaitShare);
+    const bool found = co_await mPlace.Find(mDemand, mTraits, firstEventBy, waitUntil);
+    if (!found) {
+      mRead.ThrowAway("no_place");
+      co_await GiveUp(mPrefillFailed ? "prefill_failed" : ReasonName(mPlace.NoPlace()));
+      co_return false;
     }
-    mPlaced = false;
-    mState.mPlacement.End(mDemand.mRun);
-    if (mTold) {
-      mTold = false;
-      run_message message;
-      message.mEnded.push_back(mDemand.mRun);
-      mState.mTell(std::move(message));
+    const bool hasResult = mRead.Usable(mTraits.mResultLifetime, DecodeVersion());
+    if (!hasResult) {
+      mRead.ThrowAway("result_lapsed");
     }
-  }
-
-  /** Looks for a place, waiting a little if there's none. @return false if it was refused. */
-  asio::awaitable<bool> FindPlace()
-  {
-    const instant waitUntil = mArrived + FromSeconds(ToSeconds(mRoute.mFirstAnswer) * kWaitShare);
-    for (;;) {
-      const instant now = mState.Now();
-      mDemand.mFirstEventWithin =
-        mStarted ? TimeLeft() : mArrived + mRoute.mFirstAnswer - kWayToCaller - now;
-      const placement_answer answer =
-        mState.mPlacement.Choose(mDemand, mTraits, mState.mRunners, now);
-      if (answer.mChoice) {
-        mChoice = *answer.mChoice;
-        const bool reserved = co_await ReservePlace();
-        if (reserved) {
+    if (!hasResult && mPlace.Choice().mPrefill) {
+      const bool read = co_await ReadPrompt();
+      if (!read) {
+        mPlace.Release();
+        const bool again = !mExchange->Gone() && TakeReplacement(mSendsForRead);
+        if (again && ++mReads <= kMostReads) {
           co_return true;
         }
-        if (mExchange->Gone()) {
-          co_return false;
-        }
-      }
-      const duration wait =
-        std::max<duration>(kLookAgain, std::min(answer.mFreeIn, kLookAgain * 3));
-      if (mState.Now() + wait > waitUntil) {
-        mComeBackIn = answer.mFreeIn;
-        mNoPlace = answer.mChoice ? no_place::eNoMemory : answer.mReason;
-        co_return false;
-      }
-      co_await Sleep(wait);
-      if (mExchange->Gone()) {
+        co_await GiveUp("prefill_failed");
         co_return false;
       }
     }
+    co_return co_await Generate();
   }
 
-  /** Notes the run in the table and reserves its place at the engine. */
-  asio::awaitable<bool> ReservePlace()
-  {
-    const runner_state* const decode = mState.mRunners.Find(mChoice.mDecode);
-    if (decode == nullptr) {
-      co_return false;
-    }
-    mDecodeAt = decode->mEntry.mAddress;
-    mDecodeName = decode->mEntry.mName;
-    mReservation = {};
-    run_record run;
-    run.mRun = mDemand.mRun;
-    run.mDecode = mChoice.mDecode;
-    run.mPrefill = mChoice.mPrefill.value_or(service_runner_id{});
-    run.mPromptTokens = mDemand.mPromptTokens;
-    run.mAnswerTokens = mDemand.mAnswerTokens;
-    run.mMostTokens = mDemand.mMostTokens;
-    run.mSeen = mState.Now() + mChoice.mUntilRead;
-    mState.mPlacement.Begin(run, mState.Now());
-    mPlaced = true;
-    if (!mState.mSettings.mPlacement.mReserve) {
-      Tell(run);
-      co_return true;
-    }
-    const duration life = std::min(mChoice.mUntilRead + kReservationSlack, mTraits.mLongestHold);
-    const std::uint32_t tokens = mState.mPlacement.ReservedTokens(mDemand);
-    const result<reservation> granted = co_await mEngines.Reserve(mDecodeAt, tokens, life);
-    if (!granted) {
-      NoteNoReservation(granted.error(), tokens);
-      Forget();
-      co_return false;
-    }
-    mReservation = granted.value();
-    mState.mMetrics.CountPlace("granted");
-    Tell(run);
-    co_return true;
-  }
-
-  /** Notes that the decode engine didn't reserve a place. */
-  void NoteNoReservation(const std::error_code& aError, std::uint32_t aTokens)
-  {
-    const bool reached = aError == errc::eRunnerRefused || aError == errc::eBadRequest;
-    ++mRefusals;
-    mState.mPlacement.NoteFull(mChoice.mDecode, mState.Now() + kFullRest);
-    if (!reached) {
-      mState.mRunners.NoteOutcome(mChoice.mDecode, send_outcome::eUnreachable, mState.Now());
-    }
-    mState.mMetrics.CountPlace(reached ? "refused" : "unreachable");
-    mState.LogDecision(log_level::eWarning,
-                       "reservation_refused",
-                       mFacts.mId,
-                       { { "runner", mDecodeName },
-                         { "reached", reached },
-                         { "tokens", aTokens },
-                         { "expected_peak", mChoice.mPeakShare } });
-  }
-
-  void Tell(const run_record& aRun)
-  {
-    mTold = true;
-    run_message message;
-    message.mBegun.push_back(aRun);
-    mState.mTell(std::move(message));
-  }
-
-  void ReleaseReservation()
+  /** @return the version of the weights at the chosen decode engine. */
+  std::uint64_t DecodeVersion() const
   {
-    if (!mReservation.mId.empty()) {
-      mEngines.Release(mDecodeAt, mReservation);
-      mReservation = {};
-    }
+    const runner_state* const decode = mState.mRunners.Find(mPlace.Choice().mDecode);
+    return decode == nullptr ? 0 : decode->mEntry.VersionOf(mDemand.mModel);
   }
 
-  /** One placement and its run. @return whether to go on with another. */
-  asio::awaitable<bool> TryOnce()
+  /** Has the chosen prefill engine read the prompt. @return whether there's a result to hand over. */
+  asio::awaitable<bool> ReadPrompt()
   {
-    const bool found = co_await FindPlace();
-    if (!found) {
-      co_await GiveUp(mPrefillFailed ? "prefill_failed" : ReasonName(mNoPlace));
+    const send_plan plan = PlanFor(std::string());
+    const read_end end = co_await mRead.Read(
+      mPlace.Choice(), plan, mDemand, [this] { return TakeReplacement(1.0); });
+    if (mExchange->Gone()) {
+      mRead.ThrowAway("caller_left");
       co_return false;
     }
-    std::string prefillAt;
-    if (mChoice.mPrefill) {
-      const result<std::string> read = co_await ReadPrompt();
-      if (mExchange->Gone()) {
-        ThrowAway("caller_left");
-        ReleaseReservation();
-        co_return false;
-      }
-      if (!read) {
-        ReleaseReservation();
-        mPrefillFailed = true;
-        if (++mReads <= kMostReads && TakeReplacement()) {
-          co_return true;
-        }
-        co_await GiveUp("prefill_failed");
-        co_return false;
-      }
-      prefillAt = read.value();
+    mPrefillFailed = end != read_end::eRead;
+    if (mPrefillFailed) {
+      mDemand.mFailed.push_back(*mPlace.Choice().mPrefill);
+      // The service sees one call too many, unless nothing reached it.
+      mSendsForRead = end == read_end::eNotSent ? 0.0 : 1.0;
     }
-    co_return co_await Generate(prefillAt);
+    co_return !mPrefillFailed;
   }
 
   send_plan PlanFor(const std::string& aName) const
@@ -292,103 +183,26 @@
     return mEvents.LastId() ? mEvents.LastId() : mFacts.mLastEvent;
   }
 
-  /** Has the chosen prefill engine read the prompt. @return where its result lies. */
-  asio::awaitable<result<std::string>> ReadPrompt()
-  {
-    const service_runner_id id = *mChoice.mPrefill;
-    const runner_state* const prefill = mState.mRunners.Find(id);
-    if (prefill == nullptr) {
-      co_return make_error_code(errc::eNoRunner);
-    }
-    const endpoint address = prefill->mEntry.mAddress;
-    mPrefillName = prefill->mEntry.mName;
-    send_plan plan = PlanFor(mPrefillName);
-    plan.mPrefillOnly = true;
-    const instant began = mState.Now();
-    const duration limit = std::min(TimeLeft(), mChoice.mUntilRead + kReadSlack);
-    upstream_answer answer =
-      co_await SendToRunner<Wire>(mState, *mExchange, address, plan, mFacts.mId, false, limit);
-    std::string body;
-    if (answer.mConnection) {
-      const result<void> read =
-        co_await ReadBody(*answer.mConnection, body, kMostPrefillAnswer, limit);
-      GiveBack(mState, *mExchange, address, answer.mConnection);
-      if (!read) {
-        answer.mEnd = send_end::eUnknown;
-      }
-    }
-    if (answer.mEnd != send_end::eAnswered || answer.mFacts.mStatus != 200) {
-      NotePrefillFailure(id, answer);
-      co_return make_error_code(errc::eRunnerRefused);
-    }
-    const result<prefill_result> read = Wire::ReadPrefill(body);
-    if (!read) {
-      LogEvent(log_level::eWarning, "prefill_answer_unreadable", { { "request", mFacts.mId } });
-      co_return read.error();
-    }
-    mState.mRunners.NoteOutcome(id, send_outcome::eServed, mState.Now());
-    mRead = true;
-    mState.mMetrics.CountPromptTokens("read", mDemand.mPromptTokens);
-    mState.mPlacement.NoteRead(id, mChoice.mUntilRead, mState.Now() - began);
-    if (mExchange->Gone()) {
-      mEngines.Free(address, read.value());
-    }
-    co_return Join(ToText(address), "/", read.value().mHandle);
-  }
-
-  void NotePrefillFailure(service_runner_id aRunner, const upstream_answer& aAnswer)
-  {
-    if (mExchange->Gone()) {
-      return;
-    }
-    const send_outcome outcome = OutcomeOf(aAnswer);
-    mState.mRunners.NoteOutcome(aRunner, outcome, mState.Now());
-    mDemand.mFailed.push_back(aRunner);
-    mState.LogDecision(log_level::eWarning,
-                       "prefill_failed",
-                       mFacts.mId,
-                       { { "runner", mPrefillName },
-                         { "outcome", OutcomeName(outcome) },
-                         { "status", aAnswer.mFacts.mStatus } });
-  }
-
   /** Has the decode engine generate, and passes the events on. @return whether to go on elsewhere.
    */
-  asio::awaitable<bool> Generate(const std::string& aPrefillAt)
+  asio::awaitable<bool> Generate()
   {
-    send_plan plan = PlanFor(mDecodeName);
-    plan.mReservation = mReservation.mId;
-    plan.mPrefillAt = aPrefillAt;
-    mReservation = {};
+    send_plan plan = PlanFor(mPlace.DecodeName());
+    plan.mReservation = mPlace.UseReservation();
+    plan.mPrefillAt = mRead.At();
     upstream_answer answer = co_await SendToRunner<Wire>(
-      mState, *mExchange, mDecodeAt, plan, mFacts.mId, true, TimeLeft() + kAnswerSlack);
+      mState, *mExchange, mPlace.DecodeAt(), plan, mFacts.mId, true, TimeLeft() + kAnswerSlack);
     if (mExchange->Gone()) {
       if (answer.mConnection) {
         answer.mConnection->Abort();
       }
+      mRead.ThrowAway("caller_left");
       co_return false;
     }
     if (answer.mEnd == send_end::eNotRun || answer.mEnd == send_end::eNotSent) {
-      if (answer.mConnection) {
-        answer.mConnection->Abort();
-      }
-      const send_outcome outcome = OutcomeOf(answer);
-      mState.mRunners.NoteOutcome(mChoice.mDecode, outcome, mState.Now());
-      mDemand.mFailed.push_back(mChoice.mDecode);
-      ThrowAway("handoff_refused");
-      mState.LogDecision(log_level::eWarning,
-                         "handoff_failed",
-                         mFacts.mId,
-                         { { "runner", mDecodeName },
-                           { "outcome", OutcomeName(outcome) },
-                           { "status", answer.mFacts.mStatus } });
-      ++mHandoffsLost;
-      if (mHandoffsLost <= kMostReads && TakeReplacement()) {
-        co_return true;
-      }
-      co_await GiveUp("handoff_refused");
-      co_return false;
+      co_return co_await AfterRefusedHandoff(answer);
     }
+    mRead.NoteTaken();
     ++mSends;
     if (answer.mEnd == send_end::eUnknown) {
       co_return co_await AfterBreak();
@@ -405,13 +219,47 @@
     co_return co_await PassEvents(answer);
   }
 
+  /** The decode engine didn't take the request. @return whether to go on with another. */
+  asio::awaitable<bool> AfterRefusedHandoff(upstream_answer& aAnswer)
+  {
+    if (aAnswer.mConnection) {
+      aAnswer.mConnection->Abort();
+    }
+    const send_outcome outcome = OutcomeOf(aAnswer);
+    mState.mRunners.NoteOutcome(mPlace.Choice().mDecode, outcome, mState.Now());
+    mDemand.mFailed.push_back(mPlace.Choice().mDecode);
+    mState.LogDecision(log_level::eWarning,
+                       "handoff_failed",
+                       mFacts.mId,
+                       { { "runner", mPlace.DecodeName() },
+                         { "outcome", OutcomeName(outcome) },
+                         { "status", aAnswer.mFacts.mStatus } });
+    // An engine that wasn't reached, or has another role, hasn't taken the result: another may. A
+    // refusal may mean that the result is gone.
+    const bool keepsResult =
+      aAnswer.mEnd == send_end::eNotSent || outcome == send_outcome::eMisdirected;
+    if (!keepsResult) {
+      mRead.ThrowAway("handoff_refused");
+    }
+    const bool arrived = aAnswer.mEnd == send_end::eNotRun;
+    const bool readAgain = !mRead.Usable(mTraits.mResultLifetime, DecodeVersion());
+    const double sends = (arrived ? 1.0 : 0.0) + (readAgain ? 1.0 : 0.0);
+    ++mHandoffsLost;
+    if (mHandoffsLost <= kMostReads && TakeReplacement(sends)) {
+      co_return true;
+    }
+    mRead.ThrowAway("handoff_refused");
+    co_await GiveUp("handoff_refused");
+    co_return false;
+  }
+
   asio::awaitable<void> PassFailure(upstream_answer& aAnswer)
   {
     std::string body;
     const result<void> read =
-      co_await ReadBody(*aAnswer.mConnection, body, kMostPrefillAnswer, TimeLeft() + kAnswerSlack);
-    GiveBack(mState, *mExchange, mDecodeAt, aAnswer.mConnection);
-    mState.mRunners.NoteOutcome(mChoice.mDecode, send_outcome::eFailed, mState.Now());
+      co_await ReadBody(*aAnswer.mConnection, body, kMostHeldAnswer, TimeLeft() + kAnswerSlack);
+    GiveBack(mState, *mExchange, mPlace.DecodeAt(), aAnswer.mConnection);
+    mState.mRunners.NoteOutcome(mPlace.Choice().mDecode, send_outcome::eFailed, mState.Now());
     if (mStarted) {
       mExchange->Tear();
       co_return;
@@ -466,8 +314,8 @@
       mState.mPlacement.Progress(mDemand.mRun, made, mState.Now());
       if (ended) {
         co_await mExchange->EndBody();
-        GiveBack(mState, *mExchange, mDecodeAt, aAnswer.mConnection);
-        mState.mRunners.NoteOutcome(mChoice.mDecode, send_outcome::eServed, mState.Now());
+        GiveBack(mState, *mExchange, mPlace.DecodeAt(), aAnswer.mConnection);
+        mState.mRunners.NoteOutcome(mPlace.Choice().mDecode, send_outcome::eServed, mState.Now());
         const std::uint32_t paced =
           made > mTraits.mTokensPerEvent ? made - mTraits.mTokensPerEvent : 0;
         mState.mPlacement.NoteFinished(mDemand.mRun, made, paced, mState.Now() - firstAt);
@@ -497,23 +345,23 @@
   asio::awaitable<bool> AfterBreak()
   {
     if (mExchange->Gone()) { // The caller's leave ended the run, not the engine.
-      ThrowAway("caller_left");
-      mState.mRunners.NoteOutcome(mChoice.mDecode, send_outcome::eAbandoned, mState.Now());
+      mRead.ThrowAway("caller_left");
+      mState.mRunners.NoteOutcome(mPlace.Choice().mDecode, send_outcome::eAbandoned, mState.Now());
       co_return false;
     }
-    mState.mRunners.NoteOutcome(mChoice.mDecode, send_outcome::eFailed, mState.Now());
-    mDemand.mFailed.push_back(mChoice.mDecode);
+    mState.mRunners.NoteOutcome(mPlace.Choice().mDecode, send_outcome::eFailed, mState.Now());
+    mDemand.mFailed.push_back(mPlace.Choice().mDecode);
     mUnknown = true;
-    ThrowAway("run_broke");
+    mRead.ThrowAway("run_broke");
     mState.LogDecision(log_level::eWarning,
                        "generation_broke",
                        mFacts.mId,
-                       { { "runner", mDecodeName },
+                       { { "runner", mPlace.DecodeName() },
                          { "events", mEvents.Count() },
                          { "resumable", mRoute.mResumable } });
     const bool mayGoOn = mRoute.mResumable && mSends < mRoute.mMaxRunners &&
                          TimeLeft() > mRoute.mFirstAnswer && !mExchange->Gone();
-    if (mayGoOn && TakeReplacement()) {
+    if (mayGoOn && TakeReplacement(kSendsOfPlacement)) {
       if (mEvents.Count() > mCountedEvents) {
         SkipMade(mEvents.Count() - mCountedEvents);
         mCountedEvents = mEvents.Count();
@@ -540,7 +388,7 @@
       status = TimeLeft() <= duration{ 0 } ? 504 : 502;
     }
     const duration spread = FromSeconds(ToSeconds(kComeBackSpread) * mState.Draw());
-    const duration back = std::max(mComeBackIn, kEarliestComeBack) + spread;
+    const duration back = std::max(mPlace.FreeIn(), kEarliestComeBack) + spread;
     mState.mMetrics.CountRequest(mRoute.mName, status == 503 ? "refused" : "failed", aReason);
     mState.LogDecision(log_level::eWarning,
                        "generation_given_up",
@@ -554,8 +402,8 @@
                          { "prompt", mDemand.mPromptTokens },
                          { "answer", mDemand.mAnswerTokens },
                          { "runs", mState.mPlacement.RunCount() },
-                         { "refusals", mRefusals },
-                         { "free_ms", mComeBackIn.count() / 1000 },
+                         { "refusals", mPlace.Refusals() },
+                         { "free_ms", mPlace.FreeIn().count() / 1000 },
                          { "held_ms", (mState.Now() - mArrived).count() / 1000 } });
     if (mStarted) {
       mExchange->Tear();
@@ -584,14 +432,14 @@
     mState.LogDecision(log_level::eInfo,
                        "generation_started",
                        mFacts.mId,
-                       { { "runner", mDecodeName },
-                         { "prefill", mPrefillName },
+                       { { "runner", mPlace.DecodeName() },
+                         { "prefill", mRead.EngineName() },
                          { "prompt_key", mFacts.mPromptKey },
                          { "returned", mDemand.mReturned },
-                         { "read_elsewhere", mChoice.mPrefill.has_value() },
-                         { "expected_ms", mChoice.mUntilEvent.count() / 1000 },
+                         { "read_elsewhere", mPlace.Choice().mPrefill.has_value() },
+                         { "expected_ms", mPlace.Choice().mUntilEvent.count() / 1000 },
                          { "first_ms", (aNow - mArrived).count() / 1000 },
-                         { "peak", mChoice.mPeakShare } });
+                         { "peak", mPlace.Choice().mPeakShare } });
   }
 
   void NoteServed(std::uint32_t aMade)
@@ -602,7 +450,7 @@
                        "generation_served",
                        mFacts.mId,
                        { { "route", mRoute.mName },
-                         { "runner", mDecodeName },
+                         { "runner", mPlace.DecodeName() },
                          { "longest_gap_ms", mLongestGap.count() / 1000 },
                          { "made", aMade },
                          { "prompt", mDemand.mPromptTokens },
@@ -614,11 +462,8 @@
   static constexpr double kSendsOfPlacement = 2.0;
   /** Reads of a prompt, or handoffs, that may fail before a request is given up on. */
   static constexpr std::uint32_t kMostReads = 2;
-  /** Largest answer that is held whole. */
-  static constexpr std::size_t kMostPrefillAnswer = 65536;
 
   forward_state& mState;                      ///< Shared.
-  engine_calls<Wire> mEngines;                ///< Calls beside the request.
   caller_exchange_ptr mExchange;              ///< The caller's side.
   request_facts mFacts;                       ///< Of the request's head.
   std::shared_ptr<const route_table> mRoutes; ///< Keeps mRoute and mService alive.
@@ -628,23 +473,15 @@
   instant mArrived;                           ///< When it was read, or broke.
   instant mDeadline;                          ///< When it's too late.
   generation_demand mDemand;                  ///< What is asked of placement.
-  placement_choice mChoice;                   ///< The place, once found.
-  endpoint mDecodeAt;                         ///< Address of the decode engine.
-  std::string mPrefillName;                   ///< Id of the engine that read the prompt.
-  std::string mDecodeName;                    ///< Its id in the discovery.
-  reservation mReservation;                   ///< Held and not used yet.
+  generation_place<Wire> mPlace;              ///< Engines that serve it.
+  prompt_read<Wire> mRead;                    ///< What a prefill engine has read.
   event_splitter mEvents;                     ///< Events passed on, over all runs.
   std::uint32_t mCountedEvents = 0;           ///< Events counted into the demand's prompt.
   std::uint32_t mSends = 0;                   ///< Decode engines that may have run it.
+  double mSendsForRead = 0.0;                 ///< Sends too many by the last read that failed.
   std::uint32_t mReads = 0;                   ///< Reads that failed.
   std::uint32_t mHandoffsLost = 0;            ///< Handoffs that were refused.
-  std::uint32_t mRefusals = 0;                ///< Reservations that were refused.
-  no_place mNoPlace = no_place::eNoEngine;    ///< Why there's no place.
-  duration mComeBackIn{ 0 };                  ///< Expected time until there's a place.
   duration mLongestGap{ 0 };                  ///< Longest pause between events passed on.
-  bool mRead = false;                         ///< A prefill engine has read the prompt.
-  bool mPlaced = false;                       ///< The run is in the table.
-  bool mTold = false;                         ///< The others know of the run.
   bool mStarted = false;                      ///< The caller has the head of the answer.
   bool mUnknown = false;                      ///< It may have run somewhere.
   bool mPrefillFailed = false;                ///< The last read failed.
--- /dev/null
+++ b/src/forward/generation_place.h
@@ -0,0 +1,200 @@
+/**
+ * @file generation_place.h
+ * The place of one generation: looks for engines with room, reserves the decode engine's memory, and
+ * keeps the run in the table of this daemon and of the others until it's forgotten.
+ */
+#pragma once
+
+#include "forward/engine_calls.h"
+
+namespace dunehook {
+
+/** Part of the latency target in which a request may wait for a place: later, a refusal costs the
+ * caller its chance to be on time elsewhere. */
+inline constexpr double kWaitShare = 0.2;
+/** Time between looks for a place while a request waits. */
+inline constexpr duration kLookAgain = std::chrono::milliseconds(15);
+/** A reservation outlives the expected end of the read by this. */
+inline constexpr duration kReservationSlack = std::chrono::milliseconds(600);
+/** An engine that had no room isn't asked again before this. */
+inline constexpr duration kFullRest = std::chrono::milliseconds(60);
+
+/** The place. */
+template<wire_format Wire>
+class generation_place
+{
+public:
+  generation_place(forward_state& aState, caller_exchange& aExchange, std::string aRequest)
+    : mState(aState)
+    , mEngines(aState)
+    , mExchange(aExchange)
+    , mRequest(std::move(aRequest))
+  {
+  }
+
+  /**
+   * Looks for a place, waiting a little if there's none.
+   * @param aFirstEventBy when the first event is late.
+   * @param aWaitUntil no new look after this.
+   * @return false if there's none, or the caller has left.
+   */
+  asio::awaitable<bool> Find(generation_demand& aDemand,
+                             engine_traits aTraits,
+                             instant aFirstEventBy,
+                             instant aWaitUntil)
+  {
+    for (;;) {
+      const instant now = mState.Now();
+      aDemand.mFirstEventWithin = aFirstEventBy - now;
+      const placement_answer answer =
+        mState.mPlacement.Choose(aDemand, aTraits, mState.mRunners, now);
+      if (answer.mChoice) {
+        mChoice = *answer.mChoice;
+        const bool reserved = co_await Reserve(aDemand, aTraits.mLongestHold);
+        if (reserved || mExchange.Gone()) {
+          co_return reserved;
+        }
+      }
+      const duration wait =
+        std::max<duration>(kLookAgain, std::min(answer.mFreeIn, kLookAgain * 3));
+      if (mState.Now() + wait > aWaitUntil) {
+        mFreeIn = answer.mFreeIn;
+        mNoPlace = answer.mChoice ? no_place::eNoMemory : answer.mReason;
+        co_return false;
+      }
+      co_await Sleep(wait);
+      if (mExchange.Gone()) {
+        co_return false;
+      }
+    }
+  }
+
+  /** Takes the run out of the table and tells the others. */
+  void Forget()
+  {
+    if (!mPlaced) {
+      return;
+    }
+    mPlaced = false;
+    mState.mPlacement.End(mRun);
+    if (mTold) {
+      mTold = false;
+      run_message message;
+      message.mEnded.push_back(mRun);
+      mState.mTell(std::move(message));
+    }
+  }
+
+  /** Gives the reservation back, if it wasn't used. */
+  void Release()
+  {
+    if (!mReservation.mId.empty()) {
+      mEngines.Release(mDecodeAt, mReservation);
+      mReservation = {};
+    }
+  }
+
+  /** @return the reservation's id for the request that uses it, empty if there's none. */
+  std::string UseReservation() { return std::exchange(mReservation, {}).mId; }
+
+  const placement_choice& Choice() const { return mChoice; }
+  const endpoint& DecodeAt() const { return mDecodeAt; }
+  /** @return the decode engine's id in the discovery. */
+  const std::string& DecodeName() const { return mDecodeName; }
+  /** @return why the last look found no place. */
+  no_place NoPlace() const { return mNoPlace; }
+  /** @return expected time until there's a place, after a look that found none. */
+  duration FreeIn() const { return mFreeIn; }
+  /** @return reservations that engines refused. */
+  std::uint32_t Refusals() const { return mRefusals; }
+
+private:
+  /** Notes the run in the table and reserves its place at the engine. */
+  asio::awaitable<bool> Reserve(const generation_demand& aDemand, duration aLongestHold)
+  {
+    const runner_state* const decode = mState.mRunners.Find(mChoice.mDecode);
+    if (decode == nullptr) {
+      co_return false;
+    }
+    mDecodeAt = decode->mEntry.mAddress;
+    mDecodeName = decode->mEntry.mName;
+    mReservation = {};
+    const run_record run = RunOf(aDemand);
+    mRun = run.mRun;
+    mState.mPlacement.Begin(run, mState.Now());
+    mPlaced = true;
+    if (!mState.mSettings.mPlacement.mReserve) {
+      Tell(run);
+      co_return true;
+    }
+    const duration life = std::min(mChoice.mUntilRead + kReservationSlack, aLongestHold);
+    const std::uint32_t tokens = mState.mPlacement.ReservedTokens(aDemand);
+    const result<reservation> granted = co_await mEngines.Reserve(mDecodeAt, tokens, life);
+    if (!granted) {
+      NoteNoReservation(granted.error(), tokens);
+      Forget();
+      co_return false;
+    }
+    mReservation = granted.value();
+    mState.mMetrics.CountPlace("granted");
+    Tell(run);
+    co_return true;
+  }
+
+  run_record RunOf(const generation_demand& aDemand) const
+  {
+    run_record run;
+    run.mRun = aDemand.mRun;
+    run.mDecode = mChoice.mDecode;
+    run.mPrefill = mChoice.mPrefill.value_or(service_runner_id{});
+    run.mPromptTokens = aDemand.mPromptTokens;
+    run.mAnswerTokens = aDemand.mAnswerTokens;
+    run.mMostTokens = aDemand.mMostTokens;
+    run.mSeen = mState.Now() + mChoice.mUntilRead;
+    return run;
+  }
+
+  /** Notes that the decode engine didn't reserve a place. */
+  void NoteNoReservation(const std::error_code& aError, std::uint32_t aTokens)
+  {
+    const bool reached = aError == errc::eRunnerRefused || aError == errc::eBadRequest;
+    ++mRefusals;
+    mState.mPlacement.NoteFull(mChoice.mDecode, mState.Now() + kFullRest);
+    if (!reached) {
+      mState.mRunners.NoteOutcome(mChoice.mDecode, send_outcome::eUnreachable, mState.Now());
+    }
+    mState.mMetrics.CountPlace(reached ? "refused" : "unreachable");
+    mState.LogDecision(log_level::eWarning,
+                       "reservation_refused",
+                       mRequest,
+                       { { "runner", mDecodeName },
+                         { "reached", reached },
+                         { "tokens", aTokens },
+                         { "expected_peak", mChoice.mPeakShare } });
+  }
+
+  void Tell(const run_record& aRun)
+  {
+    mTold = true;
+    run_message message;
+    message.mBegun.push_back(aRun);
+    mState.mTell(std::move(message));
+  }
+
+  forward_state& mState;                   ///< Shared.
+  engine_calls<Wire> mEngines;             ///< Calls beside the request.
+  caller_exchange& mExchange;              ///< The caller's side; outlives the place.
+  std::string mRequest;                    ///< The request's id.
+  placement_choice mChoice;                ///< The engines, once found.
+  run_id mRun;                             ///< The run's id, once in the table.
+  endpoint mDecodeAt;                      ///< Address of the decode engine.
+  std::string mDecodeName;                 ///< Its id in the discovery.
+  reservation mReservation;                ///< Held and not used yet.
+  no_place mNoPlace = no_place::eNoEngine; ///< Why there's no place.
+  duration mFreeIn{ 0 };                   ///< Expected time until there's a place.
+  std::uint32_t mRefusals = 0;             ///< Reservations that were refused.
+  bool mPlaced = false;                    ///< The run is in the table.
+  bool mTold = false;                      ///< The others know of the run.
+};
+
+} // namespace dunehook
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -254,12 +254,9 @@
         aBest.mChoice = placement_choice{ aDecode.mId, aPrefill, aRead, untilEvent, peak };
       }
     };
-  const auto version = [&](const runner_state& aRunner) {
-    const auto found = aRunner.mEntry.mModels.find(aDemand.mModel);
-    return found == aRunner.mEntry.mModels.end() ? 0 : found->second;
-  };
+  const std::uint64_t version = aDecode.mEntry.VersionOf(aDemand.mModel);
   for (const runner_state* const prefill : aSets.mPrefills) {
-    if (version(*prefill) == version(aDecode)) { // Else its KV cache would be of other weights.
+    if (prefill->mEntry.VersionOf(aDemand.mModel) == version) { // Else its KV cache would be of other weights.
       const bool sameHall = prefill->mEntry.mHall == aDecode.mEntry.mHall;
       consider(prefill->mId,
                ReadTime(prefill->mId, aDemand.mPromptTokens, aNow),
--- /dev/null
+++ b/src/forward/prompt_read.h
@@ -0,0 +1,169 @@
+/**
+ * @file prompt_read.h
+ * Has a prefill engine read a prompt, and keeps the result until a decode engine takes it.
+ */
+#pragma once
+
+#include "forward/engine_calls.h"
+#include "forward/upstream_send.h"
+
+namespace dunehook {
+
+/** A read that takes this much longer than expected is given up. */
+inline constexpr duration kReadSlack = std::chrono::milliseconds(900);
+/** A result isn't handed over within this time of its end: the handoff takes some milliseconds, and
+ * the engine counts from a moment that this daemon doesn't know. */
+inline constexpr duration kResultMargin = std::chrono::milliseconds(150);
+/** Largest answer that is held whole. */
+inline constexpr std::size_t kMostHeldAnswer = 65536;
+
+/** How a read ended. */
+enum class read_end
+{
+  eRead,    ///< The result lies at the engine.
+  eNotSent, ///< Nothing reached the engine.
+  eFailed,  ///< It reached the engine, and there's no result.
+};
+
+/** The read of one request's prompt. */
+template<wire_format Wire>
+class prompt_read
+{
+public:
+  prompt_read(forward_state& aState, caller_exchange& aExchange, std::string aRequest)
+    : mState(aState)
+    , mExchange(aExchange)
+    , mRequest(std::move(aRequest))
+  {
+  }
+
+  /**
+   * Has the chosen engine read the prompt. An answer that is lost on its way is asked for once more
+   * at the same engine: a read may be repeated, and one that the engine has done is quick.
+   * @param aPlan the send, without what concerns the read.
+   * @param aDemand tells the prompt's tokens and the model.
+   * @param aTakeRepeat asked before the read is repeated.
+   */
+  asio::awaitable<read_end> Read(const placement_choice& aChoice,
+                                 send_plan aPlan,
+                                 generation_demand aDemand,
+                                 std::function<bool()> aTakeRepeat)
+  {
+    mAt.clear();
+    const service_runner_id id = *aChoice.mPrefill;
+    const runner_state* const engine = mState.mRunners.Find(id);
+    if (engine == nullptr) {
+      co_return read_end::eNotSent;
+    }
+    mEngineName = engine->mEntry.mName;
+    mEngineAt = engine->mEntry.mAddress;
+    mVersion = engine->mEntry.VersionOf(aDemand.mModel);
+    aPlan.mRunnerName = mEngineName;
+    aPlan.mPrefillOnly = true;
+    const instant began = mState.Now();
+    const duration limit = std::min(aPlan.mTimeLeft, aChoice.mUntilRead + kReadSlack);
+    std::string body;
+    upstream_answer answer = co_await Send(aPlan, limit, body);
+    const bool lost = answer.mEnd == send_end::eUnknown && !answer.mTimedOut && !mExchange.Gone();
+    if (lost && aTakeRepeat()) {
+      LogRepeat();
+      answer = co_await Send(aPlan, limit, body);
+    }
+    if (answer.mEnd != send_end::eAnswered || answer.mFacts.mStatus != 200) {
+      NoteFailure(id, answer);
+      co_return answer.mEnd == send_end::eNotSent ? read_end::eNotSent : read_end::eFailed;
+    }
+    const result<prefill_result> read = Wire::ReadPrefill(body);
+    if (!read) {
+      LogEvent(log_level::eWarning, "prefill_answer_unreadable", { { "request", mRequest } });
+      co_return read_end::eFailed;
+    }
+    mState.mRunners.NoteOutcome(id, send_outcome::eServed, mState.Now());
+    mState.mMetrics.CountPromptTokens("read", aDemand.mPromptTokens);
+    mState.mPlacement.NoteRead(id, aChoice.mUntilRead, mState.Now() - began);
+    mTokens = aDemand.mPromptTokens;
+    mReadAt = mState.Now();
+    mResult = read.value();
+    mAt = Join(ToText(mEngineAt), "/", mResult.mHandle);
+    co_return read_end::eRead;
+  }
+
+  /** @return whether there's a result that a decode engine with these weights may still take. */
+  bool Usable(duration aLifetime, std::uint64_t aVersion) const
+  {
+    const bool lives = mState.Now() - mReadAt + kResultMargin < aLifetime;
+    return !mAt.empty() && lives && mVersion == aVersion;
+  }
+  /** @return where the result lies, empty if there's none. */
+  const std::string& At() const { return mAt; }
+  /** @return id of the engine that was asked last. */
+  const std::string& EngineName() const { return mEngineName; }
+  /** A decode engine has the prompt: the result is used. */
+  void NoteTaken() { mAt.clear(); }
+
+  /** Counts the prompt's tokens as thrown away, if it was read, and frees the result. */
+  void ThrowAway(std::string_view aWhy)
+  {
+    if (mTokens == 0) {
+      return;
+    }
+    mState.mMetrics.CountPromptTokens(aWhy, mTokens);
+    mTokens = 0;
+    if (!mAt.empty()) {
+      engine_calls<Wire>(mState).Free(mEngineAt, mResult);
+      mAt.clear();
+    }
+  }
+
+private:
+  /** Sends the request and reads the whole answer. */
+  asio::awaitable<upstream_answer> Send(send_plan aPlan, duration aLimit, std::string& aBody)
+  {
+    upstream_answer answer =
+      co_await SendToRunner<Wire>(mState, mExchange, mEngineAt, aPlan, mRequest, false, aLimit);
+    if (answer.mConnection) {
+      aBody.clear();
+      const result<void> read =
+        co_await ReadBody(*answer.mConnection, aBody, kMostHeldAnswer, aLimit);
+      GiveBack(mState, mExchange, mEngineAt, answer.mConnection);
+      if (!read) {
+        answer.mEnd = send_end::eUnknown;
+      }
+    }
+    co_return answer;
+  }
+
+  void LogRepeat() const
+  {
+    mState.LogDecision(
+      log_level::eWarning, "prefill_repeated", mRequest, { { "runner", mEngineName } });
+  }
+
+  void NoteFailure(service_runner_id aEngine, const upstream_answer& aAnswer)
+  {
+    if (mExchange.Gone()) {
+      return;
+    }
+    const send_outcome outcome = OutcomeOf(aAnswer);
+    mState.mRunners.NoteOutcome(aEngine, outcome, mState.Now());
+    mState.LogDecision(log_level::eWarning,
+                       "prefill_failed",
+                       mRequest,
+                       { { "runner", mEngineName },
+                         { "outcome", OutcomeName(outcome) },
+                         { "status", aAnswer.mFacts.mStatus } });
+  }
+
+  forward_state& mState;      ///< Shared.
+  caller_exchange& mExchange; ///< The caller's side; outlives the read.
+  std::string mRequest;       ///< The request's id.
+  std::string mEngineName;    ///< Id of the engine in the discovery.
+  endpoint mEngineAt;         ///< Its address.
+  prefill_result mResult;     ///< The last result.
+  std::string mAt;            ///< "address:port/handle" of a result not taken yet, or empty.
+  std::uint64_t mVersion = 0; ///< Weights of the engine that read it.
+  instant mReadAt{ 0 };       ///< When the result was told.
+  std::uint32_t mTokens = 0;  ///< Prompt tokens read and not counted as thrown away.
+};
+
+} // namespace dunehook
--- a/src/forward/runner_type.h
+++ b/src/forward/runner_type.h
@@ -51,6 +51,13 @@
   std::map<std::string, std::uint64_t> mModels; ///< Versions of weights by model.
   std::uint64_t mOrders = 0;                    ///< Orders it has taken in this life.
 
+  /** @return the version of a model's weights; 0 if the runner doesn't tell of the model. */
+  std::uint64_t VersionOf(const std::string& aModel) const
+  {
+    const auto found = mModels.find(aModel);
+    return found == mModels.end() ? 0 : found->second;
+  }
+
   bool operator==(const runner_entry&) const = default;
 };
 
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kOffsetBytes = 8;
 constexpr std::uint64_t kTokensPerEvent = 64;
+/** Time that a slow store takes more for each call. */
+constexpr duration kSlowStore = std::chrono::milliseconds(10);
 
 std::string
 BigEndian(std::uint64_t aNumber, std::size_t aBytes)
@@ -113,6 +115,9 @@
     if (mStoreMode == "silent") {
       co_await Sleep(std::chrono::seconds(60));
     }
+    if (mStoreMode == "slow") {
+      co_await Sleep(kSlowStore);
+    }
     if (mStoreMode == "busy") {
       co_await aExchange->Respond(503, "{}");
       co_return;
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -22,6 +22,8 @@
 constexpr int kFirstPort = 20000;
 constexpr int kPortRange = 10000;
 constexpr int kTokensPerEvent = 64;
+/** A port that no program of ours uses; connections there are refused. */
+constexpr const char* kNobodyListens = "127.0.0.250:9";
 
 std::string
 BuildFolderOf()
@@ -109,9 +111,23 @@
   json start = aOptions.mFaults;
   start["role"] = aOptions.mRole;
   const json started = Control("runner?id=" + aId, start.dump());
+  ListAt(aId, aOptions, started.at("address"));
+}
+
+void
+fleet_bed::ListUnreachable(const std::string& aId, const runner_options& aOptions)
+{
+  ListAt(aId, aOptions, kNobodyListens);
+}
+
+void
+fleet_bed::ListAt(const std::string& aId,
+                  const runner_options& aOptions,
+                  const std::string& aAddress)
+{
   json entry{ { "service", aOptions.mService },
-              { "address", started.at("address") },
-              { "zone", "hall-a" },
+              { "address", aAddress },
+              { "zone", aOptions.mHall },
               { "version", "v1" },
               { "slots", 8 },
               { "cold-remaining-ms", 0 },
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -15,6 +15,7 @@
   std::string mRole;             ///< "prefill" or "decode" for engines.
   std::string mState = "ready";  ///< As it's listed.
   json mFaults = json::object(); ///< As the stand-in's control takes them.
+  std::string mHall = "hall-a";  ///< Daemons stand in hall-a.
 };
 
 /** A deployment on the platform. */
@@ -30,11 +31,13 @@
   void List(const std::string& aId, const std::string& aState);
   /** Lists an entry with another runner's address: a life that has ended. */
   void ListAs(const std::string& aId, const std::string& aOther);
+  /** Lists a runner where nothing listens. */
+  void ListUnreachable(const std::string& aId, const runner_options& aOptions);
   /** Sets faults of a runner. */
   void SetRunner(const std::string& aId, const json& aFaults);
   /** Writes the configuration. @param aRoutes routes beside the usual ones. */
   void PutConfig(std::uint64_t aVersion, const json& aRoutes = json::array());
-  /** Sets the store's fault: "busy", "silent", or "" for none. */
+  /** Sets the store's fault: "busy", "silent", "slow", or "" for none. */
   void SetStore(const std::string& aMode);
   /** Starts a daemon. @return its number. */
   std::size_t StartDaemon(bool aWaitReady = true);
@@ -64,6 +67,7 @@
 
 private:
   json Control(const std::string& aTarget, const std::string& aBody) const;
+  void ListAt(const std::string& aId, const runner_options& aOptions, const std::string& aAddress);
   std::string Host(std::size_t aDaemon) const;
   std::size_t Launch(const std::string& aOutput, bool aWaitReady);
 
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -13,6 +13,7 @@
 
 #include <csignal>
 #include <future>
+#include <thread>
 
 using namespace dunehook;
 using namespace dunehook::test;
@@ -238,6 +239,88 @@
   CHECK_EQUAL("prompt", seen[1].value("body", ""));
 }
 
+TEST(gateway, AReadWhoseAnswerIsLostIsAskedForAgainAtItsEngine)
+{
+  mBed.StartUsual();
+  mBed.AddRunner("prefill-2", { "tutor", "prefill" });
+  mBed.SetRunner("prefill-1", { { "mode", "reset" }, { "faults", 1 } });
+  mBed.SetRunner("prefill-2", { { "mode", "reset" }, { "faults", 1 } });
+  const answer got =
+    Call(mBed.Callers(), "POST", "/turns/a", "prompt", GenerationHeaders("g1", 5000, 5));
+  CHECK_EQUAL(200U, got.mStatus);
+  const std::vector<json> seen = mBed.Seen("g1");
+  CHECK_EQUAL(3U, seen.size());
+  CHECK_EQUAL(seen[0].value("runner", ""), seen[1].value("runner", ""));
+}
+
+TEST(gateway, AReaderThatIsNotReachedCostsNoRepeats)
+{
+  mBed.ListUnreachable("prefill-1", { "tutor", "prefill" });
+  mBed.AddRunner("decode-1", { "tutor", "decode" });
+  mBed.PutConfig(1);
+  mBed.StartDaemon();
+  // Each few requests meet the dead engine; repeats for all of them aren't in the budget.
+  for (int i = 0; i < 25; ++i) {
+    const std::string id = "g" + std::to_string(i);
+    const answer got =
+      Call(mBed.Callers(), "POST", "/turns/a", "prompt", GenerationHeaders(id, 1000, 1));
+    CHECK_EQUAL(200U, got.mStatus);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+}
+
+TEST(gateway, APromptThatWasReadIsHandedToAnotherEngineWhereTheFirstIsNotThere)
+{
+  mBed.AddRunner("prefill-1", { "tutor", "prefill" });
+  mBed.AddRunner("decode-1", { "tutor", "decode" });
+  mBed.PutConfig(1);
+  mBed.StartDaemon();
+  // Both entries name lives that have ended: the engine there turns the handoff away. They're nearer
+  // than the one that lives.
+  mBed.ListAs("decode-8", "decode-1");
+  mBed.ListAs("decode-9", "decode-1");
+  mBed.List("decode-1", "");
+  CHECK(Eventually([&] {
+    return Call(mBed.Metrics(), "GET", "/metrics").mBody.find("runners_taking_work\"} 3") !=
+           std::string::npos;
+  }));
+  mBed.AddRunner("decode-2", { "tutor", "decode", "ready", json::object(), "hall-b" });
+  CHECK(Eventually([&] {
+    return Call(mBed.Metrics(), "GET", "/metrics").mBody.find("runners_taking_work\"} 4") !=
+           std::string::npos;
+  }));
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "g" + std::to_string(i);
+    const answer got =
+      Call(mBed.Callers(), "POST", "/turns/a", "prompt", GenerationHeaders(id, 5000, 1));
+    CHECK_EQUAL(200U, got.mStatus);
+    int reads = 0;
+    for (const json& one : mBed.Seen(id)) {
+      reads += one["headers"].value("X-Stage", "") == "prefill" ? 1 : 0;
+    }
+    CHECK_EQUAL(1, reads);
+  }
+}
+
+TEST(gateway, ARequestAtTheStartWaitsForTheConfiguration)
+{
+  mBed.AddRunner("desk-1", { "desk", "", "ready", { { "step_ms", 0 } } });
+  mBed.PutConfig(1);
+  mBed.SetStore("slow");
+  // The first answer that a starting daemon gives; on a busy machine a start may be slower.
+  int served = 0;
+  for (std::size_t i = 0; i < 5; ++i) {
+    mBed.StartDaemon(false);
+    unsigned first = 0;
+    CHECK(Eventually([&] {
+      first = Call(mBed.Callers(i), "GET", "/pages/a", "", CallerHeaders("r1")).mStatus;
+      return first != 0;
+    }));
+    served += first == 200U ? 1 : 0;
+  }
+  CHECK(served > 0);
+}
+
 TEST(gateway, WithoutAReservationNoPromptIsRead)
 {
   mBed.StartUsual();
