Fix: [Forward] a planned stop takes no further requests, and a reload at the start is no end

Change: once connections aren't taken any more, requests aren't either; signals are taken before the settings are read. The stand-in of the store can be slow, reservations lapse there, and its proxy can reset and cut one way.

--- a/src/daemon/gateway_main.cpp
+++ b/src/daemon/gateway_main.cpp
@@ -70,14 +70,13 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitBadSettings = 2;
 
-/** Takes SIGHUP for as long as the process runs. */
+/** Takes SIGHUP for as long as the process runs, also those that came since the set was made. */
 asio::awaitable<void>
-FollowReloads(asio::io_context& aIo, host_gateway& aGateway)
+FollowReloads(asio::signal_set& aSignals, host_gateway& aGateway)
 {
-  asio::signal_set signals(aIo, SIGHUP);
   for (;;) {
     boost::system::error_code error;
-    co_await signals.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    co_await aSignals.async_wait(asio::redirect_error(asio::use_awaitable, error));
     if (error) {
       co_return;
     }
@@ -97,6 +96,11 @@
 int
 RunGateway()
 {
+  // Signals are taken before the settings are read: a reload at the start must neither end the
+  // process nor be lost.
+  asio::io_context io(1);
+  asio::signal_set reloads(io, SIGHUP);
+  asio::signal_set stops(io, SIGTERM, SIGINT);
   gateway_settings_report report = platform::LoadHostSettings();
   report.mSettings.mPlacement = TuningFromFlags();
   report.mSettings.mMetrics = { report.mSettings.mPeers.mAddress,
@@ -109,20 +113,18 @@
   }
   InitLogging("dunehookd", report.mSettings.mName);
   std::signal(SIGPIPE, SIG_IGN); // Writes to closed connections are errors, not ends.
-  asio::io_context io(1);
   auto opened = host_gateway::Open(io, report.mSettings);
   if (!opened) {
     LogEvent(log_level::eError, "start_failed", { { "error", ErrorName(opened.error()) } });
     return kExitFailed;
   }
   host_gateway& daemon = *opened.value();
-  asio::signal_set stops(io, SIGTERM, SIGINT);
   stops.async_wait([&](const boost::system::error_code& aError, int /*aSignal*/) {
     if (!aError) {
       daemon.Drain();
     }
   });
-  SpawnGuarded(io, FollowReloads(io, daemon));
+  SpawnGuarded(io, FollowReloads(reloads, daemon));
   LogEvent(log_level::eInfo,
            "started",
            { { "daemon", report.mSettings.mName }, { "hall", report.mSettings.mHall } });
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -11,6 +11,7 @@
 #include <absl/flags/usage.h>
 #include <boost/asio/signal_set.hpp>
 
+#include <csignal>
 #include <iostream>
 
 ABSL_FLAG(std::string, settings, "", "path of the TOML settings file");
@@ -68,6 +69,7 @@
     "  dunehookd --platform                serve on the users' platform, with its settings\n\n"
     "SIGTERM begins a planned stop: calls under way run to their end.\n"
     "Exit codes: 0 stopped as planned, 1 could not start, 2 faulty settings.");
+  std::signal(SIGHUP, SIG_IGN); // Until it's taken: a reload doesn't end a process that starts.
   absl::ParseCommandLine(aCount, aValues);
   if (absl::GetFlag(FLAGS_platform)) {
     return dunehook::RunGateway();
--- a/src/forward/caller_session.cpp
+++ b/src/forward/caller_session.cpp
@@ -277,6 +277,7 @@
 void
 caller_listener::StopAccepting()
 {
+  mShared.mTakesNoMore = true;
   boost::system::error_code ignored; // Closed twice is as good as once.
   mAcceptor.close(ignored);
 }
@@ -319,6 +320,9 @@
   bool more = true;
   while (more) {
     more = co_await AwaitRequest(stream, buffer);
+    // An answer that began before the stop left its connection open; what the caller sends on it
+    // now isn't taken, so that it can't be cut by the end of the process.
+    more = more && !mShared.mTakesNoMore;
     if (more) {
       ++mShared.mBusy;
       more = co_await ServeOne(stream, buffer);
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -18,6 +18,7 @@
 {
   caller_limits mLimits;            ///< In force for the next request.
   bool mClosing = false;            ///< Connections end after their next answer.
+  bool mTakesNoMore = false;        ///< No further request is taken: connections end now.
   std::uint64_t mBodyBytes = 0;     ///< Bytes of request bodies held now.
   std::uint64_t mMostBodyBytes = 0; ///< Most bytes of request bodies held at once.
   std::size_t mOpen = 0;            ///< Connections.
@@ -107,7 +108,7 @@
 
   endpoint Address() const { return AddressOf(mAcceptor); }
   session_shared& Shared() { return mShared; }
-  /** Takes no further connections. */
+  /** Takes no further connections, and no further requests on open ones. */
   void StopAccepting();
   /** Ends connections that rest between requests. */
   void CloseIdle();
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -83,15 +83,15 @@
 /** A runner. */
 struct fake_runner
 {
-  std::string mId;              ///< Id of its life.
-  std::string mMode;            ///< Fault; empty if it's well.
-  int mFaults = -1;             ///< Requests that the fault still hits; -1: all.
-  int mStepMs = 10;             ///< Time between events.
-  std::string mRole;            ///< "prefill", "decode", or empty.
-  std::int64_t mFree = 0;       ///< Tokens that may be reserved.
-  tcp::acceptor mAcceptor;      ///< Where it listens.
-  std::set<std::string> mHolds; ///< Reserved and not used.
-  int mOpenRuns = 0;            ///< Requests that it works on.
+  std::string mId;                       ///< Id of its life.
+  std::string mMode;                     ///< Fault; empty if it's well.
+  int mFaults = -1;                      ///< Requests that the fault still hits; -1: all.
+  int mStepMs = 10;                      ///< Time between events.
+  std::string mRole;                     ///< "prefill", "decode", or empty.
+  std::int64_t mFree = 0;                ///< Tokens that may be reserved.
+  tcp::acceptor mAcceptor;               ///< Where it listens.
+  std::map<std::string, instant> mHolds; ///< Reserved and not used: when they lapse.
+  int mOpenRuns = 0;                     ///< Requests that it works on.
 };
 
 /** The stand-in. */
@@ -188,6 +188,8 @@
       answer["store_calls"] = mStoreCalls;
     } else if (aWhat == "holds") {
       for (const auto& [name, runner] : mRunners) {
+        const instant now = steady_clock_source{}.Now();
+        std::erase_if(runner->mHolds, [&](const auto& aHold) { return aHold.second <= now; });
         answer[name] = { { "holds", runner->mHolds.size() }, { "runs", runner->mOpenRuns } };
       }
     } else if (aWhat == "terms") {
@@ -271,8 +273,8 @@
                 aBody);
   }
 
-  /** Notes a request for the test. */
-  void Note(const fake_runner& aRunner, const http::request<http::string_body>& aRequest)
+  /** Notes a request for the test. @return its number. */
+  std::size_t Note(const fake_runner& aRunner, const http::request<http::string_body>& aRequest)
   {
     json headers = json::object();
     for (const auto& field : aRequest) {
@@ -282,7 +284,10 @@
                       { "method", std::string(aRequest.method_string()) },
                       { "target", std::string(aRequest.target()) },
                       { "headers", headers },
-                      { "body", aRequest.body() } });
+                      { "body", aRequest.body() },
+                      { "run", false },
+                      { "at_ms", steady_clock_source{}.Now().count() / 1000 } });
+    return mSeen.size() - 1;
   }
 
   /** @return whether the connection goes on. */
@@ -290,7 +295,7 @@
                                beast::tcp_stream& aStream,
                                const http::request<http::string_body>& aRequest)
   {
-    Note(aRunner, aRequest);
+    const std::size_t number = Note(aRunner, aRequest);
     const std::string target(aRequest.target());
     const std::string id(aRequest["X-Request-Id"]);
     const std::string own =
@@ -309,12 +314,16 @@
       const std::string text = Whole(421, Join("X-Instance-Id: ", aRunner.mId, "\r\n"), "");
       co_return co_await Write(aStream, text);
     }
+    mSeen[number]["run"] = mode != "refuse";
     if (mode == "reset") {
       aStream.socket().set_option(asio::socket_base::linger(true, 0));
       co_return false;
     }
-    if (mode == "hang") {
-      co_await Sleep(std::chrono::seconds(60));
+    if (mode == "hang") { // Until the connection closes.
+      char rest = 0;
+      boost::system::error_code closed;
+      co_await aStream.socket().async_read_some(asio::buffer(&rest, 1),
+                                                asio::redirect_error(asio::use_awaitable, closed));
       co_return false;
     }
     if (mode == "refuse") {
@@ -412,7 +421,8 @@
         return Whole(503, "", "{}");
       }
       const std::string hold = Join("hold-", ++mHolds);
-      aRunner.mHolds.insert(hold);
+      const std::chrono::milliseconds life(body.value("ttl_ms", 1000));
+      aRunner.mHolds[hold] = steady_clock_source{}.Now() + life;
       return Whole(200, "", json{ { "hold", hold } }.dump());
     }
     if (aTarget.substr(0, 11) == "/hold-drop/") {
--- a/standins/proxy.cpp
+++ b/standins/proxy.cpp
@@ -4,6 +4,7 @@
  * refuse (1: connections end at once), request_bytes (connections end after so many bytes towards
  * the target, those not forwarded), answer_bytes (the same towards the client; 0 for none),
  * delay_ms (bytes towards the client come late), stall (1: nothing moves, nothing closes),
+ * stall_requests, stall_answers (1: the same, one way), reset (1: open connections are reset now),
  * faults (how many connections the byte limits are applied to; then they pass).
  */
 #include "standins/common/standin.h"
@@ -35,6 +36,13 @@
     mClient.close(ignored);
     mTarget.close(ignored);
   }
+  void Reset()
+  {
+    boost::system::error_code ignored; // A connection that has ended can't be reset.
+    mClient.set_option(asio::socket_base::linger(true, 0), ignored);
+    mTarget.set_option(asio::socket_base::linger(true, 0), ignored);
+    Close();
+  }
   tcp::socket mClient;             ///< Who connected.
   tcp::socket mTarget;             ///< Where it goes.
   std::int64_t mRequestLimit = -1; ///< Bytes forwarded to the target; -1 for all.
@@ -55,6 +63,10 @@
   asio::awaitable<void> Control(exchange_ptr aExchange)
   {
     mFaults.merge_patch(BodyOf(*aExchange));
+    if (Fault("reset", 0) != 0) {
+      ResetAll();
+      mFaults.erase("reset");
+    }
     json body = mFaults;
     body["proxy"] = ToText(AddressOf(mAcceptor));
     body["connections"] = mConnections;
@@ -67,6 +79,17 @@
     return mFaults.value(aName, aDefault);
   }
 
+  /** Resets every open connection, on both sides. */
+  void ResetAll()
+  {
+    for (const std::weak_ptr<proxied>& open : mOpen) {
+      if (const auto pair = open.lock()) {
+        pair->Reset();
+      }
+    }
+    mOpen.clear();
+  }
+
   asio::awaitable<void> AcceptLoop()
   {
     for (;;) {
@@ -78,7 +101,10 @@
       }
       ++mConnections;
       if (Fault("refuse", 0) == 0) {
-        Spawn(mIo, Connect(std::make_shared<proxied>(std::move(client), mIo)));
+        auto pair = std::make_shared<proxied>(std::move(client), mIo);
+        std::erase_if(mOpen, [](const auto& aOpen) { return aOpen.expired(); });
+        mOpen.push_back(pair);
+        Spawn(mIo, Connect(std::move(pair)));
       }
     }
   }
@@ -114,7 +140,8 @@
       boost::system::error_code error;
       const std::size_t got = co_await aFrom.async_read_some(
         asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-      while (Fault("stall", 0) != 0) {
+      const char* const oneWay = aIsAnswer ? "stall_answers" : "stall_requests";
+      while (Fault("stall", 0) != 0 || Fault(oneWay, 0) != 0) {
         co_await Sleep(std::chrono::milliseconds(20));
       }
       if (aIsAnswer && Fault("delay_ms", 0) > 0) {
@@ -138,11 +165,12 @@
     }
   }
 
-  asio::io_context& mIo;          ///< Runs everything.
-  endpoint mTarget;               ///< Where connections go.
-  tcp::acceptor mAcceptor;        ///< Takes connections.
-  json mFaults = json::object();  ///< As set by /control.
-  std::uint64_t mConnections = 0; ///< Connections taken.
+  asio::io_context& mIo;                     ///< Runs everything.
+  endpoint mTarget;                          ///< Where connections go.
+  tcp::acceptor mAcceptor;                   ///< Takes connections.
+  json mFaults = json::object();             ///< As set by /control.
+  std::vector<std::weak_ptr<proxied>> mOpen; ///< Connections; some may have ended.
+  std::uint64_t mConnections = 0;            ///< Connections taken.
 };
 
 } // namespace
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -9,9 +9,12 @@
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <sys/stat.h>
+#include <thread>
 #include <unistd.h>
 
 namespace dunehook::test {
@@ -50,6 +53,12 @@
 
 } // namespace
 
+json
+PageRoute(const std::string& aPrefix)
+{
+  return Route(aPrefix, "safe", "desk");
+}
+
 headers
 CallerHeaders(const std::string& aId, const headers& aMore)
 {
@@ -72,7 +81,8 @@
   return all;
 }
 
-fleet_bed::fleet_bed()
+fleet_bed::fleet_bed(bool aProxied)
+  : mProxied(aProxied)
 {
   char folder[] = "/tmp/dunehook-fleet-XXXXXX";
   mFolder = ::mkdtemp(folder);
@@ -85,6 +95,7 @@
     throw std::runtime_error("the stand-in of the platform didn't start");
   }
   mAddress = json::parse(line).at("listening").get<std::string>();
+  mStoreAddress = Behind("store", mAddress);
 }
 
 fleet_bed::~fleet_bed()
@@ -111,7 +122,51 @@
   json start = aOptions.mFaults;
   start["role"] = aOptions.mRole;
   const json started = Control("runner?id=" + aId, start.dump());
-  ListAt(aId, aOptions, started.at("address"));
+  ListAt(aId, aOptions, Behind(aId, started.at("address")));
+}
+
+std::string
+fleet_bed::Behind(const std::string& aName, const std::string& aTarget)
+{
+  if (!mProxied) {
+    return aTarget;
+  }
+  standin& proxy = mProxies[aName];
+  proxy.mProcess = std::make_unique<process>(
+    std::vector<std::string>{ BuildFolderOf() + "/standins/standin_proxy", "--target=" + aTarget },
+    mFolder + "/proxy-" + aName + ".out");
+  const std::string line = proxy.mProcess->WaitForLine("listening");
+  if (line.empty()) {
+    throw std::runtime_error("a proxy didn't start");
+  }
+  proxy.mAddress = json::parse(line).at("listening").get<std::string>();
+  proxy.mProxy = dunehook::test::Control(proxy, json::object()).at("proxy").get<std::string>();
+  return proxy.mProxy;
+}
+
+void
+fleet_bed::SetProxy(const std::string& aName, const json& aFaults)
+{
+  dunehook::test::Control(mProxies.at(aName), aFaults);
+}
+
+void
+fleet_bed::MendProxy(const std::string& aName)
+{
+  SetProxy(aName,
+           { { "delay_ms", 0 },
+             { "stall", 0 },
+             { "stall_requests", 0 },
+             { "stall_answers", 0 },
+             { "refuse", 0 } });
+}
+
+void
+fleet_bed::MendProxies()
+{
+  for (const auto& [name, proxy] : mProxies) {
+    MendProxy(name);
+  }
 }
 
 void
@@ -239,26 +294,72 @@
 fleet_bed::Launch(const std::string& aOutput, bool aWaitReady)
 {
   const std::size_t number = mDaemons.size();
-  const std::string settings = mFolder + "/daemon-" + std::to_string(number) + ".toml";
-  std::ofstream(settings) << "node-name = \"entry-" << number << "\"\nip = \"" << Host(number)
-                          << "\"\nzone = \"hall-a\"\ninternal-ports = [" << mPort << ", "
-                          << mPort + 3 << "]\nseeds = [\"" << Host(0) << ":1\", \"" << Host(1)
-                          << ":1\"]\n[listen]\nfront = \"" << Callers(number) << "\"\nready = \""
-                          << Host(number) << ":" << mPort + 5 << "\"\n[platform]\naddress = \""
-                          << mAddress << "\"\n[bounds]\ngrace-s = 8\nretry-budget-ratio = 0.2\n"
-                          << "budget-window-s = 10\nretry-budget-slack = 60\nlease-ms = 1000\n";
-  ::setenv("DUNEHOOK_BOOT", settings.c_str(), 1);
-  mDaemons.push_back(std::make_unique<process>(
-    std::vector<std::string>{ BuildFolderOf() + "/src/dunehookd",
-                              "--platform",
-                              "--metrics_port=" + std::to_string(mPort + 6) },
-    aOutput));
+  std::ofstream(SettingsPath(number)) << SettingsOf(number);
+  mDaemons.push_back(StartProcess(number, aOutput));
   if (aWaitReady && !Eventually([&] { return Readiness(number) == 200; })) {
     throw std::runtime_error("the daemon isn't ready");
   }
   return number;
 }
 
+void
+fleet_bed::StartDaemonSignalled(int aSignal)
+{
+  const std::size_t number = mDaemons.size();
+  const std::string settings = SettingsPath(number);
+  if (::mkfifo(settings.c_str(), 0600) != 0) {
+    throw std::runtime_error("no pipe");
+  }
+  mDaemons.push_back(StartProcess(number, mFolder + "/signalled.out"));
+  std::signal(SIGPIPE, SIG_IGN); // A daemon that the signal ends is the test's to notice.
+  std::ofstream pipe(settings);  // Opens once the daemon reads.
+  std::filesystem::remove(settings);
+  std::ofstream(settings) << SettingsOf(number);
+  Daemon(number).Signal(aSignal);
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  pipe << SettingsOf(number);
+}
+
+std::string
+fleet_bed::SettingsPath(std::size_t aDaemon) const
+{
+  return mFolder + "/daemon-" + std::to_string(aDaemon) + ".toml";
+}
+
+std::string
+fleet_bed::SettingsOf(std::size_t aDaemon) const
+{
+  const std::size_t number = aDaemon; // Names the host too.
+  std::ostringstream settings;
+  settings << "node-name = \"entry-" << number << "\"\nip = \"" << Host(number)
+           << "\"\nzone = \"hall-a\"\ninternal-ports = [" << mPort << ", " << mPort + 3
+           << "]\nseeds = [\"" << Host(0) << ":1\", \"" << Host(1) << ":1\"]\n[listen]\nfront = \""
+           << Callers(number) << "\"\nready = \"" << Host(number) << ":" << mPort + 5
+           << "\"\n[platform]\naddress = \"" << mStoreAddress
+           << "\"\n[bounds]\ngrace-s = 8\nretry-budget-ratio = 0.2\n"
+           << "budget-window-s = 10\nretry-budget-slack = 60\nlease-ms = 1000\n";
+  return settings.str();
+}
+
+std::unique_ptr<process>
+fleet_bed::StartProcess(std::size_t aDaemon, const std::string& aOutput) const
+{
+  ::setenv("DUNEHOOK_BOOT", SettingsPath(aDaemon).c_str(), 1);
+  return std::make_unique<process>(
+    std::vector<std::string>{ BuildFolderOf() + "/src/dunehookd",
+                              "--platform",
+                              "--metrics_port=" + std::to_string(mPort + 6) },
+    aOutput);
+}
+
+void
+fleet_bed::RestartDaemon(std::size_t aDaemon)
+{
+  mDaemons.at(aDaemon).reset();
+  mDaemons[aDaemon] =
+    StartProcess(aDaemon, mFolder + "/daemon-" + std::to_string(aDaemon) + ".out");
+}
+
 void
 fleet_bed::StartUsual()
 {
@@ -290,6 +391,26 @@
   return Control("holds", "").at(aId);
 }
 
+std::string
+fleet_bed::RunCli(std::vector<std::string> aWords) const
+{
+  aWords.insert(aWords.begin(), BuildFolderOf() + "/src/dunehook");
+  aWords.insert(aWords.end(), { "--store=" + mAddress, "--platform", "--o=json" });
+  const std::string output = mFolder + "/cli.out";
+  std::filesystem::remove(output);
+  process command(aWords, output);
+  command.WaitForExit();
+  return command.Output();
+}
+
+std::string
+fleet_bed::WriteFile(const std::string& aText) const
+{
+  const std::string path = mFolder + "/written.toml";
+  std::ofstream(path) << aText;
+  return path;
+}
+
 void
 fleet_bed::SendToRuns(const std::vector<std::uint8_t>& aData, std::size_t aDaemon) const
 {
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -22,7 +22,8 @@
 class fleet_bed
 {
 public:
-  fleet_bed();
+  /** @param aProxied runners and the store are reached through proxies, see SetProxy(). */
+  explicit fleet_bed(bool aProxied = false);
   ~fleet_bed();
 
   /** Adds a runner and lists it. */
@@ -35,18 +36,31 @@
   void ListUnreachable(const std::string& aId, const runner_options& aOptions);
   /** Sets faults of a runner. */
   void SetRunner(const std::string& aId, const json& aFaults);
+  /** Sets faults of the proxy before a runner, or before the "store". */
+  void SetProxy(const std::string& aName, const json& aFaults);
+  /** Takes the faults of one proxy, or of all, away. */
+  void MendProxy(const std::string& aName);
+  void MendProxies();
+  /** Starts a daemon anew that has ended, with its former addresses. */
+  void RestartDaemon(std::size_t aDaemon);
   /** Writes the configuration. @param aRoutes routes beside the usual ones. */
   void PutConfig(std::uint64_t aVersion, const json& aRoutes = json::array());
   /** Sets the store's fault: "busy", "silent", "slow", or "" for none. */
   void SetStore(const std::string& aMode);
   /** Starts a daemon. @return its number. */
   std::size_t StartDaemon(bool aWaitReady = true);
+  /** Starts a daemon and signals it while it reads its settings. */
+  void StartDaemonSignalled(int aSignal);
   /** Starts a daemon whose output goes into a pipe that nobody reads. */
   void StartDaemonUnread();
   /** Adds usual runners (desk-1, desk-2, prefill-1, decode-1, decode-2), a configuration, and one
    * daemon. */
   void StartUsual();
 
+  /** Runs the operators' command line on the stand-in's store. @return what it prints. */
+  std::string RunCli(std::vector<std::string> aWords) const;
+  /** @return the path of a new file with a text. */
+  std::string WriteFile(const std::string& aText) const;
   /** @return the daemon's address for callers. */
   std::string Callers(std::size_t aDaemon = 0) const;
   /** @return the daemon's address for metrics. */
@@ -69,17 +83,29 @@
   json Control(const std::string& aTarget, const std::string& aBody) const;
   void ListAt(const std::string& aId, const runner_options& aOptions, const std::string& aAddress);
   std::string Host(std::size_t aDaemon) const;
+  std::string SettingsOf(std::size_t aDaemon) const;
+  std::string SettingsPath(std::size_t aDaemon) const;
   std::size_t Launch(const std::string& aOutput, bool aWaitReady);
+  std::unique_ptr<process> StartProcess(std::size_t aDaemon, const std::string& aOutput) const;
+  /** @return the address to use for @p aTarget: that of a new proxy, if the bed has proxies. */
+  std::string Behind(const std::string& aName, const std::string& aTarget);
 
   std::string mFolder;                            ///< For files of the test.
   std::unique_ptr<process> mFleet;                ///< The stand-in.
   std::string mAddress;                           ///< Where it listens.
+  std::string mStoreAddress;                      ///< Where daemons reach the store.
+  bool mProxied;                                  ///< Runners and the store are behind proxies.
+  std::map<std::string, standin> mProxies;        ///< By the name of what is behind.
   std::vector<std::unique_ptr<process>> mDaemons; ///< In the order of their start.
   std::map<std::string, json> mEntries;           ///< Listed runners by id.
   int mUnread = -1;                               ///< Holds a pipe that nobody reads open.
   int mPort = 0;                                  ///< First of the daemons' ports.
 };
 
+/** @return a route of repeatable requests, for PutConfig(). */
+json
+PageRoute(const std::string& aPrefix);
+
 /** @return headers of a caller's request. */
 headers
 CallerHeaders(const std::string& aId, const headers& aMore = {});
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -9,6 +9,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <csignal>
@@ -275,8 +276,8 @@
   mBed.AddRunner("decode-1", { "tutor", "decode" });
   mBed.PutConfig(1);
   mBed.StartDaemon();
-  // Both entries name lives that have ended: the engine there turns the handoff away. They're nearer
-  // than the one that lives.
+  // Both entries name lives that have ended: the engine there turns the handoff away. They're
+  // nearer than the one that lives.
   mBed.ListAs("decode-8", "decode-1");
   mBed.ListAs("decode-9", "decode-1");
   mBed.List("decode-1", "");
@@ -536,6 +537,45 @@
   CHECK_EQUAL(200U, Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders("r1")).mStatus);
 }
 
+TEST(gateway, ARequestLateInAPlannedStopIsNotTaken)
+{
+  mBed.StartUsual();
+  mBed.SetRunner("decode-1", { { "step_ms", 100 } });
+  mBed.SetRunner("decode-2", { { "step_ms", 100 } });
+  const endpoint to = ParseEndpoint(mBed.Callers()).value();
+  asio::io_context io(1);
+  tcp::socket socket(io);
+  socket.connect({ asio::ip::make_address(to.mAddress), to.mPort });
+  const std::string host = "Host: calls.example\r\nX-Deadline-Ms: 14000\r\n";
+  asio::write(socket,
+              asio::buffer("POST /turns/a HTTP/1.1\r\n" + host +
+                           "X-Request-Id: g1\r\nX-Model: m\r\nX-Token-Counts: 1000,2560\r\n"
+                           "X-Prefix-Hash: bb:1000\r\nContent-Length: 0\r\n\r\n"));
+  std::string got;
+  asio::read_until(socket, asio::dynamic_buffer(got), "piece 1\n");
+  mBed.Daemon().Signal(SIGTERM);
+  // The stream ends some 4 s after the signal; its head, sent before, left the connection open.
+  asio::read_until(socket, asio::dynamic_buffer(got), "\r\n0\r\n\r\n");
+  asio::write(socket,
+              asio::buffer("POST /records/a HTTP/1.1\r\n" + host +
+                           "X-Request-Id: r2\r\nContent-Length: 0\r\n\r\n"));
+  std::string rest;
+  boost::system::error_code ended;
+  asio::read(socket, asio::dynamic_buffer(rest), ended);
+  CHECK_EQUAL("", rest);
+  CHECK(mBed.Seen("r2").empty());
+  CHECK_EQUAL(0, mBed.Daemon().WaitForExit());
+}
+
+TEST(gateway, AReloadDuringTheStartIsNeitherTheEndNorLost)
+{
+  mBed.AddRunner("desk-1");
+  mBed.PutConfig(1);
+  mBed.StartDaemonSignalled(SIGHUP);
+  CHECK(Eventually([&] { return mBed.Readiness() == 200; }));
+  CHECK_FALSE(mBed.Daemon().WaitForLine("reloaded").empty());
+}
+
 TEST(gateway, ALogThatNobodyReadsStopsNothing)
 {
   mBed.AddRunner("desk-1", { "desk", "", "ready", { { "step_ms", 0 } } });
@@ -564,6 +604,33 @@
   }
 }
 
+TEST(gateway, TheCommandLineShowsWhatTheStoreHolds)
+{
+  mBed.StartUsual();
+  mBed.List("desk-2", "draining");
+  const json status = json::parse(mBed.RunCli({ "status" })).at(0);
+  CHECK_EQUAL(1, status.value("config_version", 0));
+  CHECK_EQUAL(5, status.value("runners", 0));
+  CHECK_EQUAL(1, status.value("leaving", 0));
+  const json runners = json::parse(mBed.RunCli({ "get", "runners" }));
+  CHECK_EQUAL(5U, runners.size());
+  const json routes = json::parse(mBed.RunCli({ "get", "routes" }));
+  CHECK_EQUAL("/records/", routes.at(0).value("path", ""));
+  CHECK_EQUAL("once", routes.at(0).value("repeat", ""));
+  mBed.PutConfig(7);
+  CHECK_EQUAL(7, json::parse(mBed.RunCli({ "watch", "--seconds=1" })).value("config_version", 0));
+}
+
+TEST(gateway, TheCommandLineTellsAllFaultsOfSettings)
+{
+  const std::string told = mBed.RunCli({ "check", mBed.WriteFile("port = 1\n[listen\n") });
+  CHECK(told.find(":2:") != std::string::npos);
+  const std::string missing = mBed.RunCli({ "check", mBed.WriteFile("zone = 7\n") });
+  for (const char* const key : { "node-name", "zone", "listen.front", "platform.address" }) {
+    CHECK_TRUE_TEXT(missing.find(key) != std::string::npos, missing.c_str());
+  }
+}
+
 TEST(gateway, OneDaemonGivesTheOrders)
 {
   // Three prefill engines of five are too many: some are ordered to decode, each by one daemon.
