Add: [Cli] what the users' store holds, and checks of host settings

Cause: operators had no way to see the configuration in force and the runners on the platform. Change: dunehook status, get routes|runners and watch with -store; check -platform. The store's one client is used; nothing is written. Tests: gateway.TheCommandLineShowsWhatTheStoreHolds, TheCommandLineTellsAllFaultsOfSettings (new capability: not run before it).

--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -5,9 +5,12 @@
 #include "cli/cli_func.h"
 
 #include "cli/explain_func.h"
+#include "cli/store_view.h"
 #include "core/attempt_type.h"
 #include "core/text_func.h"
 #include "net/http_client.h"
+#include "platform/codec.h"
+#include "platform/store_client.h"
 #include "resources/resource_type.h"
 #include "settings/settings_type.h"
 
@@ -306,20 +309,39 @@
   api_client mClient;          ///< The daemon.
 };
 
+/** @param aPlatform whether the file is in the form of the users' platform. */
 int
-CheckSettings(const std::string& aPath)
+CheckSettings(const std::string& aPath, bool aPlatform)
 {
-  const settings_report report = LoadSettings(aPath);
-  for (const finding& one : report.mFindings) {
+  const finding_list findings =
+    aPlatform ? platform::ReadHostSettings(aPath).mFindings : LoadSettings(aPath).mFindings;
+  for (const finding& one : findings) {
     std::cerr << Describe(one, aPath) << "\n";
   }
-  if (!report.mFindings.empty()) {
+  if (!findings.empty()) {
     return kExitBadInput;
   }
   std::cout << aPath << ": no findings\n";
   return kExitOk;
 }
 
+/** Shows what the users' store holds. */
+int
+ViewStore(const cli_options& aOptions)
+{
+  const result<endpoint> at = ParseEndpoint(aOptions.mStore);
+  if (!at) {
+    return cli_run::Usage("-store is no address");
+  }
+  asio::io_context io(1);
+  platform::store_client store(at.value());
+  store_view<platform::store_client> view(store, aOptions);
+  int code = kExitRefused;
+  Spawn(io, view.Run(code));
+  io.run();
+  return code;
+}
+
 /** Tells the story of a request from files, or from standard input where none is named. */
 int
 Explain(const cli_options& aOptions)
@@ -360,13 +382,18 @@
 {
   const std::string command = aOptions.mWords.empty() ? "" : aOptions.mWords[0];
   if (command == "check") {
-    return aOptions.mWords.size() == 2 ? CheckSettings(aOptions.mWords[1])
+    return aOptions.mWords.size() == 2 ? CheckSettings(aOptions.mWords[1], aOptions.mHostSettings)
                                        : cli_run::Usage("check needs a file");
   }
   if (command == "explain") {
     return aOptions.mWords.size() >= 2 ? Explain(aOptions)
                                        : cli_run::Usage("explain needs a request's id");
   }
+  const bool reads = command == "status" || command == "get" || command == "watch";
+  if (!aOptions.mStore.empty()) {
+    return reads ? ViewStore(aOptions)
+                 : cli_run::Usage("the store is only read: status, get or watch");
+  }
   const result<endpoint> server = ParseEndpoint(aOptions.mServer);
   const result<std::string> token = LoadSecret(aOptions.mTokenFile);
   if (!server || !token) {
--- a/src/cli/cli_func.h
+++ b/src/cli/cli_func.h
@@ -13,6 +13,8 @@
 struct cli_options
 {
   std::string mServer;             ///< Operators' address of a daemon.
+  std::string mStore;              ///< Address of the users' store; empty: ask a daemon.
+  bool mHostSettings = false;      ///< Settings to check are in the platform's form.
   std::string mTokenFile;          ///< File with the operators' secret.
   std::string mFile;               ///< File to apply.
   bool mJson = false;              ///< Print JSON in place of tables.
