Add: [Soak] a randomized soak of real processes with faults from outside

Change: soak/ plays spans of overlapping faults (stops, kills, pauses, reloads; connections delayed, reset, silenced, cut one way, refused; runners that reset, hang, refuse, cut, mix up answers; the store busy, silent, slow or losing an answer; new configurations, replaced runners) against callers that never rest, and checks the promises from what callers and runners saw.

--- a/scripts/check_names.pl
+++ b/scripts/check_names.pl
@@ -1,6 +1,6 @@
 #!/usr/bin/env perl
-# Reports names of the users' platform outside platform/, deploy/, its stand-in and its tests: the
-# quoted names of platform/names.h, and those of platform/codec.cpp that have a hyphen.
+# Reports names of the users' platform outside platform/, deploy/, its stand-in, its tests and the
+# soak, which is a caller: the quoted names of platform/names.h, and those of platform/codec.cpp that have a hyphen.
 use strict;
 use warnings;
 my %names;
--- /dev/null
+++ b/soak/soak_callers.h
@@ -0,0 +1,62 @@
+/**
+ * @file soak_callers.h
+ * Callers of a soak: each sends one request after the other, on kept or fresh connections, resumes
+ * streams that broke, and leaves now and then. They go on through all faults and judge nothing.
+ */
+#pragma once
+
+#include "soak/soak_type.h"
+#include "tests/platform/fleet_bed.h"
+
+#include <atomic>
+#include <mutex>
+#include <random>
+#include <thread>
+
+namespace dunehook::soak {
+
+/** What callers and faults share. */
+struct caller_world
+{
+  std::vector<std::string> mDaemons;        ///< Callers' addresses of the daemons.
+  std::vector<std::atomic<int>> mLives;     ///< Runs of each daemon's process so far.
+  std::atomic<std::uint64_t> mVersion{ 1 }; ///< Newest configuration that was written.
+
+  explicit caller_world(std::size_t aDaemons)
+    : mLives(aDaemons)
+  {
+  }
+};
+
+/** The callers, on one thread of their own. */
+class soak_callers
+{
+public:
+  soak_callers(caller_world& aWorld, std::size_t aCallers, unsigned aSeed);
+  ~soak_callers();
+  soak_callers(const soak_callers&) = delete;
+  soak_callers& operator=(const soak_callers&) = delete;
+
+  /** No new requests; waits until those under way have ended. */
+  void Stop();
+  /** @return all requests that have ended. */
+  std::vector<call_record> Records() const;
+
+private:
+  struct connection;
+
+  asio::awaitable<void> Live(std::size_t aNumber);
+  call_record DrawCall(std::size_t aNumber, std::uint64_t aCount);
+  asio::awaitable<void> Perform(connection& aConnection, call_record& aCall);
+  int Draw(int aMost) { return std::uniform_int_distribution<int>(0, aMost - 1)(mRandom); }
+
+  caller_world& mWorld;                 ///< Where to call.
+  asio::io_context mIo;                 ///< Runs all callers.
+  std::mt19937 mRandom;                 ///< Used on the callers' thread only.
+  std::atomic<bool> mStopping{ false }; ///< No new requests.
+  mutable std::mutex mLock;             ///< Guards mRecords.
+  std::vector<call_record> mRecords;    ///< Ended requests.
+  std::thread mThread;                  ///< Runs mIo.
+};
+
+} // namespace dunehook::soak
--- /dev/null
+++ b/soak/soak_check.cpp
@@ -0,0 +1,202 @@
+/**
+ * @file soak_check.cpp
+ * One function for each promise.
+ */
+#include "soak/soak_check.h"
+
+#include <algorithm>
+
+namespace dunehook::soak {
+
+namespace {
+
+using nlohmann::json;
+
+/** A caller that has left isn't worked for this long after, in ms, on a loopback. */
+constexpr std::int64_t kLeftTime = 500;
+/** Faults and requests are taken for overlapping within this, in ms. */
+constexpr std::int64_t kAround = 300;
+
+/** Runs that runners began, by request. */
+using runs_by_request = std::map<std::string, std::vector<const json*>>;
+
+runs_by_request
+RunsOf(const evidence& aEvidence)
+{
+  runs_by_request runs;
+  for (const json& one : aEvidence.mSeen) {
+    const json& headers = one.at("headers");
+    if (one.value("run", false) && headers.value("X-Stage", "").empty()) {
+      runs[headers.value("X-Request-Id", "")].push_back(&one);
+    }
+  }
+  return runs;
+}
+
+bool
+IsStream(const call_record& aCall)
+{
+  return aCall.mKind == call_kind::eTurn || aCall.mKind == call_kind::eResumed;
+}
+
+bool
+MayRunOnce(const call_record& aCall)
+{
+  return aCall.mKind == call_kind::eRecord || aCall.mKind == call_kind::eTurn;
+}
+
+/** @return whether a status tells that the request didn't run and won't. */
+bool
+SaysNotRun(unsigned aStatus)
+{
+  return aStatus == 503 || aStatus == 429 || aStatus == 408 || aStatus == 421;
+}
+
+std::string
+WholeBodyOf(const call_record& aCall)
+{
+  if (!IsStream(aCall)) {
+    return "answer to " + aCall.mId;
+  }
+  std::string text;
+  for (std::uint64_t event = aCall.mFirstEvent; event < aCall.mEvents; ++event) {
+    const std::string number = std::to_string(event);
+    text += "id: " + number + "\ndata: piece " + number + "\n\n";
+  }
+  return text;
+}
+
+/** @return whether faults of a kind touched the daemon, or all, between two times. */
+bool
+Touched(const evidence& aEvidence, const call_record& aCall, std::int64_t aUntil, bool aPlanned)
+{
+  return std::any_of(
+    aEvidence.mFaults.begin(), aEvidence.mFaults.end(), [&](const fault_record& aFault) {
+      const bool mine = !aFault.mDaemon || *aFault.mDaemon == aCall.mDaemon;
+      const bool overlaps =
+        aFault.mFrom - kAround < aUntil && aFault.mUntil + kAround > aCall.mSentAt;
+      return mine && overlaps && aFault.mPlanned == aPlanned;
+    });
+}
+
+void
+CheckAnswer(const call_record& aCall, std::set<violation>& aFound)
+{
+  const bool named = !aCall.mAnswerId.empty() && aCall.mAnswerId != aCall.mId;
+  if (named) {
+    aFound.insert({ "own answer", aCall.mId, "the answer names " + aCall.mAnswerId });
+  }
+  if (aCall.mStatus == 200) {
+    const std::string whole = WholeBodyOf(aCall);
+    const bool right =
+      aCall.mWhole ? aCall.mBody == whole : whole.compare(0, aCall.mBody.size(), aCall.mBody) == 0;
+    if (!right) {
+      aFound.insert({ "whole answer", aCall.mId, aCall.mBody.substr(0, 120) });
+    }
+  }
+  const bool misjudged = aCall.mStatus >= 400 && aCall.mStatus < 500 && !SaysNotRun(aCall.mStatus);
+  if (misjudged && !(aCall.mKind == call_kind::eVersion && aCall.mStatus == 404)) {
+    aFound.insert({ "proper requests", aCall.mId, "status " + std::to_string(aCall.mStatus) });
+  }
+}
+
+void
+CheckRuns(const call_record& aCall, const runs_by_request& aRuns, std::set<violation>& aFound)
+{
+  const auto found = aRuns.find(aCall.mId);
+  const std::size_t runs = found == aRuns.end() ? 0 : found->second.size();
+  if (MayRunOnce(aCall) && runs > 1) {
+    aFound.insert({ "at most once", aCall.mId, std::to_string(runs) + " runs" });
+  }
+  if (MayRunOnce(aCall) && SaysNotRun(aCall.mStatus) && runs > 0) {
+    aFound.insert({ "not run is true", aCall.mId, "status " + std::to_string(aCall.mStatus) });
+  }
+}
+
+/** A planned stop, reload or change cuts no request that was passed on. */
+void
+CheckPlanned(const evidence& aEvidence,
+             const call_record& aCall,
+             const runs_by_request& aRuns,
+             std::set<violation>& aFound)
+{
+  const bool cut = !aCall.mLeft && aCall.mSentAt != 0 && !aCall.mWhole;
+  if (cut && aRuns.count(aCall.mId) > 0 && Touched(aEvidence, aCall, aCall.mEndedAt, true) &&
+      !Touched(aEvidence, aCall, aCall.mEndedAt, false)) {
+    aFound.insert({ "planned work cuts nothing", aCall.mId, "the connection ended" });
+  }
+}
+
+/** Nothing is sent on for a caller that has left. */
+void
+CheckLeft(const evidence& aEvidence,
+          const call_record& aCall,
+          const runs_by_request& aRuns,
+          std::set<violation>& aFound)
+{
+  const auto found = aRuns.find(aCall.mId);
+  if (!aCall.mLeft || found == aRuns.end()) {
+    return;
+  }
+  for (const json* const run : found->second) {
+    const std::int64_t late = run->value("at_ms", std::int64_t{ 0 }) - aCall.mEndedAt;
+    if (late > kLeftTime && !Touched(aEvidence, aCall, aCall.mEndedAt + late, false)) {
+      aFound.insert(
+        { "caller gone", aCall.mId, "run begun " + std::to_string(late) + " ms after" });
+    }
+  }
+}
+
+/** Within one run of a daemon's process, a configuration that was in force stays so. */
+void
+CheckVersions(const evidence& aEvidence, std::set<violation>& aFound)
+{
+  for (const call_record& known : aEvidence.mCalls) {
+    if (known.mKind != call_kind::eVersion || known.mStatus == 0 || known.mStatus == 404) {
+      continue;
+    }
+    for (const call_record& later : aEvidence.mCalls) {
+      const bool same = later.mDaemon == known.mDaemon && later.mLife == known.mLife;
+      if (same && later.mKind == call_kind::eVersion && later.mStatus == 404 &&
+          later.mVersion <= known.mVersion && later.mSentAt > known.mEndedAt) {
+        aFound.insert({ "configuration never back", later.mId, "after " + known.mId });
+      }
+    }
+  }
+}
+
+/** A leaving runner gets nothing new. */
+void
+CheckDrains(const evidence& aEvidence, std::set<violation>& aFound)
+{
+  for (const drain_record& drain : aEvidence.mDrains) {
+    for (const json& one : aEvidence.mSeen) {
+      const std::int64_t at = one.value("at_ms", std::int64_t{ 0 });
+      const bool late = at > drain.mListedAt + aEvidence.mDrainTime;
+      const std::string id = one.at("headers").value("X-Request-Id", "");
+      if (one.value("runner", "") == drain.mRunner && late && !id.empty()) {
+        aFound.insert({ "leaving runner", id, drain.mRunner + " was told to leave" });
+      }
+    }
+  }
+}
+
+} // namespace
+
+std::set<violation>
+CheckPromises(const evidence& aEvidence)
+{
+  std::set<violation> found;
+  const runs_by_request runs = RunsOf(aEvidence);
+  for (const call_record& call : aEvidence.mCalls) {
+    CheckAnswer(call, found);
+    CheckRuns(call, runs, found);
+    CheckPlanned(aEvidence, call, runs, found);
+    CheckLeft(aEvidence, call, runs, found);
+  }
+  CheckVersions(aEvidence, found);
+  CheckDrains(aEvidence, found);
+  return found;
+}
+
+} // namespace dunehook::soak
--- /dev/null
+++ b/soak/soak_faults.cpp
@@ -0,0 +1,319 @@
+/**
+ * @file soak_faults.cpp
+ * Drawing and injecting of faults.
+ */
+#include "soak/soak_faults.h"
+
+#include <csignal>
+
+namespace dunehook::soak {
+
+namespace {
+
+using test::json;
+using test::NowMs;
+
+/** Length of an episode's faults, and how long one of them lasts, in ms. */
+constexpr int kEpisodeMs = 2500;
+constexpr int kShortestMs = 100;
+constexpr int kLongestMs = 1800;
+/** Longest planned stop of a daemon, in ms: its limit is 8 s. */
+constexpr int kStopMs = 9000;
+/** A daemon answers what it has read and closes, at most this long after it's well again, in ms. */
+constexpr std::int64_t kAfterwardsMs = 1500;
+/** One of so many episodes has planned work only. */
+constexpr int kPlannedOf = 3;
+/** A program can't take a signal before it's loaded, which takes some ms after its start. */
+constexpr std::int64_t kLoadedMs = 100;
+/** A planned episode ends so long after its last work: a leaving runner is served until then. */
+constexpr int kDrainMs = 2600;
+
+} // namespace
+
+soak_faults::soak_faults(test::fleet_bed& aBed, caller_world& aWorld, unsigned aSeed)
+  : mBed(aBed)
+  , mWorld(aWorld)
+  , mRandom(aSeed)
+  , mRunners{ "desk-1", "desk-2", "prefill-1", "decode-1", "decode-2" }
+{
+}
+
+std::pair<std::int64_t, std::int64_t>
+soak_faults::DrawSpan()
+{
+  const std::int64_t from = Draw(kEpisodeMs - kShortestMs);
+  return { from, from + kShortestMs + Draw(kLongestMs) };
+}
+
+void
+soak_faults::Note(const std::string& aKind,
+                  std::optional<std::size_t> aDaemon,
+                  std::int64_t aFor,
+                  bool aPlanned)
+{
+  ++mCounts[aKind];
+  mFaults.push_back({ NowMs(), NowMs() + aFor + kAfterwardsMs, aDaemon, aPlanned });
+}
+
+void
+soak_faults::StopAndStart(std::size_t aDaemon)
+{
+  const std::int64_t loading = mStartedAt[aDaemon] + kLoadedMs - NowMs();
+  std::this_thread::sleep_for(std::chrono::milliseconds(std::max<std::int64_t>(0, loading)));
+  test::process& daemon = mBed.Daemon(aDaemon);
+  daemon.Signal(SIGTERM);
+  const int code = daemon.WaitForExit(kStopMs);
+  if (code != 0) {
+    mBadEnds.push_back("daemon " + std::to_string(aDaemon) + " ended a planned stop with " +
+                       std::to_string(code));
+  }
+  Restart(aDaemon);
+}
+
+void
+soak_faults::Restart(std::size_t aDaemon)
+{
+  ++mWorld.mLives[aDaemon];
+  mStartedAt[aDaemon] = NowMs();
+  mBed.RestartDaemon(aDaemon);
+}
+
+void
+soak_faults::KillAndStart(std::size_t aDaemon)
+{
+  mPaused.erase(aDaemon);
+  mBed.Daemon(aDaemon).Signal(SIGKILL);
+  Restart(aDaemon);
+}
+
+void
+soak_faults::ChangeConfig()
+{
+  const std::uint64_t version = mWorld.mVersion + 1;
+  json routes = json::array();
+  for (std::uint64_t added = 2; added <= version; ++added) {
+    routes.push_back(test::PageRoute("/v" + std::to_string(added) + "/"));
+  }
+  mBed.PutConfig(version, routes);
+  mWorld.mVersion = version;
+}
+
+void
+soak_faults::ReplaceRunner()
+{
+  const std::size_t which = static_cast<std::size_t>(Draw(static_cast<int>(mRunners.size())));
+  const std::string former = mRunners[which];
+  const std::string kind = former.substr(0, former.find('-'));
+  const std::string fresh = kind + "-x" + std::to_string(++mNextRunner);
+  mBed.AddRunner(fresh, { kind == "desk" ? "desk" : "tutor", kind == "desk" ? "" : kind });
+  mBed.List(former, "draining");
+  mDrains.push_back({ former, NowMs() });
+  mDraining.push_back(former);
+  mRunners[which] = fresh;
+}
+
+void
+soak_faults::AddPlanned(timeline& aTimes)
+{
+  const auto daemon = static_cast<std::size_t>(Draw(static_cast<int>(mWorld.mDaemons.size())));
+  switch (Draw(4)) {
+    case 0:
+      aTimes.emplace(Draw(kEpisodeMs), [this, daemon] {
+        Note("planned stop", daemon, kStopMs, true);
+        StopAndStart(daemon);
+      });
+      break;
+    case 1:
+      for (int i = 0; i < 3; ++i) {
+        aTimes.emplace(Draw(kEpisodeMs), [this, daemon] {
+          if (NowMs() - mStartedAt[daemon] >= kLoadedMs) {
+            Note("reload", daemon, 0, true);
+            mBed.Daemon(daemon).Signal(SIGHUP);
+          }
+        });
+      }
+      break;
+    case 2:
+      for (int i = 0; i < 2; ++i) {
+        aTimes.emplace(Draw(kEpisodeMs), [this] {
+          Note("configuration", std::nullopt, 0, true);
+          ChangeConfig();
+        });
+      }
+      break;
+    default:
+      aTimes.emplace(Draw(kEpisodeMs), [this] {
+        Note("runner replaced", std::nullopt, kDrainMs, true);
+        ReplaceRunner();
+      });
+      break;
+  }
+}
+
+void
+soak_faults::AddProcessFault(timeline& aTimes)
+{
+  const auto daemon = static_cast<std::size_t>(Draw(static_cast<int>(mWorld.mDaemons.size())));
+  const auto [from, until] = DrawSpan();
+  const std::int64_t length = until - from;
+  switch (Draw(3)) {
+    case 0:
+      aTimes.emplace(from, [this, daemon] {
+        Note("kill", daemon, 0, false);
+        KillAndStart(daemon);
+      });
+      break;
+    case 1:
+      aTimes.emplace(from, [this, daemon, length] {
+        Note("pause", daemon, length, false);
+        mPaused.insert(daemon);
+        mBed.Daemon(daemon).Signal(SIGSTOP);
+      });
+      aTimes.emplace(until, [this, daemon] {
+        mPaused.erase(daemon);
+        mBed.Daemon(daemon).Signal(SIGCONT);
+      });
+      break;
+    default:
+      aTimes.emplace(from, [this] {
+        for (std::size_t each = 0; each < mWorld.mDaemons.size(); ++each) {
+          Note("kill all", each, 0, false);
+          KillAndStart(each);
+        }
+      });
+      break;
+  }
+}
+
+void
+soak_faults::AddNetworkFault(timeline& aTimes)
+{
+  const int target = Draw(static_cast<int>(mRunners.size()) + 1);
+  const std::string name = target == 0 ? "store" : mRunners[static_cast<std::size_t>(target) - 1];
+  const auto [from, until] = DrawSpan();
+  const std::int64_t length = until - from;
+  static const std::vector<std::pair<std::string, json>> kinds{
+    { "delayed", { { "delay_ms", 150 } } },
+    { "reset", { { "reset", 1 } } },
+    { "silenced", { { "stall", 1 } } },
+    { "cut one way", { { "stall_answers", 1 } } },
+    { "cut the other way", { { "stall_requests", 1 } } },
+    { "refused", { { "refuse", 1 } } },
+  };
+  const auto& [kind, faults] =
+    kinds[static_cast<std::size_t>(Draw(static_cast<int>(kinds.size())))];
+  aTimes.emplace(from, [this, name, length, kind = kind, faults = faults] {
+    Note("connections " + kind, std::nullopt, length, false);
+    mBed.SetProxy(name, faults);
+  });
+  aTimes.emplace(until, [this, name] { mBed.MendProxy(name); });
+}
+
+void
+soak_faults::AddRunnerFault(timeline& aTimes)
+{
+  static const std::vector<std::string> modes{ "reset",    "hang",      "refuse", "cut",  "error",
+                                               "wrong_id", "no_length", "extra",  "hang", "reset" };
+  const std::string runner =
+    mRunners[static_cast<std::size_t>(Draw(static_cast<int>(mRunners.size())))];
+  const std::string mode = modes[static_cast<std::size_t>(Draw(static_cast<int>(modes.size())))];
+  const auto [from, until] = DrawSpan();
+  const std::int64_t length = until - from;
+  aTimes.emplace(from, [this, runner, mode, length] {
+    Note("runner: " + mode, std::nullopt, length, false);
+    mBed.SetRunner(runner, { { "mode", mode } });
+  });
+  aTimes.emplace(until, [this, runner] { mBed.SetRunner(runner, json::object()); });
+}
+
+void
+soak_faults::AddStoreFault(timeline& aTimes)
+{
+  static const std::vector<std::string> modes{ "busy", "silent", "slow", "lose_one" };
+  const std::string mode = modes[static_cast<std::size_t>(Draw(static_cast<int>(modes.size())))];
+  const auto [from, until] = DrawSpan();
+  const std::int64_t length = until - from;
+  aTimes.emplace(from, [this, mode, length] {
+    Note("store: " + mode, std::nullopt, length, false);
+    mBed.SetStore(mode);
+  });
+  aTimes.emplace(until, [this] { mBed.SetStore(""); });
+}
+
+void
+soak_faults::AddUnplanned(timeline& aTimes)
+{
+  switch (Draw(4)) {
+    case 0:
+      AddProcessFault(aTimes);
+      break;
+    case 1:
+      AddNetworkFault(aTimes);
+      break;
+    case 2:
+      AddRunnerFault(aTimes);
+      break;
+    default:
+      AddStoreFault(aTimes);
+      break;
+  }
+}
+
+void
+soak_faults::CheckAlive()
+{
+  for (std::size_t daemon = 0; daemon < mWorld.mDaemons.size(); ++daemon) {
+    if (!mBed.Daemon(daemon).Running()) {
+      const int code = mBed.Daemon(daemon).WaitForExit(0);
+      mBadEnds.push_back("daemon " + std::to_string(daemon) + " ended by itself with " +
+                         std::to_string(code));
+      Restart(daemon);
+    }
+  }
+}
+
+void
+soak_faults::PlayEpisode()
+{
+  timeline times;
+  const bool planned = Draw(kPlannedOf) == 0;
+  const int faults = 1 + Draw(4);
+  for (int i = 0; i < faults; ++i) {
+    if (planned || Draw(5) == 0) {
+      AddPlanned(times);
+    } else {
+      AddUnplanned(times);
+    }
+  }
+  const std::int64_t began = NowMs();
+  for (const auto& [at, act] : times) {
+    const std::int64_t left = began + at - NowMs();
+    std::this_thread::sleep_for(std::chrono::milliseconds(std::max<std::int64_t>(0, left)));
+    act();
+  }
+  CheckAlive();
+  MendAll();
+}
+
+void
+soak_faults::MendAll()
+{
+  mBed.SetStore("");
+  for (const std::size_t daemon : mPaused) {
+    mBed.Daemon(daemon).Signal(SIGCONT);
+  }
+  mPaused.clear();
+  mBed.MendProxies();
+  for (const std::string& runner : mRunners) {
+    mBed.SetRunner(runner, json::object());
+  }
+  if (!mDraining.empty()) { // Their entries go only when they would have ended.
+    std::this_thread::sleep_for(std::chrono::milliseconds(kDrainMs));
+    for (const std::string& runner : mDraining) {
+      mBed.List(runner, "");
+    }
+    mDraining.clear();
+  }
+}
+
+} // namespace dunehook::soak
--- /dev/null
+++ b/soak/soak_faults.h
@@ -0,0 +1,75 @@
+/**
+ * @file soak_faults.h
+ * Faults of a soak, drawn from a seed and injected from outside: signals to processes, the proxies
+ * before runners and the store, and the stand-in's own misbehaviour. They come in series and
+ * overlap; each has its time and its mend.
+ */
+#pragma once
+
+#include "soak/soak_callers.h"
+
+#include <functional>
+#include <map>
+#include <set>
+
+namespace dunehook::soak {
+
+/** The injector. */
+class soak_faults
+{
+public:
+  soak_faults(test::fleet_bed& aBed, caller_world& aWorld, unsigned aSeed);
+
+  /** Plays a span of faults: some are planned work only, others mix everything. */
+  void PlayEpisode();
+  /** Mends everything: all daemons run, nothing is held up. */
+  void MendAll();
+
+  const std::vector<fault_record>& Faults() const { return mFaults; }
+  const std::vector<drain_record>& Drains() const { return mDrains; }
+  /** @return how often each kind of fault was injected. */
+  const std::map<std::string, int>& Counts() const { return mCounts; }
+  /** @return daemons that ended by themselves, or didn't end as they should. */
+  const std::vector<std::string>& BadEnds() const { return mBadEnds; }
+  /** @return runners that take work now, by id. */
+  const std::vector<std::string>& Runners() const { return mRunners; }
+
+private:
+  /** Something to do at a time from the episode's start. */
+  using timeline = std::multimap<std::int64_t, std::function<void()>>;
+
+  int Draw(int aMost) { return std::uniform_int_distribution<int>(0, aMost - 1)(mRandom); }
+  /** @return times of a fault's begin and end within an episode. */
+  std::pair<std::int64_t, std::int64_t> DrawSpan();
+  void AddPlanned(timeline& aTimes);
+  void AddUnplanned(timeline& aTimes);
+  void AddProcessFault(timeline& aTimes);
+  void AddNetworkFault(timeline& aTimes);
+  void AddRunnerFault(timeline& aTimes);
+  void AddStoreFault(timeline& aTimes);
+  void Note(const std::string& aKind,
+            std::optional<std::size_t> aDaemon,
+            std::int64_t aFor,
+            bool aPlanned);
+  void StopAndStart(std::size_t aDaemon);
+  void KillAndStart(std::size_t aDaemon);
+  void Restart(std::size_t aDaemon);
+  void ChangeConfig();
+  void ReplaceRunner();
+  void CheckAlive();
+
+  test::fleet_bed& mBed;              ///< The deployment.
+  caller_world& mWorld;               ///< Shared with the callers.
+  std::mt19937 mRandom;               ///< From the seed.
+  std::vector<std::string> mRunners;  ///< Ids of runners that take work.
+  std::vector<fault_record> mFaults;  ///< What was done.
+  std::vector<drain_record> mDrains;  ///< Runners told to leave.
+  std::map<std::string, int> mCounts; ///< Faults by kind.
+  std::vector<std::string> mBadEnds;  ///< Ends that weren't ordered, in words.
+  std::vector<std::string> mDraining; ///< Runners whose entries go at the episode's end.
+  std::set<std::size_t> mPaused;      ///< Daemons that stand still.
+  std::map<std::size_t, std::int64_t> mStartedAt; ///< Last start of a daemon by the soak.
+  int mNextRunner = 0;                            ///< Makes ids of runners unique.
+};
+
+} // namespace dunehook::soak
--- /dev/null
+++ b/soak/soak_type.h
@@ -0,0 +1,59 @@
+/**
+ * @file soak_type.h
+ * What a soak records of callers' requests and of its own faults.
+ */
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dunehook::soak {
+
+/** Kinds of requests, by the routes of the bed. */
+enum class call_kind
+{
+  eRecord,  ///< May run once at most.
+  ePage,    ///< May be repeated.
+  eTurn,    ///< A stream that may run once at most.
+  eResumed, ///< A stream that may go on at another engine.
+  eVersion, ///< A page on a route that a later configuration brought.
+};
+
+/** A request as its caller saw it. Times are in milliseconds of the steady clock. */
+struct call_record
+{
+  std::string mId;                      ///< Chosen for this try.
+  call_kind mKind = call_kind::eRecord; ///< What was asked.
+  std::size_t mDaemon = 0;              ///< Number of the daemon.
+  int mLife = 0;                        ///< Which run of the daemon's process.
+  std::int64_t mSentAt = 0;             ///< When the whole request was written; 0 if it wasn't.
+  std::int64_t mEndedAt = 0;            ///< When the answer, or the connection, ended.
+  unsigned mStatus = 0;                 ///< Of the answer; 0 if there was no head.
+  bool mWhole = false;                  ///< The answer came to its end.
+  bool mLeft = false;                   ///< The caller closed first.
+  std::string mAnswerId;                ///< Request that the answer names; may be empty.
+  std::string mBody;                    ///< What came of the body.
+  std::uint64_t mFirstEvent = 0;        ///< Streams: first event that the caller lacks.
+  std::uint64_t mEvents = 0;            ///< Streams: events of the whole answer.
+  std::uint64_t mVersion = 0;           ///< eVersion: the configuration that brought the route.
+};
+
+/** Something that the soak did to a daemon. */
+struct fault_record
+{
+  std::int64_t mFrom = 0;             ///< When it began.
+  std::int64_t mUntil = 0;            ///< When it was over.
+  std::optional<std::size_t> mDaemon; ///< The daemon; none: anything else.
+  bool mPlanned = false;              ///< A stop, reload, change or drain that must cut nothing.
+};
+
+/** A runner that was told to leave while nothing else was wrong. */
+struct drain_record
+{
+  std::string mRunner;        ///< Its id.
+  std::int64_t mListedAt = 0; ///< When its entry said so.
+};
+
+} // namespace dunehook::soak
