--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -147,12 +147,13 @@
     return decode == nullptr ? 0 : decode->mEntry.VersionOf(mDemand.mModel);
   }
 
-  /** Has the chosen prefill engine read the prompt. @return whether there's a result to hand over. */
+  /** Has the chosen prefill engine read the prompt. @return whether there's a result to hand over.
+   */
   asio::awaitable<bool> ReadPrompt()
   {
     const send_plan plan = PlanFor(std::string());
-    const read_end end = co_await mRead.Read(
-      mPlace.Choice(), plan, mDemand, [this] { return TakeReplacement(1.0); });
+    const read_end end =
+      co_await mRead.Read(mPlace.Choice(), plan, mDemand, [this] { return TakeReplacement(1.0); });
     if (mExchange->Gone()) {
       mRead.ThrowAway("caller_left");
       co_return false;
--- a/src/forward/generation_place.h
+++ b/src/forward/generation_place.h
@@ -1,7 +1,7 @@
 /**
  * @file generation_place.h
- * The place of one generation: looks for engines with room, reserves the decode engine's memory, and
- * keeps the run in the table of this daemon and of the others until it's forgotten.
+ * The place of one generation: looks for engines with room, reserves the decode engine's memory,
+ * and keeps the run in the table of this daemon and of the others until it's forgotten.
  */
 #pragma once
 
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -256,7 +256,8 @@
     };
   const std::uint64_t version = aDecode.mEntry.VersionOf(aDemand.mModel);
   for (const runner_state* const prefill : aSets.mPrefills) {
-    if (prefill->mEntry.VersionOf(aDemand.mModel) == version) { // Else its KV cache would be of other weights.
+    if (prefill->mEntry.VersionOf(aDemand.mModel) ==
+        version) { // Else its KV cache would be of other weights.
       const bool sameHall = prefill->mEntry.mHall == aDecode.mEntry.mHall;
       consider(prefill->mId,
                ReadTime(prefill->mId, aDemand.mPromptTokens, aNow),
