--- a/soak/soak_check.cpp
+++ b/soak/soak_check.cpp
@@ -165,7 +165,17 @@
   }
 }
 
-/** A leaving runner gets nothing new. */
+/** @return whether anything else than planned work went on between two times. */
+bool
+Disturbed(const evidence& aEvidence, std::int64_t aFrom, std::int64_t aUntil)
+{
+  return std::any_of(
+    aEvidence.mFaults.begin(), aEvidence.mFaults.end(), [&](const fault_record& aFault) {
+      return !aFault.mPlanned && aFault.mFrom < aUntil && aFault.mUntil > aFrom;
+    });
+}
+
+/** A leaving runner gets nothing new, unless the store was away when it said so. */
 void
 CheckDrains(const evidence& aEvidence, std::set<violation>& aFound)
 {
@@ -174,7 +184,8 @@
       const std::int64_t at = one.value("at_ms", std::int64_t{ 0 });
       const bool late = at > drain.mListedAt + aEvidence.mDrainTime;
       const std::string id = one.at("headers").value("X-Request-Id", "");
-      if (one.value("runner", "") == drain.mRunner && late && !id.empty()) {
+      if (one.value("runner", "") == drain.mRunner && late && !id.empty() &&
+          !Disturbed(aEvidence, drain.mListedAt, at)) {
         aFound.insert({ "leaving runner", id, drain.mRunner + " was told to leave" });
       }
     }
