--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -159,6 +159,8 @@
                     ", role ",
                     text("role"));
       } },
+    { "stood_still",
+      [&] { return Join("its daemon stood still for ", text("ms"), " ms before this"); } },
     { "role_ordered",
       [&] { return Join("runner ", text("runner"), " was ordered to ", text("role")); } },
   };
@@ -166,6 +168,24 @@
   return found == describers.end() ? aLine.mEvent : found->second();
 }
 
+/** @return whether a daemon stood still between two lines of a request. */
+bool
+IsStandstill(const log_line& aLine, const std::vector<const log_line*>& aOwn)
+{
+  if (aLine.mEvent != "stood_still") {
+    return false;
+  }
+  const double began = aLine.mTime - aLine.mFields.value("ms", 0.0) / 1000.0;
+  const auto before = [&](const log_line* aOne) {
+    return aOne->mHost == aLine.mHost && aOne->mTime <= aLine.mTime;
+  };
+  const auto after = [&](const log_line* aOne) {
+    return aOne->mHost == aLine.mHost && aOne->mTime >= began;
+  };
+  return std::any_of(aOwn.begin(), aOwn.end(), before) &&
+         std::any_of(aOwn.begin(), aOwn.end(), after);
+}
+
 /** @return why a try ended, from its last line. */
 std::string
 CauseOf(const log_line& aLast)
@@ -200,10 +220,14 @@
   return tries;
 }
 
-/** @return whether a line tells of a runner that the tries met, shortly before. */
+/** @return whether a line tells of a runner that the tries met, shortly before, or of a standstill.
+ */
 bool
 IsContext(const log_line& aLine, const std::vector<const log_line*>& aOwn)
 {
+  if (IsStandstill(aLine, aOwn)) {
+    return true;
+  }
   if (aLine.mEvent != "runner_changed" && aLine.mEvent != "role_ordered") {
     return false;
   }
@@ -289,12 +313,17 @@
   request_story story;
   std::map<std::string, double> firstOf;
   const log_line* last = nullptr;
+  const log_line* standstill = nullptr;
   for (const log_line* const line : told) {
+    standstill = line->mEvent == "stood_still" ? line : standstill;
     const double first = firstOf.try_emplace(line->mHost, line->mTime).first->second;
     story.mSteps.push_back({ line->mTime - first, line->mHost, line->mRequest, Describe(*line) });
     last = line->mRequest == aRequest ? line : last;
   }
   story.mCause = last == nullptr ? "" : CauseOf(*last);
+  if (standstill != nullptr && last != nullptr && last->mEvent == "caller_left") {
+    story.mCause += "; " + Describe(*standstill);
+  }
   return story;
 }
 
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -64,7 +64,6 @@
   /** @param aCallback called once if the caller leaves before the answer ends. */
   void OnGone(std::function<void()> aCallback);
   bool Gone() const { return mGone; }
-  bool Started() const { return mStarted; }
   bool Answered() const { return mAnswered; }
   bool KeepAlive() const { return mKeepAlive; }
   /** The connection ends after this answer. */
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -15,6 +15,9 @@
 
 /** Time between passes over the tables. */
 inline constexpr duration kTableTick = std::chrono::milliseconds(250);
+/** A pass that comes later than this is told of: the process was frozen, or had no processor time,
+ * and requests' targets are some hundred milliseconds. */
+inline constexpr duration kStandstill = std::chrono::milliseconds(500);
 /** Part of the memory that request bodies may take. */
 inline constexpr std::uint64_t kBodyPart = 4;
 /** The balancer goes on sending callers for about this long after a daemon isn't ready. */
@@ -221,8 +224,14 @@
   asio::awaitable<void> TickTables()
   {
     for (;;) {
+      const instant slept = mState.Now();
       co_await Sleep(kTableTick);
       const instant now = mState.Now();
+      if (now - slept > kTableTick + kStandstill) {
+        LogEvent(log_level::eWarning,
+                 "stood_still",
+                 { { "ms", (now - slept - kTableTick).count() / 1000 } });
+      }
       mState.mRunners.Forget(now, mFollower.WasAway());
       mState.mPlacement.Prune(mState.mRunners, now);
       mState.mPool.Prune(now);
--- a/src/forward/generation_type.h
+++ b/src/forward/generation_type.h
@@ -48,7 +48,6 @@
 /** How a request is sent to a runner. */
 struct send_plan
 {
-  service_runner_id mRunner; ///< Which life of the runner is meant.
   std::string mRunnerName;   ///< Its id in the discovery.
   duration mTimeLeft{ 0 };   ///< Work on it ends then.
   std::uint32_t mRank = 5;   ///< 0 is the most urgent.
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -61,7 +61,6 @@
   std::size_t RunCount() const { return mRuns.size(); }
   /** @return tokens reserved at the engine for a demand. */
   std::uint32_t ReservedTokens(const generation_demand& aDemand) const;
-  const placement_tuning& Tuning() const { return mTuning; }
 
 private:
   /** A decode engine's measured pace and recent refusals. */
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -91,7 +91,6 @@
     const endpoint address = runner->mEntry.mAddress;
     mRunnerName = runner->mEntry.mName;
     send_plan plan;
-    plan.mRunner = id;
     plan.mRunnerName = runner->mEntry.mName;
     plan.mTimeLeft = TimeLeft();
     plan.mRank = mRoute.mRank;
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -537,6 +537,17 @@
   CHECK_EQUAL(200U, Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders("r1")).mStatus);
 }
 
+TEST(gateway, TellsThatItStoodStill)
+{
+  mBed.StartUsual();
+  mBed.Daemon().Signal(SIGSTOP);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  mBed.Daemon().Signal(SIGCONT);
+  const std::string line = mBed.Daemon().WaitForLine("stood_still");
+  CHECK_FALSE(line.empty());
+  CHECK(json::parse(line).value("ms", 0) > 900);
+}
+
 TEST(gateway, ARequestLateInAPlannedStopIsNotTaken)
 {
   mBed.StartUsual();
--- a/tests/unit/explain_test.cpp
+++ b/tests/unit/explain_test.cpp
@@ -65,6 +65,23 @@
   CHECK(ExplainRequest(DayLines(), "nobody").mCause.empty());
 }
 
+TEST(explain, ACallerThatLeftADaemonThatStoodStill)
+{
+  std::istringstream input(
+    R"({"event":"generation_started","host":"a","request":"r","time":10.0,"runner":"e"})"
+    "\n"
+    R"({"event":"stood_still","host":"b","time":20.9,"ms":8000})"
+    "\n"
+    R"({"event":"caller_left","host":"a","request":"r","time":21.0,"ms":11000})"
+    "\n"
+    R"({"event":"stood_still","host":"a","time":21.1,"ms":8000})"
+    "\n");
+  const request_story story = ExplainRequest(ReadLogLines(input), "r");
+  STRCMP_EQUAL("the caller left after 11000 ms; its daemon stood still for 8000 ms before this",
+               story.mCause.c_str());
+  CHECK_EQUAL(3U, story.mSteps.size());
+}
+
 TEST(explain, LinesThatAreNoJsonAreLeftOut)
 {
   std::istringstream input("noise\n{broken\n 1.5 host {\"event\":\"x\",\"request\":\"r\"}\n{}\n");
