Change: [Platform] only what changed is read of the runners

Change: the store's client reads on from its last position, whole only at the start and where the store has forgotten; a reading without changes leaves the table as it is. Tests: gateway.OnlyWhatChangedIsReadOfTheRunners failed on the former daemon; AStoreThatForgotItsHistoryIsReadWhole guards the way back.

--- a/src/forward/runner_table.cpp
+++ b/src/forward/runner_table.cpp
@@ -61,6 +61,10 @@
     return changed;
   }
   mEnd = aListing.mEnd;
+  if (aListing.mSame) {
+    MarkGone(aNow, aAway);
+    return changed;
+  }
   std::set<service_runner_id> seen;
   for (const runner_entry& entry : aListing.mRunners) {
     const service_runner_id id = RunnerIdOf(entry.mName);
--- a/src/forward/runner_type.h
+++ b/src/forward/runner_type.h
@@ -66,6 +66,7 @@
 {
   std::vector<runner_entry> mRunners; ///< All that have an entry.
   std::uint64_t mEnd = 0;             ///< Position of the read; an older read has a lower one.
+  bool mSame = false; ///< Nothing changed since the reader's last read; mRunners is left empty.
 };
 
 } // namespace dunehook
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -124,6 +124,7 @@
     }
     topic& wanted = mTopics[aExchange->Query("topic")];
     if (path == "/log-newest") {
+      ++mWholeReads;
       const std::string body = wanted.Newest().dump();
       co_await aExchange->Respond(200, body);
     } else if (path == "/log-read") {
@@ -148,6 +149,11 @@
       mStoreMode.clear();
       co_await Sleep(std::chrono::seconds(60));
     }
+    if (mStoreMode == "forgetful") {
+      const std::string first = json{ { "first", aTopic.mRecords.size() } }.dump();
+      co_await aExchange->Respond(410, first);
+      co_return;
+    }
     const std::string body = aTopic.ReadFrom(from);
     const header_list noHeaders;
     co_await aExchange->Respond(200, body, noHeaders, "application/octet-stream");
@@ -186,6 +192,7 @@
     } else if (aWhat == "seen") {
       answer["seen"] = mSeen;
       answer["store_calls"] = mStoreCalls;
+      answer["whole_reads"] = mWholeReads;
     } else if (aWhat == "holds") {
       for (const auto& [name, runner] : mRunners) {
         const instant now = steady_clock_source{}.Now();
@@ -442,6 +449,7 @@
   json mSeen = json::array();                                   ///< Requests at runners.
   std::string mStoreMode;                                       ///< Fault of the store.
   std::uint64_t mStoreCalls = 0;                                ///< Calls to the store.
+  std::uint64_t mWholeReads = 0;                                ///< Reads of a whole topic.
   std::uint64_t mHolds = 0;                                     ///< Reservations granted.
 };
 
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -428,6 +428,12 @@
   return Control("seen", "").at("store_calls").get<std::uint64_t>();
 }
 
+std::uint64_t
+fleet_bed::WholeReads() const
+{
+  return Control("seen", "").at("whole_reads").get<std::uint64_t>();
+}
+
 std::uint64_t
 fleet_bed::Terms() const
 {
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -45,7 +45,7 @@
   void RestartDaemon(std::size_t aDaemon);
   /** Writes the configuration. @param aRoutes routes beside the usual ones. */
   void PutConfig(std::uint64_t aVersion, const json& aRoutes = json::array());
-  /** Sets the store's fault: "busy", "silent", "slow", or "" for none. */
+  /** Sets the store's fault: "busy", "silent", "slow", "forgetful", or "" for none. */
   void SetStore(const std::string& aMode);
   /** Starts a daemon. @return its number. */
   std::size_t StartDaemon(bool aWaitReady = true);
@@ -76,6 +76,8 @@
   void SendToRuns(const std::vector<std::uint8_t>& aData, std::size_t aDaemon = 0) const;
   /** @return calls to the store so far. */
   std::uint64_t StoreCalls() const;
+  /** @return reads of a whole topic of the store so far. */
+  std::uint64_t WholeReads() const;
   /** @return records in the topic of terms. */
   std::uint64_t Terms() const;
 
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -537,6 +537,36 @@
   CHECK_EQUAL(200U, Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders("r1")).mStatus);
 }
 
+TEST(gateway, OnlyWhatChangedIsReadOfTheRunners)
+{
+  mBed.StartUsual();
+  const std::uint64_t before = mBed.WholeReads();
+  CHECK_FALSE(Eventually([&] { return mBed.WholeReads() > before; }, 2500));
+  mBed.List("desk-1", "");
+  mBed.List("desk-2", "draining");
+  mBed.AddRunner("desk-3");
+  CHECK(Eventually([&] {
+    Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders("r1"));
+    return mBed.Seen("r1").back().value("runner", "") == "desk-3";
+  }));
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "s" + std::to_string(i);
+    CHECK_EQUAL(200U, Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders(id)).mStatus);
+    CHECK_EQUAL("desk-3", mBed.Seen(id).at(0).value("runner", ""));
+  }
+}
+
+TEST(gateway, AStoreThatForgotItsHistoryIsReadWhole)
+{
+  mBed.StartUsual();
+  mBed.SetStore("forgetful");
+  mBed.List("desk-1", "");
+  CHECK(Eventually([&] {
+    return Call(mBed.Metrics(), "GET", "/metrics").mBody.find("runners_taking_work\"} 4") !=
+           std::string::npos;
+  }));
+}
+
 TEST(gateway, TellsThatItStoodStill)
 {
   mBed.StartUsual();
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -31,7 +31,10 @@
 runner_listing
 Listing(std::uint64_t aEnd, const std::vector<runner_entry>& aEntries)
 {
-  return { aEntries, aEnd };
+  runner_listing listing;
+  listing.mRunners = aEntries;
+  listing.mEnd = aEnd;
+  return listing;
 }
 
 forward_route
@@ -127,6 +130,17 @@
   CHECK(Pick() != nullptr);
 }
 
+TEST(runners, AReadingWithoutChangesKeepsAllRunners)
+{
+  mTable.Apply(Listing(5, { Entry("a") }), kNow, false);
+  runner_listing same;
+  same.mEnd = 5;
+  same.mSame = true;
+  CHECK(mTable.Apply(same, kNow + 1s, false).empty());
+  CHECK_FALSE(mTable.Find(RunnerIdOf("a"))->mGone);
+  CHECK(Pick(kNow + 1s) != nullptr);
+}
+
 TEST(runners, AMisdirectedEntryIsLeftAloneUntilItChanges)
 {
   mTable.Apply(Listing(1, { Entry("a") }), kNow, false);
