--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -14,6 +14,10 @@
 
 ABSL_FLAG(std::vector<std::string>, seeds, {}, "seeds to play, with commas between them");
 ABSL_FLAG(int, episodes, 5, "spans of faults for each seed, some 3 s each");
+ABSL_FLAG(std::string,
+          only,
+          "all",
+          "kind of faults that aren't planned work: process, network, runner, store or all");
 ABSL_FLAG(int, daemons, 4, "daemons");
 ABSL_FLAG(int, callers, 16, "callers");
 
@@ -29,6 +33,17 @@
  */
 constexpr int kFreeMs = 4000;
 
+fault_kind
+KindOf(const std::string& aName)
+{
+  static const std::map<std::string, fault_kind> kinds{ { "process", fault_kind::eProcess },
+                                                        { "network", fault_kind::eNetwork },
+                                                        { "runner", fault_kind::eRunner },
+                                                        { "store", fault_kind::eStore } };
+  const auto found = kinds.find(aName);
+  return found == kinds.end() ? fault_kind::eAll : found->second;
+}
+
 /** One seed's run. */
 class soak_run
 {
@@ -38,7 +53,7 @@
     , mDaemons(static_cast<std::size_t>(absl::GetFlag(FLAGS_daemons)))
     , mBed(true)
     , mWorld(mDaemons)
-    , mFaults(mBed, mWorld, aSeed)
+    , mFaults(mBed, mWorld, aSeed, KindOf(absl::GetFlag(FLAGS_only)))
   {
     mBed.StartUsual();
     for (std::size_t daemon = 1; daemon < mDaemons; ++daemon) {
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -30,10 +30,14 @@
 
 } // namespace
 
-soak_faults::soak_faults(test::fleet_bed& aBed, caller_world& aWorld, unsigned aSeed)
+soak_faults::soak_faults(test::fleet_bed& aBed,
+                         caller_world& aWorld,
+                         unsigned aSeed,
+                         fault_kind aOnly)
   : mBed(aBed)
   , mWorld(aWorld)
   , mRandom(aSeed)
+  , mOnly(aOnly)
   , mRunners{ "desk-1", "desk-2", "prefill-1", "decode-1", "decode-2" }
 {
 }
@@ -243,14 +247,15 @@
 void
 soak_faults::AddUnplanned(timeline& aTimes)
 {
-  switch (Draw(4)) {
-    case 0:
+  const fault_kind kind = mOnly == fault_kind::eAll ? static_cast<fault_kind>(Draw(4)) : mOnly;
+  switch (kind) {
+    case fault_kind::eProcess:
       AddProcessFault(aTimes);
       break;
-    case 1:
+    case fault_kind::eNetwork:
       AddNetworkFault(aTimes);
       break;
-    case 2:
+    case fault_kind::eRunner:
       AddRunnerFault(aTimes);
       break;
     default:
--- a/soak/soak_faults.h
+++ b/soak/soak_faults.h
@@ -14,11 +14,22 @@
 
 namespace dunehook::soak {
 
+/** Kinds of faults that aren't planned work. */
+enum class fault_kind
+{
+  eProcess, ///< Kills and pauses.
+  eNetwork, ///< Connections to runners and to the store.
+  eRunner,  ///< What runners answer.
+  eStore,   ///< What the store answers.
+  eAll,     ///< Any of them.
+};
+
 /** The injector. */
 class soak_faults
 {
 public:
-  soak_faults(test::fleet_bed& aBed, caller_world& aWorld, unsigned aSeed);
+  /** @param aOnly the one kind of unplanned faults to inject; eAll draws among the others. */
+  soak_faults(test::fleet_bed& aBed, caller_world& aWorld, unsigned aSeed, fault_kind aOnly);
 
   /** Plays a span of faults: some are planned work only, others mix everything. */
   void PlayEpisode();
@@ -61,6 +72,7 @@
   test::fleet_bed& mBed;              ///< The deployment.
   caller_world& mWorld;               ///< Shared with the callers.
   std::mt19937 mRandom;               ///< From the seed.
+  fault_kind mOnly;                   ///< Kind of unplanned faults, or eAll.
   std::vector<std::string> mRunners;  ///< Ids of runners that take work.
   std::vector<fault_record> mFaults;  ///< What was done.
   std::vector<drain_record> mDrains;  ///< Runners told to leave.
