--- a/scripts/check_lint.sh
+++ b/scripts/check_lint.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake -S . -B build-tidy -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null
-mapfile -t files < <(git ls-files 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'tests/*.cpp' 'bench/*.cpp'
+mapfile -t files < <(git ls-files 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'tests/*.cpp' 'bench/*.cpp' \
   'soak/*.cpp')
 [ $# -eq 0 ] || files=("$@")
 perl scripts/check_coawait.pl "${files[@]}"
--- a/soak/soak_check.cpp
+++ b/soak/soak_check.cpp
@@ -4,6 +4,8 @@
  */
 #include "soak/soak_check.h"
 
+#include "core/text_func.h"
+
 #include <algorithm>
 
 namespace dunehook::soak {
@@ -60,8 +62,7 @@
   }
   std::string text;
   for (std::uint64_t event = aCall.mFirstEvent; event < aCall.mEvents; ++event) {
-    const std::string number = std::to_string(event);
-    text += "id: " + number + "\ndata: piece " + number + "\n\n";
+    text += Join("id: ", event, "\ndata: piece ", event, "\n\n");
   }
   return text;
 }
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -220,7 +220,7 @@
                                                "wrong_id", "no_length", "extra",  "hang", "reset" };
   const std::string runner =
     mRunners[static_cast<std::size_t>(Draw(static_cast<int>(mRunners.size())))];
-  const std::string mode = modes[static_cast<std::size_t>(Draw(static_cast<int>(modes.size())))];
+  const std::string& mode = modes[static_cast<std::size_t>(Draw(static_cast<int>(modes.size())))];
   const auto [from, until] = DrawSpan();
   const std::int64_t length = until - from;
   aTimes.emplace(from, [this, runner, mode, length] {
@@ -234,7 +234,7 @@
 soak_faults::AddStoreFault(timeline& aTimes)
 {
   static const std::vector<std::string> modes{ "busy", "silent", "slow", "lose_one" };
-  const std::string mode = modes[static_cast<std::size_t>(Draw(static_cast<int>(modes.size())))];
+  const std::string& mode = modes[static_cast<std::size_t>(Draw(static_cast<int>(modes.size())))];
   const auto [from, until] = DrawSpan();
   const std::int64_t length = until - from;
   aTimes.emplace(from, [this, mode, length] {
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -406,7 +406,7 @@
 std::string
 fleet_bed::WriteFile(const std::string& aText) const
 {
-  const std::string path = mFolder + "/written.toml";
+  std::string path = mFolder + "/written.toml";
   std::ofstream(path) << aText;
   return path;
 }
