--- a/scripts/check_soak_mutants.sh
+++ b/scripts/check_soak_mutants.sh
@@ -43,9 +43,9 @@
 check_off 'not run is true' src/forward/plain_call.h 'if (mUnknown) {' 'if (false) {' runner
 check_off 'own answer' src/forward/upstream_send.h 'answer.mFacts.mRequestId != aRequestId' 'false' runner
 check_off 'whole answer' src/forward/generation_call.h \
-  'if (mStarted) {
-      mExchange->Tear();' 'if (mStarted) {
-      co_await mExchange->EndBody();' runner
+  'mExchange->Tear();
+      co_return false;' 'co_await mExchange->EndBody();
+      co_return false;' runner
 check_off 'leaving runner' src/forward/runner_table.cpp 'return !aRunner.mDraining && ' 'return '
 check_off 'planned work cuts nothing' src/forward/gateway.h 'if (mListener->Shared().mBusy == 0) {' 'if (true) {'
 check_off 'nothing is held for nobody' src/forward/upstream_send.h \
