Fix: [Decide] the plan of roles stays quick for thousands of engines

One plan of 3,000 engines with 340 changes compared each change with each engine for each change, at every daemon each 0.7 s. Ruled out: reads of the runners (bytes fell to a quarter, processor time didn't). Change: engines by hall are counted once a plan; a plan holds 16 changes of a service at most. Test: roles.ALargeServiceIsChangedStepByStep failed before.

--- a/src/forward/role_plan.cpp
+++ b/src/forward/role_plan.cpp
@@ -18,6 +18,9 @@
 /** A change costs the engine some seconds out of work, so a gap that may close by itself, since an
  * engine is only silent, isn't filled at once. */
 constexpr duration kSteadyFor = std::chrono::seconds(3);
+/** Changes of a service in one plan: orders are given one after the other, and each takes its
+ * engine out of work, so many at once would leave too few. */
+constexpr std::int64_t kMostChanges = 16;
 /** At the start nothing is running yet, and a change costs nothing. */
 constexpr duration kStartTime = std::chrono::seconds(8);
 
@@ -76,11 +79,20 @@
   const engine_role from = tooMany ? engine_role::ePrefill : engine_role::eDecode;
   const engine_role to = tooMany ? engine_role::eDecode : engine_role::ePrefill;
   const std::int64_t missing = std::abs(balance.mReading - balance.mWanted);
-  for (std::int64_t i = 0; i < missing; ++i) {
-    const runner_state* const chosen = ChooseEngine(aEngines, from, aNow, aChanges);
-    if (chosen != nullptr) {
-      aChanges.push_back({ chosen->mId, to });
+  // The hall with the most engines of the role gives one, so that halls stay alike.
+  engines_by_hall byHall;
+  for (const runner_state* const engine : aEngines) {
+    byHall[engine->mEntry.mHall] += RoleToCome(*engine, aNow) == from ? 1 : 0;
+  }
+  std::set<service_runner_id> changing;
+  for (std::int64_t i = 0; i < std::min(missing, kMostChanges); ++i) {
+    const runner_state* const chosen = ChooseEngine(aEngines, from, aNow, byHall, changing);
+    if (chosen == nullptr) {
+      return;
     }
+    aChanges.push_back({ chosen->mId, to });
+    changing.insert(chosen->mId);
+    --byHall[chosen->mEntry.mHall];
   }
 }
 
@@ -96,31 +108,20 @@
 role_planner::ChooseEngine(const std::vector<const runner_state*>& aEngines,
                            engine_role aFrom,
                            instant aNow,
-                           const std::vector<role_change>& aChanges) const
+                           const engines_by_hall& aByHall,
+                           const std::set<service_runner_id>& aChosen) const
 {
-  // The hall with the most engines of the role gives one, so that halls stay alike.
-  std::map<std::string, int> byHall;
-  for (const runner_state* const engine : aEngines) {
-    byHall[engine->mEntry.mHall] += RoleToCome(*engine, aNow) == aFrom ? 1 : 0;
-  }
-  for (const role_change& change : aChanges) {
-    for (const runner_state* const engine : aEngines) {
-      byHall[engine->mEntry.mHall] -= engine->mId == change.mRunner ? 1 : 0;
-    }
-  }
   const runner_state* chosen = nullptr;
   for (const runner_state* const engine : aEngines) {
     const auto ordered = mOrdered.find(engine->mId);
     const bool rests = ordered != mOrdered.end() && aNow - ordered->second.mAt < kDwell;
-    const bool taken = std::any_of(aChanges.begin(), aChanges.end(), [&](const auto& aChange) {
-      return aChange.mRunner == engine->mId;
-    });
-    if (rests || taken || engine->mEntry.mRole != aFrom || RoleToCome(*engine, aNow) != aFrom) {
+    if (rests || aChosen.count(engine->mId) > 0 || engine->mEntry.mRole != aFrom ||
+        RoleToCome(*engine, aNow) != aFrom) {
       continue;
     }
     const auto better = [&](const runner_state& aThis, const runner_state& aThat) {
-      const int left = byHall[aThis.mEntry.mHall];
-      const int right = byHall[aThat.mEntry.mHall];
+      const int left = aByHall.at(aThis.mEntry.mHall);
+      const int right = aByHall.at(aThat.mEntry.mHall);
       const auto runs = [&](const runner_state& aEngine) {
         const auto found = mRuns.find(aEngine.mId);
         return found == mRuns.end() ? 0 : found->second;
--- a/src/forward/role_plan.h
+++ b/src/forward/role_plan.h
@@ -8,6 +8,7 @@
 #include "forward/runner_table.h"
 
 #include <map>
+#include <set>
 
 namespace dunehook {
 
@@ -50,11 +51,19 @@
                    std::vector<role_change>& aChanges);
   /** @return the role an engine has, or will have once a recent order is done. */
   engine_role RoleToCome(const runner_state& aEngine, instant aNow) const;
-  /** @return an engine that may change from a role, or null. */
+  /** Engines of a role by hall, without those already chosen to change. */
+  using engines_by_hall = std::map<std::string, int>;
+
+  /**
+   * @param aByHall engines of the role @p aFrom.
+   * @param aChosen engines that are to change already.
+   * @return an engine that may change from a role, or null.
+   */
   const runner_state* ChooseEngine(const std::vector<const runner_state*>& aEngines,
                                    engine_role aFrom,
                                    instant aNow,
-                                   const std::vector<role_change>& aChanges) const;
+                                   const engines_by_hall& aByHall,
+                                   const std::set<service_runner_id>& aChosen) const;
 
   double mPrefillShare; ///< Part of the engines that read.
   /** An order that was given. */
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -390,6 +390,22 @@
   CHECK_EQUAL(1U, Plan(kNow + 14s).size());
 }
 
+TEST(roles, ALargeServiceIsChangedStepByStep)
+{
+  List(1000, 2000); // A third reads; the plan is for less than a quarter.
+  std::size_t ordered = 0;
+  for (int tick = 0; tick < 50; ++tick) {
+    const auto changes = Plan(kNow + tick * 10ms);
+    CHECK(changes.size() <= 16);
+    for (const role_change& change : changes) {
+      mPlanner.NoteOrdered(change, kNow);
+      ++ordered;
+    }
+  }
+  CHECK_EQUAL(340U, ordered);
+  CHECK(Plan(kNow + 1s).empty());
+}
+
 TEST(roles, TheLastEngineKeepsItsRole)
 {
   List(0, 1);
