Fix: [Forward] a read that is asked for again tells the engine what time is left

Cause: seen on reading the change once more: the second send carried the first one's time. Test: gateway.AReadWhoseAnswerIsLostIsAskedForAgainAtItsEngine compares both sends; it failed on the commit before. The stand-in's runners can reset late.

--- a/src/forward/prompt_read.h
+++ b/src/forward/prompt_read.h
@@ -65,9 +65,11 @@
     std::string body;
     upstream_answer answer = co_await Send(aPlan, limit, body);
     const bool lost = answer.mEnd == send_end::eUnknown && !answer.mTimedOut && !mExchange.Gone();
-    if (lost && aTakeRepeat()) {
+    const duration spent = mState.Now() - began;
+    if (lost && spent < limit && aTakeRepeat()) {
       LogRepeat();
-      answer = co_await Send(aPlan, limit, body);
+      aPlan.mTimeLeft -= spent; // The engine is told what is left, not what there was.
+      answer = co_await Send(aPlan, limit - spent, body);
     }
     if (answer.mEnd != send_end::eAnswered || answer.mFacts.mStatus != 200) {
       NoteFailure(id, answer);
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kOffsetBytes = 8;
 constexpr std::uint64_t kTokensPerEvent = 64;
+/** Time after which a runner resets late. */
+constexpr duration kLateReset = std::chrono::milliseconds(50);
 /** Time that a slow store takes more for each call. */
 constexpr duration kSlowStore = std::chrono::milliseconds(10);
 
@@ -322,7 +324,10 @@
       co_return co_await Write(aStream, text);
     }
     mSeen[number]["run"] = mode != "refuse";
-    if (mode == "reset") {
+    if (mode == "late_reset") {
+      co_await Sleep(kLateReset);
+    }
+    if (mode == "reset" || mode == "late_reset") {
       aStream.socket().set_option(asio::socket_base::linger(true, 0));
       co_return false;
     }
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -244,14 +244,18 @@
 {
   mBed.StartUsual();
   mBed.AddRunner("prefill-2", { "tutor", "prefill" });
-  mBed.SetRunner("prefill-1", { { "mode", "reset" }, { "faults", 1 } });
-  mBed.SetRunner("prefill-2", { { "mode", "reset" }, { "faults", 1 } });
+  mBed.SetRunner("prefill-1", { { "mode", "late_reset" }, { "faults", 1 } });
+  mBed.SetRunner("prefill-2", { { "mode", "late_reset" }, { "faults", 1 } });
   const answer got =
     Call(mBed.Callers(), "POST", "/turns/a", "prompt", GenerationHeaders("g1", 5000, 5));
   CHECK_EQUAL(200U, got.mStatus);
   const std::vector<json> seen = mBed.Seen("g1");
   CHECK_EQUAL(3U, seen.size());
   CHECK_EQUAL(seen[0].value("runner", ""), seen[1].value("runner", ""));
+  const auto timeLeft = [&](std::size_t aSend) {
+    return std::stoi(seen[aSend]["headers"].value("X-Deadline-Ms", "0"));
+  };
+  CHECK(timeLeft(1) < timeLeft(0));
 }
 
 TEST(gateway, AReaderThatIsNotReachedCostsNoRepeats)
