--- a/src/forward/upstream_connection.cpp
+++ b/src/forward/upstream_connection.cpp
@@ -52,7 +52,20 @@
 asio::awaitable<result<upstream_ptr>>
 upstream_connection::Connect(const endpoint& aTo, duration aLimit)
 {
-  BOOST_OUTCOME_CO_TRY(beast::tcp_stream stream, co_await ConnectTo(aTo, aLimit));
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(aTo.mAddress, error);
+  if (error) {
+    co_return make_error_code(errc::eConnectFailed);
+  }
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(aLimit);
+  const tcp::endpoint target(address, aTo.mPort);
+  co_await stream.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return make_error_code(errc::eConnectFailed);
+  }
+  boost::system::error_code ignored; // Without it small writes only wait longer.
+  stream.socket().set_option(tcp::no_delay(true), ignored);
   WatchPeer(stream.socket());
   co_return std::make_shared<upstream_connection>(std::move(stream));
 }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -54,7 +54,19 @@
 asio::awaitable<result<http_connection_ptr>>
 http_connection::Connect(const endpoint& aTo, duration aLimit)
 {
-  BOOST_OUTCOME_CO_TRY(beast::tcp_stream stream, co_await ConnectTo(aTo, aLimit));
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(aTo.mAddress, error);
+  if (error) {
+    co_return make_error_code(errc::eConnectFailed);
+  }
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(aLimit);
+  const tcp::endpoint target(address, aTo.mPort);
+  co_await stream.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return make_error_code(errc::eConnectFailed);
+  }
+  stream.socket().set_option(tcp::no_delay(true), error);
   co_return std::make_shared<http_connection>(std::move(stream));
 }
 
--- a/src/net/net_type.h
+++ b/src/net/net_type.h
@@ -61,10 +61,6 @@
 endpoint
 AddressOf(const tcp::acceptor& aAcceptor);
 
-/** @return a connection, or eConnectFailed. @param aLimit longest wait for it. */
-asio::awaitable<result<beast::tcp_stream>>
-ConnectTo(endpoint aTo, duration aLimit);
-
 /** Suspends the calling coroutine for @p aSpan. */
 asio::awaitable<void>
 Sleep(duration aSpan);
