Cleanup: [Soak] one way to draw an element, one place that records a call

Cause: read once more; seven draws spelled the same casts out, a record was kept in two branches of which one implies the other (an answer has a status only if the request was written), and the bed gave its argument a second name.

--- a/soak/soak_callers.cpp
+++ b/soak/soak_callers.cpp
@@ -176,10 +176,7 @@
     if (broke && !call.mLeft) {
       resume = call;
     }
-    if (call.mStatus != 0) { // A daemon that isn't there is asked often; that says nothing.
-      const std::lock_guard<std::mutex> guard(mLock);
-      mRecords.push_back(std::move(call));
-    } else if (call.mSentAt != 0) {
+    if (call.mSentAt != 0) { // A daemon that isn't there is asked often; that says nothing.
       const std::lock_guard<std::mutex> guard(mLock);
       mRecords.push_back(std::move(call));
     }
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -105,7 +105,7 @@
 void
 soak_faults::ReplaceRunner()
 {
-  const std::size_t which = static_cast<std::size_t>(Draw(static_cast<int>(mRunners.size())));
+  const std::size_t which = DrawIndex(mRunners.size());
   const std::string former = mRunners[which];
   const std::string kind = former.substr(0, former.find('-'));
   const std::string fresh = kind + "-x" + std::to_string(++mNextRunner);
@@ -119,7 +119,7 @@
 void
 soak_faults::AddPlanned(timeline& aTimes)
 {
-  const auto daemon = static_cast<std::size_t>(Draw(static_cast<int>(mWorld.mDaemons.size())));
+  const std::size_t daemon = DrawIndex(mWorld.mDaemons.size());
   switch (Draw(4)) {
     case 0:
       aTimes.emplace(Draw(kEpisodeMs), [this, daemon] {
@@ -157,7 +157,7 @@
 void
 soak_faults::AddProcessFault(timeline& aTimes)
 {
-  const auto daemon = static_cast<std::size_t>(Draw(static_cast<int>(mWorld.mDaemons.size())));
+  const std::size_t daemon = DrawIndex(mWorld.mDaemons.size());
   const auto [from, until] = DrawSpan();
   const std::int64_t length = until - from;
   switch (Draw(3)) {
@@ -204,8 +204,7 @@
     { "cut the other way", { { "stall_requests", 1 } } },
     { "refused", { { "refuse", 1 } } },
   };
-  const auto& [kind, faults] =
-    kinds[static_cast<std::size_t>(Draw(static_cast<int>(kinds.size())))];
+  const auto& [kind, faults] = kinds[DrawIndex(kinds.size())];
   aTimes.emplace(from, [this, name, length, kind = kind, faults = faults] {
     Note("connections " + kind, std::nullopt, length, false);
     mBed.SetProxy(name, faults);
@@ -218,9 +217,8 @@
 {
   static const std::vector<std::string> modes{ "reset",    "hang",      "refuse", "cut",  "error",
                                                "wrong_id", "no_length", "extra",  "hang", "reset" };
-  const std::string runner =
-    mRunners[static_cast<std::size_t>(Draw(static_cast<int>(mRunners.size())))];
-  const std::string& mode = modes[static_cast<std::size_t>(Draw(static_cast<int>(modes.size())))];
+  const std::string runner = mRunners[DrawIndex(mRunners.size())];
+  const std::string& mode = modes[DrawIndex(modes.size())];
   const auto [from, until] = DrawSpan();
   const std::int64_t length = until - from;
   aTimes.emplace(from, [this, runner, mode, length] {
@@ -234,7 +232,7 @@
 soak_faults::AddStoreFault(timeline& aTimes)
 {
   static const std::vector<std::string> modes{ "busy", "silent", "slow", "lose_one" };
-  const std::string& mode = modes[static_cast<std::size_t>(Draw(static_cast<int>(modes.size())))];
+  const std::string& mode = modes[DrawIndex(modes.size())];
   const auto [from, until] = DrawSpan();
   const std::int64_t length = until - from;
   aTimes.emplace(from, [this, mode, length] {
--- a/soak/soak_faults.h
+++ b/soak/soak_faults.h
@@ -50,6 +50,10 @@
   using timeline = std::multimap<std::int64_t, std::function<void()>>;
 
   int Draw(int aMost) { return std::uniform_int_distribution<int>(0, aMost - 1)(mRandom); }
+  std::size_t DrawIndex(std::size_t aSize)
+  {
+    return static_cast<std::size_t>(Draw(static_cast<int>(aSize)));
+  }
   /** @return times of a fault's begin and end within an episode. */
   std::pair<std::int64_t, std::int64_t> DrawSpan();
   void AddPlanned(timeline& aTimes);
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -329,12 +329,11 @@
 std::string
 fleet_bed::SettingsOf(std::size_t aDaemon) const
 {
-  const std::size_t number = aDaemon; // Names the host too.
   std::ostringstream settings;
-  settings << "node-name = \"entry-" << number << "\"\nip = \"" << Host(number)
+  settings << "node-name = \"entry-" << aDaemon << "\"\nip = \"" << Host(aDaemon)
            << "\"\nzone = \"hall-a\"\ninternal-ports = [" << mPort << ", " << mPort + 3
            << "]\nseeds = [\"" << Host(0) << ":1\", \"" << Host(1) << ":1\"]\n[listen]\nfront = \""
-           << Callers(number) << "\"\nready = \"" << Host(number) << ":" << mPort + 5
+           << Callers(aDaemon) << "\"\nready = \"" << Host(aDaemon) << ":" << mPort + 5
            << "\"\n[platform]\naddress = \"" << mStoreAddress
            << "\"\n[bounds]\ngrace-s = 8\nretry-budget-ratio = 0.2\n"
            << "budget-window-s = 10\nretry-budget-slack = 60\nlease-ms = 1000\n";
