Add: [Log] a read of the whole configuration tells how long it took, what it took in and how many ran

Cause: the incident's first suspect is reads that pile up, and no line or metric of ours told of a read at all; only the machines' figures did. Ruled out: nothing; no logic is changed.

--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -136,6 +136,8 @@
       mState.mRoutes ? static_cast<double>(mState.mRoutes->Config().mVersion) : 0.0;
     values["config_age_seconds"] = ToSeconds(now - mFollower.ConfigSince());
     values["runners_age_seconds"] = ToSeconds(now - mState.mListedAt);
+    values["store_bytes_in"] = static_cast<double>(mStore.BytesIn());
+    values["config_reads_under_way"] = static_cast<double>(mFollower.ReadsUnderWay());
     values["store_answers"] = mFollower.Answers() ? 1.0 : 0.0;
     values["daemons"] = static_cast<double>(mState.mDaemons);
     values["generations"] = static_cast<double>(mState.mPlacement.RunCount());
--- a/src/forward/store_follower.h
+++ b/src/forward/store_follower.h
@@ -56,6 +56,8 @@
   bool Known() const { return mState.mRoutes && mRunnersKnown; }
   /** @return whether the last call was answered. */
   bool Answers() const { return mAnswers; }
+  /** @return reads of the whole configuration that haven't ended. */
+  std::uint64_t ReadsUnderWay() const { return mReadsUnderWay; }
   /** @return whether the store was away lately, so that entries may have lapsed unasked. Only this
    * daemon's own calls count: another may be cut off from a store that is well. */
   bool WasAway() const { return mAwayAt != instant{ 0 } && mState.Now() - mAwayAt < kStoreBackFor; }
@@ -79,7 +81,7 @@
     if (now - mBehindSince >= kBehindFor) {
       mBehindSince = now;
       LogEvent(log_level::eInfo, "config_behind", { { "own", own }, { "newest", newest } });
-      SpawnGuarded(mState.mIo, ReadOnce());
+      SpawnGuarded(mState.mIo, ReadOnce("behind"));
     }
   }
 
@@ -132,10 +134,31 @@
     }
   }
 
-  asio::awaitable<void> ReadOnce()
+  /** Reads the configuration whole, and tells how that went. @param aWhy "first", "told",
+   * "behind". */
+  asio::awaitable<result<config_reading>> ReadWhole(std::string_view aWhy)
   {
+    const instant began = mState.Now();
+    const std::uint64_t bytes = mStore.BytesIn();
+    ++mReadsUnderWay;
     result<config_reading> reading = co_await mStore.ReadConfig();
+    const std::uint64_t underWay = mReadsUnderWay--;
+    const bool has = reading && reading.value().mConfig;
+    LogEvent(log_level::eInfo,
+             "config_read",
+             { { "why", aWhy },
+               { "outcome", reading ? "ok" : ErrorName(reading.error()) },
+               { "version", has ? reading.value().mConfig->mVersion : 0 },
+               { "ms", (mState.Now() - began).count() / 1000 },
+               { "bytes_in", mStore.BytesIn() - bytes },
+               { "under_way", underWay } });
     NoteAnswer(reading.has_value(), "config");
+    co_return reading;
+  }
+
+  asio::awaitable<void> ReadOnce(std::string_view aWhy)
+  {
+    result<config_reading> reading = co_await ReadWhole(aWhy);
     if (reading && reading.value().mConfig) {
       Adopt(std::move(*reading.value().mConfig));
     }
@@ -149,7 +172,7 @@
       if (IsTold()) {
         next.reset();
         if (mState.mToldStore.mConfig > mState.mRoutes->Config().mVersion) {
-          co_await ReadOnce();
+          co_await ReadOnce("told");
         }
         co_await Sleep(kLookAtTold);
         continue;
@@ -158,10 +181,10 @@
       result<config_reading> reading = make_error_code(errc::eLogUnavailable);
       if (next) {
         reading = co_await mStore.AwaitConfig(*next, kConfigWait);
+        NoteAnswer(reading.has_value(), "config");
       } else {
-        reading = co_await mStore.ReadConfig();
+        reading = co_await ReadWhole("first");
       }
-      NoteAnswer(reading.has_value(), "config");
       if (!reading) {
         next.reset();
         co_await Sleep(rest);
@@ -228,6 +251,7 @@
   Store& mStore;                                       ///< The store.
   daemon_link& mLink;                                  ///< Versions of the other daemons.
   std::function<void(const caller_limits&)> mOnConfig; ///< Told of new limits.
+  std::uint64_t mReadsUnderWay = 0;                    ///< Whole reads of the configuration.
   bool mRunnersKnown = false;                          ///< A listing with runners was read.
   bool mAnswers = true;                                ///< The last call was answered.
   instant mAwayAt{ 0 };                                ///< Last failed call; zero if none.
--- a/src/forward/wire_type.h
+++ b/src/forward/wire_type.h
@@ -108,6 +108,10 @@
   {
     aStore.TakeTerm(aAt, aHolder)
     } -> std::same_as<asio::awaitable<result<term_record>>>;
+  // Bytes taken in so far, also those of answers that broke off.
+  {
+    aStore.BytesIn()
+    } -> std::same_as<std::uint64_t>;
 };
 
 } // namespace dunehook
