--- a/standins/proxy.cpp
+++ b/standins/proxy.cpp
@@ -3,7 +3,8 @@
  * Fault-injecting TCP proxy. POST /control on its control address sets:
  * refuse (1: connections end at once), request_bytes (connections end after so many bytes towards
  * the target, those not forwarded), answer_bytes (the same towards the client; 0 for none),
- * delay_ms (bytes towards the client come late), stall (1: nothing moves, nothing closes),
+ * delay_ms (bytes towards the client come late), answer_kb_s (a link: so many KB a second towards
+ * the clients, over all connections; 0 for any), stall (1: nothing moves, nothing closes),
  * stall_requests, stall_answers (1: the same, one way), reset (1: open connections are reset now),
  * faults (how many connections the byte limits are applied to; then they pass).
  */
@@ -70,6 +71,7 @@
     json body = mFaults;
     body["proxy"] = ToText(AddressOf(mAcceptor));
     body["connections"] = mConnections;
+    body["answer_bytes_out"] = mAnswerBytesOut;
     co_await aExchange->Respond(200, body.dump());
   }
 
@@ -147,10 +149,14 @@
       if (aIsAnswer && Fault("delay_ms", 0) > 0) {
         co_await Sleep(std::chrono::milliseconds(Fault("delay_ms", 0)));
       }
+      if (aIsAnswer && Fault("answer_kb_s", 0) > 0) {
+        co_await AwaitLink(got, Fault("answer_kb_s", 0));
+      }
       if (error) {
         aPair->Close();
         co_return;
       }
+      mAnswerBytesOut += aIsAnswer ? got : 0;
       std::size_t send = got;
       if (left >= 0) {
         send = std::min<std::size_t>(got, static_cast<std::size_t>(left));
@@ -165,12 +171,26 @@
     }
   }
 
+  /** Waits until the link has carried these bytes after all that came before them. */
+  asio::awaitable<void> AwaitLink(std::size_t aBytes, std::int64_t aKilobytesPerSecond)
+  {
+    const double seconds =
+      static_cast<double>(aBytes) / (static_cast<double>(aKilobytesPerSecond) * kKilobyte);
+    const instant now = steady_clock_source{}.Now();
+    mLinkFreeAt = std::max(mLinkFreeAt, now) + FromSeconds(seconds);
+    co_await Sleep(mLinkFreeAt - now);
+  }
+
+  static constexpr double kKilobyte = 1000.0; ///< Bytes, as links are counted.
+
   asio::io_context& mIo;                     ///< Runs everything.
   endpoint mTarget;                          ///< Where connections go.
   tcp::acceptor mAcceptor;                   ///< Takes connections.
   json mFaults = json::object();             ///< As set by /control.
   std::vector<std::weak_ptr<proxied>> mOpen; ///< Connections; some may have ended.
   std::uint64_t mConnections = 0;            ///< Connections taken.
+  std::uint64_t mAnswerBytesOut = 0;         ///< Bytes passed on towards the clients.
+  instant mLinkFreeAt{ 0 };                  ///< When the link has carried what was handed to it.
 };
 
 } // namespace
--- /dev/null
+++ b/tests/platform/config_reading_test.cpp
@@ -0,0 +1,93 @@
+/**
+ * @file config_reading_test.cpp
+ * How daemons come by a new configuration where it is large, links are thin, the store is slow or
+ * answers are lost. Real daemons on the stand-in of the platform.
+ */
+#include "tests/platform/fleet_bed.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace dunehook;
+using namespace dunehook::test;
+
+namespace {
+
+/** Time in which a change must be in force at every daemon, from the store's answer; ms. */
+constexpr int kInForceMs = 3000;
+/** Routes that make a configuration of some 1 MB, which a link of 10 Mbit/s carries in 1.1 s. */
+constexpr int kManyRoutes = 4000;
+/** Whole reads of the two versions that a daemon may take in: one each, and one more. */
+constexpr std::uint64_t kMostReads = 3;
+/** A whole read hands the configuration out in base64, 4 bytes for 3. */
+constexpr double kReadPerByte = 4.0 / 3.0;
+/** Until a daemon knows which other reads the store for it; ms. */
+constexpr int kUntilTold = 1500;
+/** A link of 10 Mbit/s, in KB a second. */
+constexpr int kThinLink = 1250;
+
+json
+ManyRoutes(int aVersion)
+{
+  json routes = json::array();
+  for (int number = 0; number < kManyRoutes; ++number) {
+    routes.push_back(PageRoute("/extra-" + std::to_string(number) + "/"));
+  }
+  routes.push_back(PageRoute("/added-" + std::to_string(aVersion) + "/"));
+  return routes;
+}
+
+/** @return whether a daemon serves the route that a version added, in time. */
+bool
+ServesAdded(const fleet_bed& aBed, std::size_t aDaemon, int aVersion, int aLimitMs)
+{
+  const std::string path = "/added-" + std::to_string(aVersion) + "/a";
+  return Eventually(
+    [&] {
+      return Call(aBed.Callers(aDaemon), "GET", path, "", CallerHeaders("r1")).mStatus == 200;
+    },
+    aLimitMs);
+}
+
+} // namespace
+
+TEST_GROUP(config_reading)
+{
+  /** Starts a daemon on a fast link and one on a thin one, which hear each other. */
+  void StartTwo()
+  {
+    mBed.AddRunner("desk-1");
+    mBed.PutConfig(1);
+    mBed.StartDaemon();
+    platform_daemon_options options;
+    options.mOwnStoreLink = true;
+    mBed.StartDaemon(options);
+    CHECK(mBed.Daemon(0).WaitForLine("daemon_heard") != "");
+    CHECK(mBed.Daemon(1).WaitForLine("daemon_heard") != "");
+    CHECK_FALSE(Eventually([] { return false; }, kUntilTold));
+    mBed.SetProxy(fleet_bed::StoreLink(1), { { "answer_kb_s", kThinLink } });
+  }
+
+  fleet_bed mBed; ///< The deployment.
+};
+
+// Callers of a route that had been added 6 and 8 s before got 404, at daemons on links of 10 Mbit/s.
+// In order: a configuration of 4,248 routes was written; the daemons on faster links had it in force
+// and told the others; 18 of 70 daemons then took in all that their links carried for 20 s, failed
+// their readiness, lost runners, and had the next version, one route more, in force 7 to 10 s after
+// it was written. Cause: a daemon that knew of a newer version began a read of the whole
+// configuration every 250 ms, whether the last one had ended or not. Where one read takes longer,
+// each slows the others, and all but one are thrown away. Evidence: 19 to 34 MB taken in for two
+// versions of 1 MB; a line "config_behind" every 250 ms until the version was there; 0 to 6% of the
+// processor; a store that refused nothing.
+TEST(config_reading, ALargeConfigurationIsInForceInTimeOnAThinLink)
+{
+  StartTwo();
+  const std::uint64_t before = mBed.BytesThrough(fleet_bed::StoreLink(1));
+  mBed.PutConfig(2, ManyRoutes(2));
+  CHECK(ServesAdded(mBed, 1, 2, kInForceMs));
+  mBed.PutConfig(3, ManyRoutes(3));
+  CHECK(ServesAdded(mBed, 1, 3, kInForceMs));
+  const double size = static_cast<double>(ManyRoutes(3).dump().size()) * kReadPerByte;
+  const std::uint64_t taken = mBed.BytesThrough(fleet_bed::StoreLink(1)) - before;
+  CHECK(taken < kMostReads * static_cast<std::uint64_t>(size));
+}
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -128,9 +128,12 @@
 std::string
 fleet_bed::Behind(const std::string& aName, const std::string& aTarget)
 {
-  if (!mProxied) {
-    return aTarget;
-  }
+  return mProxied ? StartProxy(aName, aTarget) : aTarget;
+}
+
+std::string
+fleet_bed::StartProxy(const std::string& aName, const std::string& aTarget)
+{
   standin& proxy = mProxies[aName];
   proxy.mProcess = std::make_unique<process>(
     std::vector<std::string>{ BuildFolderOf() + "/standins/standin_proxy", "--target=" + aTarget },
@@ -144,10 +147,22 @@
   return proxy.mProxy;
 }
 
+json
+fleet_bed::ControlProxy(const std::string& aName, const json& aFaults) const
+{
+  return dunehook::test::Control(mProxies.at(aName), aFaults);
+}
+
 void
 fleet_bed::SetProxy(const std::string& aName, const json& aFaults)
 {
-  dunehook::test::Control(mProxies.at(aName), aFaults);
+  ControlProxy(aName, aFaults);
+}
+
+std::uint64_t
+fleet_bed::BytesThrough(const std::string& aName) const
+{
+  return ControlProxy(aName, json::object()).at("answer_bytes_out").get<std::uint64_t>();
 }
 
 void
@@ -155,6 +170,7 @@
 {
   SetProxy(aName,
            { { "delay_ms", 0 },
+             { "answer_kb_s", 0 },
              { "stall", 0 },
              { "stall_requests", 0 },
              { "stall_answers", 0 },
@@ -270,7 +286,15 @@
 std::size_t
 fleet_bed::StartDaemon(bool aWaitReady)
 {
-  return Launch(mFolder + "/daemon-" + std::to_string(mDaemons.size()) + ".out", aWaitReady);
+  platform_daemon_options options;
+  options.mWaitReady = aWaitReady;
+  return StartDaemon(options);
+}
+
+std::size_t
+fleet_bed::StartDaemon(const platform_daemon_options& aOptions)
+{
+  return Launch(mFolder + "/daemon-" + std::to_string(mDaemons.size()) + ".out", aOptions);
 }
 
 void
@@ -281,7 +305,7 @@
     throw std::runtime_error("no pipe");
   }
   mUnread = ::open(pipe.c_str(), O_RDWR | O_CLOEXEC);
-  Launch(pipe, true);
+  Launch(pipe, {});
 }
 
 std::string
@@ -291,12 +315,16 @@
 }
 
 std::size_t
-fleet_bed::Launch(const std::string& aOutput, bool aWaitReady)
+fleet_bed::Launch(const std::string& aOutput, const platform_daemon_options& aOptions)
 {
   const std::size_t number = mDaemons.size();
+  mOptions.push_back(aOptions);
+  if (aOptions.mOwnStoreLink) {
+    StartProxy(StoreLink(number), mAddress);
+  }
   std::ofstream(SettingsPath(number)) << SettingsOf(number);
   mDaemons.push_back(StartProcess(number, aOutput));
-  if (aWaitReady && !Eventually([&] { return Readiness(number) == 200; })) {
+  if (aOptions.mWaitReady && !Eventually([&] { return Readiness(number) == 200; })) {
     throw std::runtime_error("the daemon isn't ready");
   }
   return number;
@@ -306,6 +334,7 @@
 fleet_bed::StartDaemonSignalled(int aSignal)
 {
   const std::size_t number = mDaemons.size();
+  mOptions.emplace_back();
   const std::string settings = SettingsPath(number);
   if (::mkfifo(settings.c_str(), 0600) != 0) {
     throw std::runtime_error("no pipe");
@@ -329,12 +358,15 @@
 std::string
 fleet_bed::SettingsOf(std::size_t aDaemon) const
 {
+  const platform_daemon_options& options = mOptions.at(aDaemon);
+  const std::string store =
+    options.mOwnStoreLink ? mProxies.at(StoreLink(aDaemon)).mProxy : mStoreAddress;
   std::ostringstream settings;
-  settings << "node-name = \"entry-" << aDaemon << "\"\nip = \"" << Host(aDaemon)
-           << "\"\nzone = \"hall-a\"\ninternal-ports = [" << mPort << ", " << mPort + 3
+  settings << "node-name = \"entry-" << aDaemon << "\"\nip = \"" << Host(aDaemon) << "\"\nzone = \""
+           << options.mHall << "\"\ninternal-ports = [" << mPort << ", " << mPort + 3
            << "]\nseeds = [\"" << Host(0) << ":1\", \"" << Host(1) << ":1\"]\n[listen]\nfront = \""
            << Callers(aDaemon) << "\"\nready = \"" << Host(aDaemon) << ":" << mPort + 5
-           << "\"\n[platform]\naddress = \"" << mStoreAddress
+           << "\"\n[platform]\naddress = \"" << store
            << "\"\n[bounds]\ngrace-s = 8\nretry-budget-ratio = 0.2\n"
            << "budget-window-s = 10\nretry-budget-slack = 60\nlease-ms = 1000\n";
   return settings.str();
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -18,6 +18,14 @@
   std::string mHall = "hall-a";  ///< Daemons stand in hall-a.
 };
 
+/** How a test starts a daemon. */
+struct platform_daemon_options
+{
+  std::string mHall = "hall-a"; ///< Its data hall.
+  bool mOwnStoreLink = false;   ///< It reaches the store by a proxy of its own, "store-N".
+  bool mWaitReady = true;       ///< The start is over once it's ready.
+};
+
 /** A deployment on the platform. */
 class fleet_bed
 {
@@ -49,6 +57,11 @@
   void SetStore(const std::string& aMode);
   /** Starts a daemon. @return its number. */
   std::size_t StartDaemon(bool aWaitReady = true);
+  std::size_t StartDaemon(const platform_daemon_options& aOptions);
+  /** @return the name of the proxy between a daemon with mOwnStoreLink and the store. */
+  static std::string StoreLink(std::size_t aDaemon) { return "store-" + std::to_string(aDaemon); }
+  /** @return bytes that a proxy has passed on from what is behind it. */
+  std::uint64_t BytesThrough(const std::string& aName) const;
   /** Starts a daemon and signals it while it reads its settings. */
   void StartDaemonSignalled(int aSignal);
   /** Starts a daemon whose output goes into a pipe that nobody reads. */
@@ -85,9 +98,13 @@
   json Control(const std::string& aTarget, const std::string& aBody) const;
   void ListAt(const std::string& aId, const runner_options& aOptions, const std::string& aAddress);
   std::string Host(std::size_t aDaemon) const;
+  /** @return the answer of a proxy to new faults. */
+  json ControlProxy(const std::string& aName, const json& aFaults) const;
+  /** Starts a proxy before @p aTarget. @return its address. */
+  std::string StartProxy(const std::string& aName, const std::string& aTarget);
   std::string SettingsOf(std::size_t aDaemon) const;
   std::string SettingsPath(std::size_t aDaemon) const;
-  std::size_t Launch(const std::string& aOutput, bool aWaitReady);
+  std::size_t Launch(const std::string& aOutput, const platform_daemon_options& aOptions);
   std::unique_ptr<process> StartProcess(std::size_t aDaemon, const std::string& aOutput) const;
   /** @return the address to use for @p aTarget: that of a new proxy, if the bed has proxies. */
   std::string Behind(const std::string& aName, const std::string& aTarget);
@@ -99,6 +116,7 @@
   bool mProxied;                                  ///< Runners and the store are behind proxies.
   std::map<std::string, standin> mProxies;        ///< By the name of what is behind.
   std::vector<std::unique_ptr<process>> mDaemons; ///< In the order of their start.
+  std::vector<platform_daemon_options> mOptions;  ///< How each daemon was started.
   std::map<std::string, json> mEntries;           ///< Listed runners by id.
   int mUnread = -1;                               ///< Holds a pipe that nobody reads open.
   int mPort = 0;                                  ///< First of the daemons' ports.
