--- /dev/null
+++ b/tests/platform/stop_late_test.cpp
@@ -0,0 +1,408 @@
+/**
+ * @file stop_late_test.cpp
+ * A planned stop and requests that come late in it: on kept connections, one behind the other, with
+ * slow bytes, and at a process that stood still around the signal. What a runner ran is answered
+ * whole; what isn't run is answered or closed at once; the process ends by itself in time.
+ */
+#include "tests/platform/fleet_bed.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio/write.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <future>
+#include <memory>
+#include <thread>
+
+using namespace dunehook;
+using namespace dunehook::test;
+
+namespace {
+
+/** `grace-s` of the settings in fleet_bed, in ms: a process is killed so long after SIGTERM. */
+constexpr std::int64_t kGraceMs = 8000;
+/** Start of the last sixth of the grace, in ms after SIGTERM: what runs then may be cut (LOST). */
+constexpr std::int64_t kLastSixthMs = kGraceMs * 5 / 6;
+/** The latest that a request may be sent that is cut by the stop, in ms after SIGTERM (LOST). */
+constexpr std::int64_t kSentLateMs = 3000;
+/** `loss-slack-ms` in the rules: a request that isn't run is closed within this many ms of its last
+ * byte, or answered. */
+constexpr std::int64_t kLossSlackMs = 200;
+/** The daemon takes requests for this many ms after SIGTERM (kBalancerLag). */
+constexpr std::int64_t kTakesMs = 2600;
+/** A moment after requests stop being taken and after kSentLateMs, in ms after SIGTERM. */
+constexpr std::int64_t kLateMs = 3300;
+/** A moment at which requests are still taken, in ms after SIGTERM. */
+constexpr std::int64_t kEarlyMs = 1000;
+/** Just before a moment or just after it, in ms: beyond the 50 ms between two looks of the stop. */
+constexpr std::int64_t kJustMs = 100;
+/** Time between signals in a stop, in ms. */
+constexpr std::int64_t kBetweenSignalsMs = 500;
+/** How long a process stands still, in ms: three times the margin of its stop (kStopMargin). */
+constexpr std::int64_t kStillMs = 1500;
+/** The same where it can end in time and yet cut nothing before the last sixth of the grace,
+ * whenever the signal came meanwhile, in ms: under a sixth of the grace, with room for the 250 ms
+ * between two signs of its running. */
+constexpr std::int64_t kShortStillMs = 800;
+/** Time between the events of a stream, in ms, as the engines are set here. */
+constexpr int kEventMs = 100;
+/** Time that a plain request takes, in ms, as the runners are set here. */
+constexpr int kPlainMs = 50;
+/** Events of a stream that ends well before the stop whenever it's taken (0.5 s). */
+constexpr int kShortEvents = 5;
+/** Events of a stream that the stop cuts if it's taken kLateMs after SIGTERM or later (6 s). */
+constexpr int kLongEvents = 60;
+/** Events of a stream that the stop cuts though it began before SIGTERM (12 s). */
+constexpr int kEndlessEvents = 120;
+/** Tokens of the prompts. */
+constexpr int kPrompt = 1000;
+/** The longest that a caller waits for an answer, in ms: beyond the longest stop. */
+constexpr int kAnswerMs = 15000;
+/** Rest of a caller that couldn't connect, in ms. */
+constexpr int kConnectRestMs = 20;
+
+/** What became of a request. */
+struct fate
+{
+  std::string mId;          ///< Its id.
+  std::int64_t mSentAt = 0; ///< When its last byte was sent, in ms.
+  std::int64_t mEndAt = 0;  ///< When its answer or its connection ended, in ms.
+  unsigned mStatus = 0;     ///< Of its whole answer; 0: there was none.
+  bool mKept = false;       ///< It wasn't the first on its connection.
+};
+
+/** @return the bytes of a request. */
+std::string
+RequestText(const std::string& aTarget, const headers& aHeaders, const std::string& aBody = "")
+{
+  std::string text = "POST " + aTarget + " HTTP/1.1\r\n";
+  for (const auto& [name, value] : aHeaders) {
+    text.append(name).append(": ").append(value).append("\r\n");
+  }
+  return text + "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+/** @return the bytes of a resumable stream of so many events. */
+std::string
+StreamText(const std::string& aId, int aEvents, const std::string& aBody = "")
+{
+  return RequestText("/resumed/a", GenerationHeaders(aId, kPrompt, aEvents), aBody);
+}
+
+/** @return the bytes of a plain request that may run once. */
+std::string
+PlainText(const std::string& aId)
+{
+  return RequestText("/records/a", CallerHeaders(aId));
+}
+
+void
+SleepUntil(std::int64_t aMs)
+{
+  std::this_thread::sleep_for(std::chrono::milliseconds(std::max<std::int64_t>(0, aMs - NowMs())));
+}
+
+/** A caller's connection, on which it sends what it likes and reads answer after answer. */
+class kept_connection
+{
+public:
+  explicit kept_connection(const std::string& aAddress)
+  {
+    const endpoint to = ParseEndpoint(aAddress).value();
+    boost::system::error_code error;
+    mStream.socket().connect({ asio::ip::make_address(to.mAddress), to.mPort }, error);
+    mOpen = !error;
+  }
+
+  /** @return whether further requests may be sent. */
+  bool Open() const { return mOpen; }
+  /** Sends bytes. */
+  void Send(const std::string& aBytes)
+  {
+    boost::system::error_code error; // The read tells of a connection that has ended.
+    asio::write(mStream.socket(), asio::buffer(aBytes), error);
+  }
+  /** Sends a whole request, or the rest of one. */
+  void Send(const std::string& aBytes, fate& aFate)
+  {
+    aFate.mKept = mSends++ > 0;
+    Send(aBytes);
+    aFate.mSentAt = NowMs();
+  }
+  /** Reads the next answer up to its end, or up to the connection's. */
+  void Read(fate& aFate)
+  {
+    asio::co_spawn(mIo, ReadOne(aFate), asio::detached);
+    mIo.restart();
+    mIo.run();
+    aFate.mEndAt = NowMs();
+  }
+
+private:
+  asio::awaitable<void> ReadOne(fate& aFate)
+  {
+    http::response_parser<http::string_body> parser;
+    boost::system::error_code error;
+    mStream.expires_after(std::chrono::milliseconds(kAnswerMs));
+    co_await http::async_read(
+      mStream, mBuffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    aFate.mStatus = error ? 0 : parser.get().result_int();
+    mOpen = !error && parser.get().keep_alive();
+  }
+
+  asio::io_context mIo{ 1 };        ///< Runs the reads.
+  beast::tcp_stream mStream{ mIo }; ///< To the daemon.
+  beast::flat_buffer mBuffer;       ///< Bytes of the next answer.
+  bool mOpen = false;               ///< The connection goes on.
+  int mSends = 0;                   ///< Whole requests so far.
+};
+
+} // namespace
+
+TEST_GROUP(stop_late)
+{
+  /** Starts the deployment. */
+  void Start()
+  {
+    mBed.StartUsual();
+    for (const char* const id : { "decode-1", "decode-2" }) {
+      mBed.SetRunner(id, { { "step_ms", kEventMs } });
+    }
+    for (const char* const id : { "desk-1", "desk-2" }) {
+      mBed.SetRunner(id, { { "step_ms", kPlainMs } });
+    }
+  }
+
+  /** @return whether a runner ran a request; reading of its prompt isn't a run. */
+  bool Ran(const std::string& aId)
+  {
+    for (const json& one : mBed.Seen(aId)) {
+      if (one.value("run", false) && !one["headers"].contains("X-Stage")) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Sends SIGTERM. */
+  void Stop()
+  {
+    mBed.Daemon().Signal(SIGTERM);
+    mSignalAt = NowMs();
+  }
+
+  std::int64_t SinceSignal() const
+  {
+    return NowMs() - mSignalAt.load();
+  }
+
+  /** @return what is wrong with a request that the stop has no excuse for; empty if nothing is. */
+  std::string FaultOf(const fate& aFate)
+  {
+    const std::string told = aFate.mId + ", sent " + std::to_string(aFate.mSentAt - mSignalAt) +
+                             " ms after SIGTERM" + (aFate.mKept ? " behind another" : "") +
+                             ", ended at " + std::to_string(aFate.mEndAt - mSignalAt) +
+                             " ms: " + std::to_string(aFate.mStatus) + "; ";
+    switch (aFate.mStatus) {
+      case 200:
+        return "";
+      case 503:
+        return Ran(aFate.mId) ? "refused and run: " + told : "";
+      case 0:
+        if (!mBed.Seen(aFate.mId).empty()) {
+          return "passed on and cut: " + told;
+        }
+        return aFate.mEndAt - aFate.mSentAt > kLossSlackMs ? "held and closed: " + told : "";
+      default:
+        return "failed: " + told;
+    }
+  }
+
+  /** Waits for the process's own end, before it would be killed. */
+  void CheckEnd()
+  {
+    const int code = mBed.Daemon().WaitForExit();
+    const std::int64_t end = SinceSignal();
+    CHECK_EQUAL(0, code);
+    CHECK_TRUE_TEXT(end < kGraceMs, ("ended at " + std::to_string(end) + " ms").c_str());
+  }
+
+  /** Begins a stream on a connection and waits until an engine runs it. */
+  void BeginStream(kept_connection & aConnection, fate & aFate, int aEvents)
+  {
+    aConnection.Send(StreamText(aFate.mId, aEvents), aFate);
+    CHECK(Eventually([&] { return Ran(aFate.mId); }));
+  }
+
+  /**
+   * A caller that sends its next request the moment an answer ends, until the process has gone.
+   * @param aFirst events of its first stream; it sends plain requests only if there are none.
+   */
+  void CallOnAndOn(const std::string& aName, int aFirst, std::vector<fate>& aFates)
+  {
+    std::unique_ptr<kept_connection> connection;
+    for (int number = 0; !mGone; ++number) {
+      if (!connection || !connection->Open()) {
+        connection = std::make_unique<kept_connection>(mBed.Callers());
+      }
+      if (!connection->Open()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(kConnectRestMs));
+        continue;
+      }
+      fate one;
+      one.mId = aName + "-" + std::to_string(number);
+      // Whatever is taken in time ends in time; whatever is taken late would be cut.
+      const bool late = mSignalAt != 0 && SinceSignal() > kSentLateMs;
+      const int events = number == 0 ? aFirst : late ? kLongEvents : kShortEvents;
+      connection->Send(aFirst == 0 ? PlainText(one.mId) : StreamText(one.mId, events), one);
+      connection->Read(one);
+      aFates.push_back(one);
+    }
+  }
+
+  fleet_bed mBed;                           ///< The deployment.
+  std::atomic<std::int64_t> mSignalAt{ 0 }; ///< When SIGTERM was sent, in ms; 0: not yet.
+  std::atomic<bool> mGone{ false };         ///< The process has ended.
+};
+
+// A request that a caller sent behind another on its connection was read while that one's stream
+// ran. When the stream ended late in a planned stop, the connection was closed without an answer,
+// seconds after the request.
+TEST(stop_late, ARequestReadBehindAStreamIsAnswered)
+{
+  Start();
+  kept_connection early(mBed.Callers());
+  kept_connection late(mBed.Callers());
+  fate first{ "first" };
+  fate second{ "second" };
+  BeginStream(early, first, kLongEvents);
+  BeginStream(late, second, kLongEvents);
+  Stop();
+  fate sentEarly{ "sent-early" };
+  fate sentLate{ "sent-late" };
+  SleepUntil(mSignalAt + kEarlyMs);
+  early.Send(StreamText(sentEarly.mId, kLongEvents), sentEarly);
+  SleepUntil(mSignalAt + kLateMs);
+  late.Send(StreamText(sentLate.mId, kLongEvents), sentLate);
+  auto reading = std::async(std::launch::async, [&] {
+    early.Read(first);
+    early.Read(sentEarly);
+  });
+  late.Read(second);
+  late.Read(sentLate);
+  reading.get();
+  CheckEnd();
+  CHECK_EQUAL(200U, first.mStatus);
+  CHECK_EQUAL(200U, second.mStatus);
+  CHECK_EQUAL("", FaultOf(sentEarly) + FaultOf(sentLate));
+}
+
+// A stream that began before the stop left its connection open. Its caller's next request came
+// between two closings of idle connections, seconds after connections were no longer taken, and was
+// cut by the end of the stop.
+TEST(stop_late, WhateverCallersSendUntilTheEndIsNotRunAndCut)
+{
+  constexpr int kStreams = 9;       // They end from 2.9 s to 7 s after the signal.
+  constexpr int kFirstEvents = 30;  // Of the shortest.
+  constexpr int kEventsApart = 5;   // Between their lengths.
+  constexpr int kOthers = 4;        // Callers of short streams, and as many of plain requests.
+  constexpr std::size_t kLeast = 5; // Late requests on kept connections, or nothing was tried.
+  Start();
+  std::vector<std::vector<fate>> fates(kStreams + 2 * kOthers);
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kStreams + 2 * kOthers; ++i) {
+    const int other = i < kStreams + kOthers ? kShortEvents : 0;
+    const int events = i < kStreams ? kFirstEvents + i * kEventsApart : other;
+    callers.emplace_back(
+      [this, i, events, &fates] { CallOnAndOn("c" + std::to_string(i), events, fates[i]); });
+  }
+  const bool began = Eventually([&] {
+    int running = 0;
+    for (int i = 0; i < kStreams; ++i) {
+      running += Ran("c" + std::to_string(i) + "-0") ? 1 : 0;
+    }
+    return running == kStreams;
+  });
+  Stop();
+  const int code = mBed.Daemon().WaitForExit();
+  const std::int64_t end = SinceSignal();
+  mGone = true;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(began);
+  CHECK_EQUAL(0, code);
+  CHECK(end < kGraceMs);
+  std::size_t lateAndKept = 0;
+  std::string faults;
+  for (const std::vector<fate>& ofOne : fates) {
+    for (const fate& one : ofOne) {
+      lateAndKept += one.mKept && one.mSentAt - mSignalAt > kSentLateMs ? 1 : 0;
+      faults += FaultOf(one);
+    }
+  }
+  CHECK_EQUAL("", faults);
+  CHECK(lateAndKept >= kLeast);
+}
+
+// The head of a request came while requests were taken and its last bytes long after: it was run,
+// and cut by the end of the stop.
+TEST(stop_late, ARequestWhoseBodyEndsLateIsNotRunAndCut)
+{
+  Start();
+  kept_connection connection(mBed.Callers());
+  const std::string body = "a prompt in two parts";
+  const std::size_t rest = body.size() / 2;
+  fate slow{ "slow" };
+  const std::string text = StreamText(slow.mId, kLongEvents, body);
+  Stop();
+  SleepUntil(mSignalAt + kEarlyMs);
+  connection.Send(text.substr(0, text.size() - rest));
+  SleepUntil(mSignalAt + kLateMs);
+  connection.Send(text.substr(text.size() - rest), slow);
+  connection.Read(slow);
+  CheckEnd();
+  CHECK_EQUAL("", FaultOf(slow));
+}
+
+// The first bytes of a request came while requests were taken and the end of its head long after:
+// it was run, and cut by the end of the stop.
+TEST(stop_late, ARequestWhoseHeadEndsLateIsNotRunAndCut)
+{
+  Start();
+  kept_connection connection(mBed.Callers());
+  fate slow{ "slow" };
+  const std::string text = StreamText(slow.mId, kLongEvents);
+  const std::size_t rest = text.size() / 2;
+  Stop();
+  // A head may take a second (`header-timeout-ms` of the bed).
+  SleepUntil(mSignalAt + kTakesMs - kJustMs);
+  connection.Send(text.substr(0, text.size() - rest));
+  SleepUntil(mSignalAt + kSentLateMs + kJustMs);
+  connection.Send(text.substr(text.size() - rest), slow);
+  connection.Read(slow);
+  CheckEnd();
+  CHECK_EQUAL("", FaultOf(slow));
+}
+
+// Further signals in a stop neither begin it anew nor make it longer.
+TEST(stop_late, FurtherSignalsChangeNothing)
+{
+  Start();
+  kept_connection connection(mBed.Callers());
+  fate endless{ "endless" };
+  BeginStream(connection, endless, kEndlessEvents);
+  Stop();
+  for (const int signal : { SIGTERM, SIGHUP, SIGTERM }) {
+    SleepUntil(NowMs() + kBetweenSignalsMs);
+    mBed.Daemon().Signal(signal);
+  }
+  SleepUntil(mSignalAt + kLateMs);
+  kept_connection late(mBed.Callers());
+  CHECK_FALSE(late.Open());
+  connection.Read(endless);
+  CheckEnd();
+  CHECK(endless.mEndAt - mSignalAt >= kLastSixthMs);
+}
