Fix: [Forward] what comes late in a planned stop is told as not run

Cause: whether requests are still taken was looked at once, with a request's first bytes. One whose head or body ended late was run, and cut by the end of the stop; one that had been read behind a stream was closed without an answer seconds later. Change: it's looked at when the request is whole, at one place, and the answer is 503, not run, with the connection's end: its caller can go elsewhere at once, also with what may run once only.

--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -49,6 +49,7 @@
     { "unreachable", "no connection to a runner could be made in time" },
     { "no_route", "no route of the configuration in force matches its host and path" },
     { "starting", "the daemon had just started and knew no configuration or no runners" },
+    { "stopping", "the daemon was about to end and took no more requests" },
   };
   const auto found = sTexts.find(aReason);
   return found == sTexts.end() ? aReason : found->second;
@@ -148,6 +149,7 @@
     { "no_route",
       [&] { return Join("no route for ", text("path"), " in version ", text("config")); } },
     { "not_started", [&] { return std::string("refused, the daemon was starting"); } },
+    { "not_taken", [&] { return std::string("refused, the daemon was about to end"); } },
     { "runner_changed",
       [&] {
         return Join("runner ",
--- a/src/forward/caller_session.cpp
+++ b/src/forward/caller_session.cpp
@@ -320,9 +320,6 @@
   bool more = true;
   while (more) {
     more = co_await AwaitRequest(stream, buffer);
-    // An answer that began before the stop left its connection open; what the caller sends on it
-    // now isn't taken, so that it can't be cut by the end of the process.
-    more = more && !mShared.mTakesNoMore;
     if (more) {
       ++mShared.mBusy;
       more = co_await ServeOne(stream, buffer);
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -18,7 +18,7 @@
 {
   caller_limits mLimits;            ///< In force for the next request.
   bool mClosing = false;            ///< Connections end after their next answer.
-  bool mTakesNoMore = false;        ///< No further request is taken: connections end now.
+  bool mTakesNoMore = false;        ///< Requests that aren't whole yet are refused.
   std::uint64_t mBodyBytes = 0;     ///< Bytes of request bodies held now.
   std::uint64_t mMostBodyBytes = 0; ///< Most bytes of request bodies held at once.
   std::size_t mOpen = 0;            ///< Connections.
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -164,6 +164,15 @@
   {
     const instant arrived = mState.Now();
     const request_facts facts = Wire::ReadRequest(aExchange->Request());
+    // Looked at once the request is whole. It may come late on a connection that an answer from
+    // before the stop left open, behind another request, or with slow bytes: the end of the process
+    // would cut it, and a caller that is told so can go elsewhere.
+    if (mListener->Shared().mTakesNoMore) {
+      mState.mMetrics.CountRequest("none", "refused", "stopping");
+      mState.LogDecision(log_level::eInfo, "not_taken", facts.mId, {});
+      co_await Refuse<Wire>(*aExchange, facts.mId, 503, kStopComeBack, "stopping");
+      co_return;
+    }
     const instant startedBy = arrived + kStartWait;
     while (!mFollower.Known() && mState.Now() < startedBy) {
       co_await Sleep(kLookAtStart);
@@ -293,6 +302,9 @@
   static constexpr duration kStartWait = std::chrono::milliseconds(25);
   /** Time between looks for the first configuration. */
   static constexpr duration kLookAtStart = std::chrono::milliseconds(5);
+  /** A caller of a daemon that stops may come back then, to another: the time of a new connection
+   * between halls, and room for one that is slow. */
+  static constexpr duration kStopComeBack = std::chrono::milliseconds(50);
   /** A caller of a daemon that starts may come back then. */
   static constexpr duration kStartComeBack = std::chrono::milliseconds(500);
 
