--- a/tests/platform/stop_late_test.cpp
+++ b/tests/platform/stop_late_test.cpp
@@ -347,6 +347,98 @@
   CHECK(lateAndKept >= kLeast);
 }
 
+// A process that stood still got SIGTERM meanwhile and counted its stop from the moment at which it
+// ran again: it would have been killed before its own end.
+TEST(stop_late, AProcessThatStoodStillAtTheSignalEndsInTime)
+{
+  Start();
+  kept_connection connection(mBed.Callers());
+  fate endless{ "endless" };
+  BeginStream(connection, endless, kEndlessEvents);
+  mBed.Daemon().Signal(SIGSTOP);
+  Stop();
+  SleepUntil(mSignalAt + kShortStillMs);
+  mBed.Daemon().Signal(SIGCONT);
+  connection.Read(endless);
+  CheckEnd();
+  // The runner was at work in the last sixth of the grace: the only excuse for the cut.
+  CHECK_EQUAL(0U, endless.mStatus);
+  CHECK(endless.mEndAt - mSignalAt >= kLastSixthMs);
+}
+
+// The other way round: a stop that counts from before the standstill must not cut a stream too
+// early if the signal came at the end of it.
+TEST(stop_late, ASignalAtTheEndOfAStandstillCutsNothingEarly)
+{
+  Start();
+  kept_connection connection(mBed.Callers());
+  fate endless{ "endless" };
+  BeginStream(connection, endless, kEndlessEvents);
+  const std::int64_t still = NowMs();
+  mBed.Daemon().Signal(SIGSTOP);
+  SleepUntil(still + kStillMs);
+  Stop();
+  mBed.Daemon().Signal(SIGCONT);
+  connection.Read(endless);
+  CheckEnd();
+  CHECK_EQUAL(0U, endless.mStatus);
+  CHECK(endless.mEndAt - mSignalAt >= kLastSixthMs);
+}
+
+// A process that stood still got SIGTERM meanwhile, and took requests by its own count of time:
+// those were sent too late to be excused when the stop cut them.
+TEST(stop_late, AProcessThatStoodStillAtTheSignalTakesNothingLate)
+{
+  Start();
+  kept_connection running(mBed.Callers()); // The process isn't gone before the late request.
+  fate before{ "before" };
+  BeginStream(running, before, kLongEvents);
+  mBed.Daemon().Signal(SIGSTOP);
+  Stop();
+  SleepUntil(mSignalAt + kStillMs);
+  mBed.Daemon().Signal(SIGCONT);
+  SleepUntil(mSignalAt + kLateMs);
+  kept_connection connection(mBed.Callers());
+  fate late{ "late" };
+  if (connection.Open()) {
+    connection.Send(StreamText(late.mId, kLongEvents), late);
+    connection.Read(late);
+    CHECK_EQUAL("", FaultOf(late));
+  }
+  running.Read(before);
+  CheckEnd();
+  CHECK_EQUAL(200U, before.mStatus);
+}
+
+// A process stood still across the moment at which it stops taking requests. What had arrived by
+// the time it ran again was taken before the passing of that moment was noticed.
+TEST(stop_late, AProcessThatStoodStillInTheStopTakesNothingLate)
+{
+  Start();
+  kept_connection connection(mBed.Callers());
+  fate before{ "before" };
+  kept_connection resting(mBed.Callers());
+  BeginStream(connection, before, kLongEvents);
+  Stop();
+  SleepUntil(mSignalAt + kTakesMs - kJustMs);
+  mBed.Daemon().Signal(SIGSTOP);
+  kept_connection fresh(mBed.Callers());
+  SleepUntil(mSignalAt + kLateMs);
+  fate onResting{ "on-resting" };
+  fate onFresh{ "on-fresh" };
+  resting.Send(StreamText(onResting.mId, kLongEvents), onResting);
+  fresh.Send(StreamText(onFresh.mId, kLongEvents), onFresh);
+  SleepUntil(mSignalAt + kLateMs + kJustMs);
+  mBed.Daemon().Signal(SIGCONT);
+  auto reading = std::async(std::launch::async, [&] { resting.Read(onResting); });
+  fresh.Read(onFresh);
+  reading.get();
+  connection.Read(before);
+  CheckEnd();
+  CHECK_EQUAL(200U, before.mStatus);
+  CHECK_EQUAL("", FaultOf(onResting) + FaultOf(onFresh));
+}
+
 // The head of a request came while requests were taken and its last bytes long after: it was run,
 // and cut by the end of the stop.
 TEST(stop_late, ARequestWhoseBodyEndsLateIsNotRunAndCut)
