Fix: [Forward] a planned stop counts from the signal, also in a process that stood still

Cause: the stop counted from the moment at which the signal was handled. A process that stood still meanwhile took requests too late to be excused and ended after its limit (8.3 s after 0.8 s, 9.0 s after 1.5 s), where the platform kills it. Change: a signal handled in the first turn after a standstill counts from the last sign before it; the end comes no sooner than the last sixth of the limit counted from the handling, so that a signal at the end of a standstill cuts nothing early. The moment from which nothing is taken is an instant, looked at with each request, beside the flag that the stop's own look sets.

--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -5,10 +5,12 @@
  */
 #pragma once
 
+#include "core/clock_type.h"
 #include "forward/config_type.h"
 #include "net/http_client.h"
 
 #include <functional>
+#include <optional>
 #include <set>
 
 namespace dunehook {
@@ -16,14 +18,21 @@
 /** Sessions of a listener have these in common. */
 struct session_shared
 {
-  caller_limits mLimits;            ///< In force for the next request.
-  bool mClosing = false;            ///< Connections end after their next answer.
-  bool mTakesNoMore = false;        ///< Requests that aren't whole yet are refused.
-  std::uint64_t mBodyBytes = 0;     ///< Bytes of request bodies held now.
-  std::uint64_t mMostBodyBytes = 0; ///< Most bytes of request bodies held at once.
-  std::size_t mOpen = 0;            ///< Connections.
-  std::size_t mBusy = 0;            ///< Requests being read or answered.
-  std::set<tcp::socket*> mIdle;     ///< Sockets of connections that rest between requests.
+  caller_limits mLimits;              ///< In force for the next request.
+  bool mClosing = false;              ///< Connections end after their next answer.
+  bool mTakesNoMore = false;          ///< Requests that aren't whole yet are refused.
+  std::optional<instant> mTakesUntil; ///< From then on it's the same, whether noted or not.
+  std::uint64_t mBodyBytes = 0;       ///< Bytes of request bodies held now.
+  std::uint64_t mMostBodyBytes = 0;   ///< Most bytes of request bodies held at once.
+  std::size_t mOpen = 0;              ///< Connections.
+  std::size_t mBusy = 0;              ///< Requests being read or answered.
+  std::set<tcp::socket*> mIdle;       ///< Sockets of connections that rest between requests.
+
+  /** @return whether no further request is taken. A process that stood still notes it late. */
+  bool TakesNoMore(instant aNow) const
+  {
+    return mTakesNoMore || (mTakesUntil && aNow >= *mTakesUntil);
+  }
 };
 
 /** One request of a caller and its answer. */
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -24,6 +24,15 @@
 inline constexpr duration kBalancerLag = std::chrono::milliseconds(2600);
 /** Kept off the limit of a planned stop, so that the process ends by itself. */
 inline constexpr duration kStopMargin = std::chrono::milliseconds(500);
+/** Time between looks in a planned stop. */
+inline constexpr duration kStopLook = std::chrono::milliseconds(50);
+/** A planned stop may cut what still runs in the last one of so many parts of its limit. */
+inline constexpr int kStopParts = 6;
+/** A signal is handled late if the pass over the tables is later than this: a share of a core may
+ * rest for a tenth of a second. */
+inline constexpr duration kLatePass = std::chrono::milliseconds(100);
+/** What a process finds to do when it runs again is done so soon, signals included. */
+inline constexpr duration kFirstTurn = std::chrono::milliseconds(50);
 
 /** The daemon. */
 template<wire_format Wire, control_store Store>
@@ -54,6 +63,7 @@
   /** Starts to serve. */
   void Start()
   {
+    mPassEnded = mState.Now();
     mFollower.Start();
     mLink.Start([this] { return Ready(); });
     SpawnGuarded(mState.mIo, TickTables());
@@ -66,11 +76,21 @@
     if (mState.mStopping) {
       return;
     }
-    LogEvent(log_level::eInfo, "stopping", { { "open", mListener->Shared().mOpen } });
+    const instant now = mState.Now();
+    const instant since = SignalledSince(now);
+    LogEvent(
+      log_level::eInfo,
+      "stopping",
+      { { "open", mListener->Shared().mOpen }, { "late_ms", (now - since).count() / 1000 } });
     mState.mStopping = true;
-    mState.mStopBy = mState.Now() + mState.mSettings.mStopLimit - kStopMargin;
+    // The signal came between the two instants. Requests are taken as if it came first; nothing is
+    // cut before the last part of the limit even if it came last.
+    const duration limit = mState.mSettings.mStopLimit;
+    mState.mStopBy =
+      std::max(since + limit - kStopMargin, now + limit - limit / kStopParts + kStopLook);
     mListener->Shared().mClosing = true;
-    SpawnGuarded(mState.mIo, FinishStop());
+    mListener->Shared().mTakesUntil = since + kBalancerLag + 2 * kStopLook;
+    SpawnGuarded(mState.mIo, FinishStop(since));
   }
 
   /** Takes over what may change while the daemon runs. */
@@ -167,7 +187,7 @@
     // Looked at once the request is whole. It may come late on a connection that an answer from
     // before the stop left open, behind another request, or with slow bytes: the end of the process
     // would cut it, and a caller that is told so can go elsewhere.
-    if (mListener->Shared().mTakesNoMore) {
+    if (mListener->Shared().TakesNoMore(arrived)) {
       mState.mMetrics.CountRequest("none", "refused", "stopping");
       mState.LogDecision(log_level::eInfo, "not_taken", facts.mId, {});
       co_await Refuse<Wire>(*aExchange, facts.mId, 503, kStopComeBack, "stopping");
@@ -236,8 +256,13 @@
   {
     for (;;) {
       const instant slept = mState.Now();
+      mPassEnded = slept;
       co_await Sleep(kTableTick);
       const instant now = mState.Now();
+      if (now - slept > kTableTick + kLatePass) {
+        mStillFrom = slept;
+        mStillTo = now;
+      }
       if (now - slept > kTableTick + kStandstill) {
         LogEvent(log_level::eWarning,
                  "stood_still",
@@ -275,13 +300,25 @@
     }
   }
 
-  /** Waits until the balancer has turned away and what runs is over, then ends the event loop. */
-  asio::awaitable<void> FinishStop()
+  /** @return the earliest that a signal came which is handled at @p aNow: a process that stood
+   * still handles it late, and its limit counts from the signal. */
+  instant SignalledSince(instant aNow) const
+  {
+    if (aNow - mPassEnded > kTableTick + kLatePass) {
+      return mPassEnded;
+    }
+    return aNow - mStillTo < kFirstTurn ? mStillFrom : aNow;
+  }
+
+  /**
+   * Waits until the balancer has turned away and what runs is over, then ends the event loop.
+   * @param aSince when the stop began.
+   */
+  asio::awaitable<void> FinishStop(instant aSince)
   {
-    const instant began = mState.Now();
     while (mState.Now() < mState.mStopBy) {
-      co_await Sleep(std::chrono::milliseconds(50));
-      if (mState.Now() - began < kBalancerLag) {
+      co_await Sleep(kStopLook);
+      if (mState.Now() - aSince < kBalancerLag) {
         continue;
       }
       mListener->StopAccepting();
@@ -293,7 +330,7 @@
     LogEvent(
       log_level::eInfo,
       "stopped",
-      { { "busy", mListener->Shared().mBusy }, { "ms", (mState.Now() - began).count() / 1000 } });
+      { { "busy", mListener->Shared().mBusy }, { "ms", (mState.Now() - aSince).count() / 1000 } });
     mState.mIo.stop();
   }
 
@@ -317,6 +354,9 @@
   std::unique_ptr<http_listener> mMetricsListener; ///< For the operators' metrics.
   std::unique_ptr<http_listener> mReadiness;       ///< For the balancer.
   log_totals mLogTotals;                           ///< Of the last tick.
+  instant mPassEnded{ 0 };                         ///< The last pass over the tables.
+  instant mStillFrom{ 0 };                         ///< End of the pass before the last late one.
+  instant mStillTo{ 0 };                           ///< When the last late pass came.
 };
 
 } // namespace dunehook
