Add: [Test] the stand-in proxy makes open connections fall silent

Cause: connections may carry nothing any more without a reset while new ones work; the proxy could only stall all connections, new ones too, or reset them. Ruled out: stall with a list of connections: what is held back would come later, which a connection that fell silent never does. Change: the fault "silence" makes connections that are open now lose what comes and stay open for the proxy's life. The kernel still acknowledges bytes, so a keep-alive of TCP doesn't notice it.

--- a/standins/proxy.cpp
+++ b/standins/proxy.cpp
@@ -6,6 +6,7 @@
  * delay_ms (bytes towards the client come late), answer_kb_s (a link: so many KB a second towards
  * the clients, over all connections; 0 for any), stall (1: nothing moves, nothing closes),
  * stall_requests, stall_answers (1: the same, one way), reset (1: open connections are reset now),
+ * silence (1: connections that are open now carry nothing any more and never close; new ones work),
  * faults (how many connections the byte limits are applied to; then they pass).
  */
 #include "standins/common/standin.h"
@@ -48,6 +49,7 @@
   tcp::socket mTarget;             ///< Where it goes.
   std::int64_t mRequestLimit = -1; ///< Bytes forwarded to the target; -1 for all.
   std::int64_t mAnswerLimit = -1;  ///< Bytes forwarded to the client; -1 for all.
+  bool mSilent = false;            ///< Nothing is forwarded any more, and no end either.
 };
 
 class proxy
@@ -68,6 +70,10 @@
       ResetAll();
       mFaults.erase("reset");
     }
+    if (Fault("silence", 0) != 0) {
+      SilenceAll();
+      mFaults.erase("silence");
+    }
     json body = mFaults;
     body["proxy"] = ToText(AddressOf(mAcceptor));
     body["connections"] = mConnections;
@@ -92,6 +98,19 @@
     mOpen.clear();
   }
 
+  /** Makes every open connection carry nothing from now on. Both ends stay open for the proxy's
+   * life: neither side is told of the other's end. */
+  void SilenceAll()
+  {
+    for (const std::weak_ptr<proxied>& open : mOpen) {
+      if (auto pair = open.lock()) {
+        pair->mSilent = true;
+        mSilenced.push_back(std::move(pair));
+      }
+    }
+    mOpen.clear();
+  }
+
   asio::awaitable<void> AcceptLoop()
   {
     for (;;) {
@@ -152,6 +171,9 @@
       if (aIsAnswer && Fault("answer_kb_s", 0) > 0) {
         co_await AwaitLink(got, Fault("answer_kb_s", 0));
       }
+      if (aPair->mSilent) {
+        co_return; // What came is lost; the sockets stay open.
+      }
       if (error) {
         aPair->Close();
         co_return;
@@ -164,7 +186,7 @@
       }
       co_await asio::async_write(
         aTo, asio::buffer(bytes.data(), send), asio::redirect_error(asio::use_awaitable, error));
-      if (error || left == 0) {
+      if ((error || left == 0) && !aPair->mSilent) {
         aPair->Close();
         co_return;
       }
@@ -183,14 +205,15 @@
 
   static constexpr double kKilobyte = 1000.0; ///< Bytes, as links are counted.
 
-  asio::io_context& mIo;                     ///< Runs everything.
-  endpoint mTarget;                          ///< Where connections go.
-  tcp::acceptor mAcceptor;                   ///< Takes connections.
-  json mFaults = json::object();             ///< As set by /control.
-  std::vector<std::weak_ptr<proxied>> mOpen; ///< Connections; some may have ended.
-  std::uint64_t mConnections = 0;            ///< Connections taken.
-  std::uint64_t mAnswerBytesOut = 0;         ///< Bytes passed on towards the clients.
-  instant mLinkFreeAt{ 0 };                  ///< When the link has carried what was handed to it.
+  asio::io_context& mIo;                           ///< Runs everything.
+  endpoint mTarget;                                ///< Where connections go.
+  tcp::acceptor mAcceptor;                         ///< Takes connections.
+  json mFaults = json::object();                   ///< As set by /control.
+  std::vector<std::weak_ptr<proxied>> mOpen;       ///< Connections; some may have ended.
+  std::vector<std::shared_ptr<proxied>> mSilenced; ///< Connections that carry nothing any more.
+  std::uint64_t mConnections = 0;                  ///< Connections taken.
+  std::uint64_t mAnswerBytesOut = 0;               ///< Bytes passed on towards the clients.
+  instant mLinkFreeAt{ 0 }; ///< When the link has carried what was handed to it.
 };
 
 } // namespace
