Add: [Test] the stand-in of the store cuts pages, and is as slow as a test says

Cause: a read handed out any number of versions in one answer, where the store's pages hold 1,024 KB unless asked for more; a slow store was slow by 10 ms only, and not at the end of a read that waited. Ruled out: cutting within a record: the pages don't say what a record larger than a page does, so a page holds whole records and at least one. Change: ReadFrom() cuts at max_kb (1,024); POST /control/store takes slow_ms; a read that waited is late by the same. Conclusion: nothing else in the stand-in is changed.

--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -25,8 +25,10 @@
 constexpr std::uint64_t kTokensPerEvent = 64;
 /** Time after which a runner resets late. */
 constexpr duration kLateReset = std::chrono::milliseconds(50);
-/** Time that a slow store takes more for each call. */
+/** Time that a slow store takes more for each call, unless a test sets another. */
 constexpr duration kSlowStore = std::chrono::milliseconds(10);
+/** Largest page of a read that names no size of its own; KB of 1,024 bytes. */
+constexpr std::size_t kPageKb = 1024;
 
 std::string
 BigEndian(std::uint64_t aNumber, std::size_t aBytes)
@@ -70,12 +72,16 @@
     return { { "items", items }, { "more", false }, { "end", mRecords.size() } };
   }
 
-  std::string ReadFrom(std::size_t aFrom) const
+  /** @return whole records from an offset on, as many as @p aMost bytes hold, and at least one. */
+  std::string ReadFrom(std::size_t aFrom, std::size_t aMost) const
   {
     std::string out = BigEndian(mRecords.size(), kOffsetBytes) + BigEndian(0, kOffsetBytes);
     for (std::size_t offset = aFrom; offset < mRecords.size(); ++offset) {
       const record& one = mRecords[offset];
       const std::string content = BigEndian(one.mKey.size(), 1) + one.mKey + one.mValue;
+      if (offset > aFrom && out.size() + content.size() > aMost) {
+        break;
+      }
       out += BigEndian(content.size(), kLengthBytes) + content;
     }
     return out;
@@ -118,7 +124,7 @@
       co_await Sleep(std::chrono::seconds(60));
     }
     if (mStoreMode == "slow") {
-      co_await Sleep(kSlowStore);
+      co_await Sleep(mSlowStore);
     }
     if (mStoreMode == "busy") {
       co_await aExchange->Respond(503, "{}");
@@ -148,9 +154,13 @@
     const std::size_t from = std::stoul("0" + aExchange->Query("from"));
     const int wait = std::stoi("0" + aExchange->Query("wait-ms"));
     const instant until = steady_clock_source{}.Now() + std::chrono::milliseconds(wait);
+    const bool waits = aTopic.mRecords.size() <= from && wait > 0;
     while (aTopic.mRecords.size() <= from && steady_clock_source{}.Now() < until) {
       co_await mChanged.Wait(until - steady_clock_source{}.Now());
     }
+    if (waits && mStoreMode == "slow") {
+      co_await Sleep(mSlowStore); // What a read waited for is late as any other answer.
+    }
     if (mStoreMode == "lose_one" && aTopic.mRecords.size() > from) {
       mStoreMode.clear();
       co_await Sleep(std::chrono::seconds(60));
@@ -160,7 +170,9 @@
       co_await aExchange->Respond(410, first);
       co_return;
     }
-    const std::string body = aTopic.ReadFrom(from);
+    const std::string most = aExchange->Query("max_kb");
+    const std::size_t page = most.empty() ? kPageKb : std::stoul(most);
+    const std::string body = aTopic.ReadFrom(from, page * 1024);
     const header_list noHeaders;
     co_await aExchange->Respond(200, body, noHeaders, "application/octet-stream");
   }
@@ -193,6 +205,7 @@
       mTopics["keyed.servers"].Append(id, body.empty() ? "" : aExchange->Body());
     } else if (aWhat == "store") {
       mStoreMode = body.value("mode", "");
+      mSlowStore = std::chrono::milliseconds(body.value("slow_ms", kSlowStore.count() / 1000));
     } else if (aWhat == "runner") {
       answer = SetRunner(id, body);
     } else if (aWhat == "seen") {
@@ -457,6 +470,7 @@
   std::map<std::string, std::shared_ptr<fake_runner>> mRunners; ///< By id.
   json mSeen = json::array();                                   ///< Requests at runners.
   std::string mStoreMode;                                       ///< Fault of the store.
+  duration mSlowStore = kSlowStore;                             ///< More time of a slow store.
   std::uint64_t mStoreCalls = 0;                                ///< Calls to the store.
   std::uint64_t mWholeReads = 0;                                ///< Reads of a whole topic.
   std::uint64_t mHolds = 0;                                     ///< Reservations granted.
