Add: [Test] the bed starts many daemons at once and shares the large configuration

Cause: daemons were started one after the other, each waited for; the large configuration was known to one test file only. Change: StartDaemons() starts all, then waits for all; ManyRoutes(), AddedRoute(), AddedPath(), WholeReadBytes() and ServesAdded() belong to the bed; SetStore() takes the time of a slow store; Folder() tells where the lines are.

--- a/tests/platform/config_reading_test.cpp
+++ b/tests/platform/config_reading_test.cpp
@@ -14,12 +14,8 @@
 
 /** Time in which a change must be in force at every daemon, from the store's answer; ms. */
 constexpr int kInForceMs = 3000;
-/** Routes that make a configuration of some 1 MB, which a link of 10 Mbit/s carries in 1.1 s. */
-constexpr int kManyRoutes = 4000;
 /** Whole reads of the two versions that a daemon may take in: one each, and one more. */
 constexpr std::uint64_t kMostReads = 3;
-/** A whole read hands the configuration out in base64, 4 bytes for 3. */
-constexpr double kReadPerByte = 4.0 / 3.0;
 /** How long calls to the store are counted; ms. */
 constexpr int kWatchMs = 3000;
 /** Calls that a daemon may make meanwhile for what it can't get: two a second, for the
@@ -33,17 +29,6 @@
 /** A link of 10 Mbit/s, in KB a second. */
 constexpr int kThinLink = 1250;
 
-json
-ManyRoutes(int aVersion)
-{
-  json routes = json::array();
-  for (int number = 0; number < kManyRoutes; ++number) {
-    routes.push_back(PageRoute("/extra-" + std::to_string(number) + "/"));
-  }
-  routes.push_back(PageRoute("/added-" + std::to_string(aVersion) + "/"));
-  return routes;
-}
-
 /** @return a datagram in which another daemon tells of a version. */
 std::vector<std::uint8_t>
 PositionTold(std::uint64_t aVersion)
@@ -53,18 +38,6 @@
   return json::to_cbor(json::array({ 77, false, none, none, none, none, position }));
 }
 
-/** @return whether a daemon serves the route that a version added, in time. */
-bool
-ServesAdded(const fleet_bed& aBed, std::size_t aDaemon, int aVersion, int aLimitMs)
-{
-  const std::string path = "/added-" + std::to_string(aVersion) + "/a";
-  return Eventually(
-    [&] {
-      return Call(aBed.Callers(aDaemon), "GET", path, "", CallerHeaders("r1")).mStatus == 200;
-    },
-    aLimitMs);
-}
-
 } // namespace
 
 TEST_GROUP(config_reading)
@@ -104,9 +77,8 @@
   CHECK(ServesAdded(mBed, 1, 2, kInForceMs));
   mBed.PutConfig(3, ManyRoutes(3));
   CHECK(ServesAdded(mBed, 1, 3, kInForceMs));
-  const double size = static_cast<double>(ManyRoutes(3).dump().size()) * kReadPerByte;
   const std::uint64_t taken = mBed.BytesThrough(fleet_bed::StoreLink(1)) - before;
-  CHECK(taken < kMostReads * static_cast<std::uint64_t>(size));
+  CHECK(taken < kMostReads * WholeReadBytes(3));
 }
 
 // A read that is the only one at a time must not hold the next one up when its answer is lost.
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -27,6 +27,8 @@
 constexpr int kTokensPerEvent = 64;
 /** A port that no program of ours uses; connections there are refused. */
 constexpr const char* kNobodyListens = "127.0.0.250:9";
+/** A whole read hands the configuration out in base64, 4 bytes for 3. */
+constexpr double kReadPerByte = 4.0 / 3.0;
 
 std::string
 BuildFolderOf()
@@ -59,6 +61,47 @@
   return Route(aPrefix, "safe", "desk");
 }
 
+json
+ManyRoutes(int aVersion)
+{
+  json routes = json::array();
+  for (int number = 0; number < kManyRoutes; ++number) {
+    routes.push_back(PageRoute("/extra-" + std::to_string(number) + "/"));
+  }
+  routes.push_back(AddedRoute(aVersion));
+  return routes;
+}
+
+json
+AddedRoute(int aVersion)
+{
+  return PageRoute("/added-" + std::to_string(aVersion) + "/");
+}
+
+std::string
+AddedPath(int aVersion)
+{
+  return "/added-" + std::to_string(aVersion) + "/a";
+}
+
+std::uint64_t
+WholeReadBytes(int aVersion)
+{
+  const double size = static_cast<double>(ManyRoutes(aVersion).dump().size());
+  return static_cast<std::uint64_t>(size * kReadPerByte);
+}
+
+bool
+ServesAdded(const fleet_bed& aBed, std::size_t aDaemon, int aVersion, int aLimitMs)
+{
+  const std::string path = AddedPath(aVersion);
+  return Eventually(
+    [&] {
+      return Call(aBed.Callers(aDaemon), "GET", path, "", CallerHeaders("r1")).mStatus == 200;
+    },
+    aLimitMs);
+}
+
 headers
 CallerHeaders(const std::string& aId, const headers& aMore)
 {
@@ -265,9 +308,13 @@
 }
 
 void
-fleet_bed::SetStore(const std::string& aMode)
+fleet_bed::SetStore(const std::string& aMode, int aSlowMs)
 {
-  Control("store", json{ { "mode", aMode } }.dump());
+  json fault{ { "mode", aMode } };
+  if (aSlowMs > 0) {
+    fault["slow_ms"] = aSlowMs;
+  }
+  Control("store", fault.dump());
 }
 
 std::string
@@ -300,7 +347,30 @@
 std::size_t
 fleet_bed::StartDaemon(const platform_daemon_options& aOptions)
 {
-  return Launch(mFolder + "/daemon-" + std::to_string(mDaemons.size()) + ".out", aOptions);
+  const std::size_t number =
+    Launch(mFolder + "/daemon-" + std::to_string(mDaemons.size()) + ".out", aOptions);
+  AwaitReady(number);
+  return number;
+}
+
+void
+fleet_bed::StartDaemons(const std::vector<platform_daemon_options>& aOptions)
+{
+  const std::size_t first = mDaemons.size();
+  for (const platform_daemon_options& one : aOptions) {
+    Launch(mFolder + "/daemon-" + std::to_string(mDaemons.size()) + ".out", one);
+  }
+  for (std::size_t number = first; number < mDaemons.size(); ++number) {
+    AwaitReady(number);
+  }
+}
+
+void
+fleet_bed::AwaitReady(std::size_t aDaemon) const
+{
+  if (mOptions.at(aDaemon).mWaitReady && !Eventually([&] { return Readiness(aDaemon) == 200; })) {
+    throw std::runtime_error("the daemon isn't ready");
+  }
 }
 
 void
@@ -311,7 +381,7 @@
     throw std::runtime_error("no pipe");
   }
   mUnread = ::open(pipe.c_str(), O_RDWR | O_CLOEXEC);
-  Launch(pipe, {});
+  AwaitReady(Launch(pipe, {}));
 }
 
 std::string
@@ -330,9 +400,6 @@
   }
   std::ofstream(SettingsPath(number)) << SettingsOf(number);
   mDaemons.push_back(StartProcess(number, aOutput));
-  if (aOptions.mWaitReady && !Eventually([&] { return Readiness(number) == 200; })) {
-    throw std::runtime_error("the daemon isn't ready");
-  }
   return number;
 }
 
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -34,6 +34,8 @@
   explicit fleet_bed(bool aProxied = false);
   ~fleet_bed();
 
+  /** @return the folder with the daemons' settings and lines. */
+  const std::string& Folder() const { return mFolder; }
   /** Adds a runner and lists it. */
   void AddRunner(const std::string& aId, const runner_options& aOptions = {});
   /** Lists a runner anew, or takes its entry away where @p aState is empty. */
@@ -54,11 +56,16 @@
   /** Writes the configuration. @param aRoutes routes beside the usual ones. */
   void PutConfig(std::uint64_t aVersion, const json& aRoutes = json::array());
   /** Sets the store's fault: "busy", "silent", "slow", "forgetful", "lose_one" or
-   * "lose_whole" (the next read from an offset, or of all, has no answer), or "" for none. */
-  void SetStore(const std::string& aMode);
+   * "lose_whole" (the next read from an offset, or of all, has no answer), or "" for none.
+   * @param aSlowMs what each call takes more at a slow store; 0 for the usual. */
+  void SetStore(const std::string& aMode, int aSlowMs = 0);
   /** Starts a daemon. @return its number. */
   std::size_t StartDaemon(bool aWaitReady = true);
   std::size_t StartDaemon(const platform_daemon_options& aOptions);
+  /** Starts daemons one right after the other, and waits for all that are to be waited for. */
+  void StartDaemons(const std::vector<platform_daemon_options>& aOptions);
+  /** @return how many daemons were started. */
+  std::size_t Daemons() const { return mDaemons.size(); }
   /** @return the name of the proxy between a daemon with mOwnStoreLink and the store. */
   static std::string StoreLink(std::size_t aDaemon) { return "store-" + std::to_string(aDaemon); }
   /** @return bytes that a proxy has passed on from what is behind it. */
@@ -108,6 +115,8 @@
   std::string SettingsOf(std::size_t aDaemon) const;
   std::string SettingsPath(std::size_t aDaemon) const;
   std::size_t Launch(const std::string& aOutput, const platform_daemon_options& aOptions);
+  /** Waits until a daemon is ready, if its options say so. */
+  void AwaitReady(std::size_t aDaemon) const;
   std::unique_ptr<process> StartProcess(std::size_t aDaemon, const std::string& aOutput) const;
   /** @return the address to use for @p aTarget: that of a new proxy, if the bed has proxies. */
   std::string Behind(const std::string& aName, const std::string& aTarget);
@@ -129,6 +138,29 @@
 json
 PageRoute(const std::string& aPrefix);
 
+/** Routes that make a configuration of some 1 MB, which a link of 10 Mbit/s carries in 1.1 s. */
+inline constexpr int kManyRoutes = 4000;
+
+/** @return so many routes, and one that only this version has, see AddedPath(). */
+json
+ManyRoutes(int aVersion);
+
+/** @return the route that only this version has. */
+json
+AddedRoute(int aVersion);
+
+/** @return a path on that route. */
+std::string
+AddedPath(int aVersion);
+
+/** @return bytes that a read of the whole configuration with ManyRoutes() hands out, at least. */
+std::uint64_t
+WholeReadBytes(int aVersion);
+
+/** @return whether a daemon serves the route that only a version has, in time. */
+bool
+ServesAdded(const fleet_bed& aBed, std::size_t aDaemon, int aVersion, int aLimitMs);
+
 /** @return headers of a caller's request. */
 headers
 CallerHeaders(const std::string& aId, const headers& aMore = {});
