Fix: [Platform] a silent store keeps no daemon behind; Codechange: [Forward] the configuration's follower stands by itself

Cause: the time for a whole read to begin was doubled after each late one, up to 6 s, whatever made it late. It's meant for a store that takes long to begin; after one that had been silent a daemon sat in a read whose answer was lost for good.

--- /dev/null
+++ b/src/forward/config_follower.h
@@ -0,0 +1,251 @@
+/**
+ * @file config_follower.h
+ * Follows the configuration in the store. This is the only place that reads it, one call after the
+ * other.
+ */
+#pragma once
+
+#include "forward/store_contact.h"
+#include "forward/wire_type.h"
+
+namespace dunehook {
+
+/** How long the store may hold the answer while the configuration doesn't change. */
+inline constexpr duration kConfigWait = std::chrono::milliseconds(3000);
+/** A wait is ended after this if another daemon has a newer configuration: it comes by itself
+ * mostly. */
+inline constexpr duration kBehindFor = std::chrono::milliseconds(250);
+/** Rest after a read that brought nothing newer although another daemon told of it, at most: a claim
+ * that the store doesn't bear out costs a read a second. */
+inline constexpr duration kLongestFruitlessRest = std::chrono::milliseconds(1000);
+/** The answer to a whole read must begin within this: a lost one is asked for again, early enough
+ * for 2 s, the shortest time in which a change must be in force. Doubled up to the longest while a
+ * store that answers other reads takes longer to begin, as one may that hands 1 MB to 300 daemons
+ * at 80 MB a second. One that says nothing gets no longer time: it may come back while the answer
+ * to that read is lost for good. With 0.7, 1.4, 2.8 and 5.6 s whatever the cause, a configuration
+ * was in force 5.2 s after a silence of 7 s (two daemons on loopback). */
+inline constexpr duration kFirstReadLimit = std::chrono::milliseconds(700);
+inline constexpr duration kLongestReadLimit = std::chrono::milliseconds(6000);
+
+/** The follower. */
+template<control_store Store>
+class config_follower
+{
+public:
+  /** @param aOnConfig called with the limits of a configuration that comes into force. */
+  config_follower(forward_state& aState,
+                  Store& aStore,
+                  daemon_link& aLink,
+                  store_contact& aContact,
+                  std::function<void(const caller_limits&)> aOnConfig)
+    : mState(aState)
+    , mStore(aStore)
+    , mLink(aLink)
+    , mContact(aContact)
+    , mOnConfig(std::move(aOnConfig))
+  {
+  }
+
+  /** Reads for as long as the daemon runs. Nothing else does, so no failure may end it. */
+  asio::awaitable<void> Follow()
+  {
+    for (;;) {
+      bool failed = false;
+      try {
+        co_await Step();
+      } catch (const std::exception& error) {
+        LogEvent(log_level::eError, "config_reading_failed", { { "what", error.what() } });
+        failed = true;
+      }
+      if (failed) {
+        co_await Rest(kLongestStoreRest);
+      }
+    }
+  }
+
+  /** @return when the configuration came into force. */
+  instant InForceSince() const { return mInForceSince; }
+  /** @return how long the whole read under way has taken so far; zero if there's none. */
+  duration ReadingFor() const
+  {
+    return mReadingSince == instant{ 0 } ? duration{ 0 } : mState.Now() - mReadingSince;
+  }
+
+  /** Ends the wait for a configuration where another daemon has a newer one: the answer that should
+   * have brought it is lost or late. Call it some times a second. */
+  void EndLateWait()
+  {
+    const instant now = mState.Now();
+    if (!mContact.Behind()) {
+      mBehindSince = instant{ 0 };
+      return;
+    }
+    if (mBehindSince == instant{ 0 }) {
+      mBehindSince = now;
+    }
+    if (now - mBehindSince >= kBehindFor) {
+      EndWait();
+    }
+  }
+  /** Ends a wait for the next configuration, if its answer hasn't begun. */
+  void EndWait()
+  {
+    if (mWaits) {
+      EndCall();
+    }
+  }
+  /** Ends the wait or the read under way, if its answer hasn't begun, so that it's begun anew. */
+  void EndCall() { mEnded = mStore.StopWaiting() || mEnded; }
+
+private:
+  /**
+   * One call after the other: reads that overlap share the daemon's link, so that each makes the
+   * others longer and all but one are thrown away. On a link of 10 Mbit/s, 4,248 routes (1 MB) were
+   * in force 7 to 10 s after they were written while a read was begun every 250 ms, and some 1 s
+   * after one by one (two daemons and a proxy of that rate on loopback).
+   */
+  asio::awaitable<void> Step()
+  {
+    if (mContact.IsTold() && !mContact.Behind()) {
+      co_await Sleep(kLookAtTold);
+    } else if (mNext && !mContact.Behind()) {
+      co_await AwaitNext(*mNext);
+    } else {
+      co_await ReadNewest();
+    }
+  }
+
+  /** Waits for the configuration after the one in force. */
+  asio::awaitable<void> AwaitNext(std::uint64_t aNext)
+  {
+    const instant began = mState.Now();
+    mEnded = false;
+    mWaits = true;
+    result<config_reading> reading = co_await mStore.AwaitConfig(aNext, kConfigWait);
+    mWaits = false;
+    if (!reading && mEnded) {
+      co_return; // What to read is decided anew.
+    }
+    const bool forgotten = !reading && reading.error() == errc::eRetentionPassed;
+    mContact.NoteAnswer(reading || forgotten, "config");
+    if (forgotten) {
+      mNext.reset();
+    }
+    if (!reading) {
+      co_await Rest(kLongestStoreRest);
+      co_return;
+    }
+    mRest = kFirstStoreRest;
+    const bool newer = Use(std::move(reading.value()));
+    if (!newer && mState.Now() - began < kLookAtTold) {
+      co_await Sleep(kLookAtTold); // The store didn't hold the answer.
+    }
+  }
+
+  /** Reads the newest configuration whole. */
+  asio::awaitable<void> ReadNewest()
+  {
+    const bool behind = mContact.Behind();
+    if (behind) {
+      LogEvent(
+        log_level::eInfo,
+        "config_behind",
+        { { "own", mState.mRoutes->Config().mVersion }, { "newest", mContact.NewestTold() } });
+    }
+    mEnded = false;
+    result<config_reading> reading = co_await ReadWhole(behind ? "behind" : "no_position");
+    if (!reading && mEnded) {
+      co_return;
+    }
+    mContact.NoteAnswer(reading.has_value(), "config");
+    if (!reading) {
+      co_await Rest(kLongestStoreRest);
+      co_return;
+    }
+    if (reading.value().mConfig) {
+      mContact.NoteConfig(reading.value().mConfig->mVersion);
+    }
+    const bool newer = Use(std::move(reading.value()));
+    if (newer || !behind) {
+      mRest = kFirstStoreRest;
+    }
+    if (!mState.mRoutes || (behind && !newer)) {
+      co_await Rest(kLongestFruitlessRest);
+    }
+  }
+
+  /** Reads the configuration whole, and tells how that went. @param aWhy for the log. */
+  asio::awaitable<result<config_reading>> ReadWhole(std::string_view aWhy)
+  {
+    const std::uint64_t bytes = mStore.BytesIn();
+    const instant began = mState.Now();
+    mReadingSince = began;
+    result<config_reading> reading = co_await mStore.ReadConfig(mReadLimit);
+    mReadingSince = instant{ 0 };
+    const bool late = !reading && reading.error() == errc::eDeadlinePassed;
+    const bool answersOthers = late && mContact.RunnersAnsweredSince(began);
+    mReadLimit = answersOthers ? std::min(mReadLimit * 2, kLongestReadLimit) : kFirstReadLimit;
+    mContact.NoteDoubt(late);
+    const bool has = reading && reading.value().mConfig;
+    LogEvent(log_level::eInfo,
+             "config_read",
+             { { "why", aWhy },
+               { "outcome", reading ? "ok" : ErrorName(reading.error()) },
+               { "version", has ? reading.value().mConfig->mVersion : 0 },
+               { "ms", (mState.Now() - began).count() / 1000 },
+               { "bytes_in", mStore.BytesIn() - bytes } });
+    co_return reading;
+  }
+
+  /** Puts what was read in force. @return whether it's newer than what was. */
+  bool Use(config_reading aReading)
+  {
+    mNext = aReading.mNext;
+    if (aReading.mMore || (!aReading.mConfig && !mState.mRoutes)) {
+      mNext.reset(); // The newest is read at once, not one version after the other.
+    }
+    return aReading.mConfig && PutInForce(std::move(*aReading.mConfig));
+  }
+
+  /** Puts a configuration in force unless it's older than the one in force. @return whether it is
+   * newer. */
+  bool PutInForce(routing_config aConfig)
+  {
+    if (mState.mRoutes && aConfig.mVersion <= mState.mRoutes->Config().mVersion) {
+      return false;
+    }
+    LogEvent(log_level::eInfo,
+             "config_in_force",
+             { { "version", aConfig.mVersion }, { "routes", aConfig.mRoutes.size() } });
+    mInForceSince = mState.Now();
+    mOnConfig(aConfig.mLimits);
+    mLink.Members().SetSelf(aConfig.mVersion, !mState.mStopping);
+    mState.mRoutes = std::make_shared<const route_table>(std::move(aConfig));
+    mContact.TellPosition();
+    return true;
+  }
+
+  /** Leaves the store alone for a moment, which gets longer until something newer is read. */
+  asio::awaitable<void> Rest(duration aLongest)
+  {
+    const duration rest = mRest;
+    mRest = std::min(mRest * 2, aLongest);
+    co_await Sleep(rest);
+  }
+
+  forward_state& mState;                               ///< Shared.
+  Store& mStore;                                       ///< The store.
+  daemon_link& mLink;                                  ///< Told of the version in force.
+  store_contact& mContact;                             ///< What is known of the store.
+  std::function<void(const caller_limits&)> mOnConfig; ///< Told of new limits.
+  std::optional<std::uint64_t> mNext;                  ///< Where to wait for a configuration.
+  duration mRest = kFirstStoreRest;                    ///< The next rest.
+  duration mReadLimit = kFirstReadLimit;               ///< For the next whole read to begin.
+  instant mReadingSince{ 0 };                          ///< Begin of the whole read; zero if none.
+  instant mBehindSince{ 0 };                           ///< Another daemon has a newer version.
+  instant mInForceSince{ 0 };                          ///< When the version came into force.
+  bool mWaits = false;                                 ///< A wait is under way.
+  bool mEnded = false;                                 ///< The call was ended by this daemon.
+};
+
+} // namespace dunehook
--- a/src/forward/daemon_link.cpp
+++ b/src/forward/daemon_link.cpp
@@ -211,12 +211,25 @@
   }
 }
 
+void
+daemon_link::NoteTold(const store_position& aPosition, instant aNow)
+{
+  // Daemons that read the store aren't equally far: one that is behind takes back nothing that
+  // another has told, nor does it stand for a read.
+  store_position& told = mState.mToldStore;
+  const bool older = aPosition.mRunners < told.mRunners || aPosition.mConfig < told.mConfig;
+  told.mRunners = std::max(told.mRunners, aPosition.mRunners);
+  told.mConfig = std::max(told.mConfig, aPosition.mConfig);
+  if (!older) {
+    mState.mToldStoreAt = aNow;
+  }
+}
+
 void
 daemon_link::Apply(const run_message& aMessage, instant aNow)
 {
   if (aMessage.mStore) {
-    mState.mToldStore = *aMessage.mStore;
-    mState.mToldStoreAt = aNow;
+    NoteTold(*aMessage.mStore, aNow);
   }
   if (aMessage.mDigest) {
     mState.mPlacement.ReplaceRuns(aMessage.mDaemon, aMessage.mBegun, aNow);
--- a/src/forward/daemon_link.h
+++ b/src/forward/daemon_link.h
@@ -43,6 +43,8 @@
   asio::awaitable<void> TakeHeartbeats();
   asio::awaitable<void> TakeRuns();
   void Apply(const run_message& aMessage, instant aNow);
+  /** Notes how far the store is as another daemon tells it. */
+  void NoteTold(const store_position& aPosition, instant aNow);
   void SendTo(udp::socket& aSocket, const std::string& aData, const endpoint& aTo);
 
   forward_state& mState;        ///< Shared.
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -129,7 +129,7 @@
     return mLink.Open();
   }
 
-  bool Ready() const { return mFollower.Known() && !mState.mStopping; }
+  bool Ready() const { return mFollower.Contact().Known() && !mState.mStopping; }
 
   asio::awaitable<void> AnswerReadiness(exchange_ptr aExchange)
   {
@@ -154,11 +154,11 @@
     values["ready"] = Ready() ? 1.0 : 0.0;
     values["config_version"] =
       mState.mRoutes ? static_cast<double>(mState.mRoutes->Config().mVersion) : 0.0;
-    values["config_age_seconds"] = ToSeconds(now - mFollower.ConfigSince());
+    values["config_age_seconds"] = ToSeconds(now - mFollower.Config().InForceSince());
     values["runners_age_seconds"] = ToSeconds(now - mState.mListedAt);
     values["store_bytes_in"] = static_cast<double>(mStore.BytesIn());
-    values["config_reads_under_way"] = static_cast<double>(mFollower.ReadsUnderWay());
-    values["store_answers"] = mFollower.Answers() ? 1.0 : 0.0;
+    values["config_read_seconds"] = ToSeconds(mFollower.Config().ReadingFor());
+    values["store_answers"] = mFollower.Contact().Answers() ? 1.0 : 0.0;
     values["daemons"] = static_cast<double>(mState.mDaemons);
     values["generations"] = static_cast<double>(mState.mPlacement.RunCount());
     values["connections"] = static_cast<double>(sessions.mOpen);
@@ -194,10 +194,10 @@
       co_return;
     }
     const instant startedBy = arrived + kStartWait;
-    while (!mFollower.Known() && mState.Now() < startedBy) {
+    while (!mFollower.Contact().Known() && mState.Now() < startedBy) {
       co_await Sleep(kLookAtStart);
     }
-    if (!mFollower.Known()) {
+    if (!mFollower.Contact().Known()) {
       mState.mMetrics.CountRequest("none", "refused", "starting");
       mState.LogDecision(log_level::eWarning,
                          "not_started",
@@ -268,14 +268,14 @@
                  "stood_still",
                  { { "ms", (now - slept - kTableTick).count() / 1000 } });
       }
-      mState.mRunners.Forget(now, mFollower.WasAway());
+      mState.mRunners.Forget(now, mFollower.Contact().WasAway());
       mState.mPlacement.Prune(mState.mRunners, now);
       mState.mPool.Prune(now);
       mState.mRefused.Prune(now);
       mLink.Sweep(now);
       mState.NoteDaemons(mLink.Members().CountServing());
       mState.mPool.SetMostIdle(MostIdle());
-      mFollower.CatchUp();
+      mFollower.Tick();
       mLogTotals = TickLogging();
     }
   }
@@ -285,7 +285,7 @@
     co_await Sleep(kRoleTick); // Until the other daemons were heard.
     for (;;) {
       co_await Sleep(kRoleTick);
-      if (!Ready() || mFollower.WasAway()) {
+      if (!Ready() || mFollower.Contact().WasAway()) {
         continue;
       }
       role_peers peers;
--- a/src/forward/wire_type.h
+++ b/src/forward/wire_type.h
@@ -98,7 +98,8 @@
   {
     aStore.AwaitConfig(aAt, aWait)
     } -> std::same_as<asio::awaitable<result<config_reading>>>;
-  // Ends AwaitConfig() with an error unless its answer has begun. Returns whether it does.
+  // Ends ReadConfig() or AwaitConfig() with an error unless its answer has begun. Returns whether
+  // it does.
   {
     aStore.StopWaiting()
     } -> std::same_as<bool>;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -100,7 +100,7 @@
 public:
   /** @return a kept or fresh connection. */
   asio::awaitable<result<http_connection_ptr>> Take(const endpoint& aTo, duration aLimit);
-  /** Drops the kept connections to @p aTo: one that fell silent tells of the others. */
+  /** Drops the kept connections to @p aTo, for after a failure: all may have fallen silent. */
   void Drop(const endpoint& aTo) { mIdle.erase(aTo); }
   /** Keeps @p aConnection for later if it can carry another request. */
   void Give(const endpoint& aTo, http_connection_ptr aConnection);
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -137,6 +137,13 @@
         mStoreMode.clear();
         co_await Sleep(std::chrono::seconds(60));
       }
+      if (mStoreMode == "stall_whole") {
+        mStoreMode.clear();
+        const header_list noHeaders;
+        co_await aExchange->StartStream(200, noHeaders, "application/json");
+        co_await aExchange->Write("{\"items\":[");
+        co_await Sleep(std::chrono::seconds(60));
+      }
       const std::string body = wanted.Newest().dump();
       co_await aExchange->Respond(200, body);
     } else if (path == "/log-read") {
--- a/tests/platform/config_reading_test.cpp
+++ b/tests/platform/config_reading_test.cpp
@@ -7,13 +7,28 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <array>
+
 using namespace dunehook;
 using namespace dunehook::test;
 
 namespace {
 
-/** Time in which a change must be in force at every daemon, from the store's answer; ms. */
+/** Time in which a change must be in force at every daemon, from the store's answer, where links
+ * are thin, and elsewhere; ms. */
 constexpr int kInForceMs = 3000;
+constexpr int kShortInForceMs = 2000;
+/** How long the store is silent: several reads of 0.7 s and twice as long each; ms. */
+constexpr int kSilenceMs = 6500;
+/** Silences after which a wait of 3 s has just begun, and the time until a write; ms. */
+constexpr std::array<int, 2> kSilences{ 5000, 6050 };
+constexpr int kWriteAfterMs = 100;
+/** What a call to a slow store takes more; ms. */
+constexpr int kSlowMs = 450;
+/** Time between two positions that are out of date; ms. */
+constexpr int kOldTellEveryMs = 30;
+/** A link that carries 1 MB in 0.25 s, in KB a second. */
+constexpr int kFasterLink = 5000;
 /** Whole reads of the two versions that a daemon may take in: one each, and one more. */
 constexpr std::uint64_t kMostReads = 3;
 /** How long calls to the store are counted; ms. */
@@ -119,3 +134,88 @@
   mBed.PutConfig(2, ManyRoutes(2));
   CHECK(ServesAdded(mBed, 1, 2, kInForceMs));
 }
+
+// Callers were served by a configuration that had been replaced 6 s before, after a store that had
+// been silent for some seconds. In order: reads of the configuration got no answer; each was given
+// twice the time of the one before; the store came back while one of them, whose answer was lost
+// for good, had most of 6 s left; a new configuration was written; the read had to end first.
+// Cause: the longer time is meant for a store that takes long to begin, and was given to one that
+// said nothing at all. Evidence: reads that ended as late after 0.7, 1.4, 2.8 and 5.6 s, and reads
+// of the runners that were answered during the last one.
+TEST(config_reading, AfterASilenceADaemonIsNotBehindForLong)
+{
+  StartTwo();
+  mBed.SetProxy(fleet_bed::StoreLink(1), { { "answer_kb_s", 0 }, { "stall", 1 } });
+  mBed.PutConfig(2, ManyRoutes(2));
+  CHECK_FALSE(Eventually([] { return false; }, kSilenceMs));
+  mBed.SetProxy(fleet_bed::StoreLink(1), { { "silence", 1 }, { "stall", 0 } });
+  CHECK(ServesAdded(mBed, 1, 2, kShortInForceMs));
+}
+
+TEST(config_reading, ADaemonThatStartsBesideASilentStoreIsReadySoonAfterIt)
+{
+  mBed.AddRunner("desk-1");
+  mBed.PutConfig(1);
+  mBed.SetStore("silent");
+  mBed.StartDaemon(false);
+  CHECK_FALSE(Eventually([] { return false; }, kSilenceMs));
+  mBed.SetStore("");
+  CHECK(Eventually([&] { return mBed.Readiness() == 200; }, kShortInForceMs));
+}
+
+// A wait that began just before the store came back is lost like those before it: a read of the
+// runners that is answered again ends it.
+TEST(config_reading, AConfigurationWrittenAsTheStoreComesBackIsInForceInTime)
+{
+  mBed.AddRunner("desk-1");
+  mBed.PutConfig(1);
+  mBed.StartDaemon();
+  int version = 1;
+  for (const int silence : kSilences) {
+    ++version;
+    mBed.SetStore("silent");
+    CHECK_FALSE(Eventually([] { return false; }, silence));
+    mBed.SetStore("");
+    CHECK_FALSE(Eventually([] { return false; }, kWriteAfterMs));
+    mBed.PutConfig(version, json::array({ AddedRoute(version) }));
+    CHECK(ServesAdded(mBed, 0, version, kShortInForceMs));
+  }
+}
+
+// Where a store took 350 ms and more for a call, daemons that are told by others took these for
+// silent now and then, and read all of the configuration again though nothing had changed.
+TEST(config_reading, ASlowStoreCostsNoWholeReadsWhileNothingChanges)
+{
+  StartTwo();
+  mBed.SetStore("slow", kSlowMs);
+  CHECK_FALSE(Eventually([] { return false; }, kSilenceMs));
+  const std::uint64_t before = mBed.WholeReads();
+  CHECK_FALSE(Eventually([] { return false; }, 2 * kWatchMs));
+  CHECK_EQUAL(before, mBed.WholeReads());
+}
+
+// Daemons that read the store for others aren't equally far. One that was behind took back what
+// another had just told, and a leaving runner became known after 3.8 s.
+TEST(config_reading, AnOlderPositionTakesNothingBack)
+{
+  StartTwo();
+  mBed.AddRunner("desk-2");
+  CHECK_FALSE(Eventually([] { return false; }, kUntilTold));
+  mBed.List("desk-2", "draining");
+  bool known = false;
+  const instant until = steady_clock_source{}.Now() + std::chrono::milliseconds(kShortInForceMs);
+  while (!known && steady_clock_source{}.Now() < until) {
+    mBed.SendToRuns(PositionTold(1), 1);
+    known = mBed.Daemon(1).WaitForLine("\"leaving\":true", kOldTellEveryMs) != "";
+  }
+  CHECK(known);
+}
+
+TEST(config_reading, AReadThatStallsIsAskedForAgain)
+{
+  StartTwo();
+  mBed.SetProxy(fleet_bed::StoreLink(1), { { "answer_kb_s", kFasterLink } });
+  mBed.SetStore("stall_whole");
+  mBed.PutConfig(2, ManyRoutes(2));
+  CHECK(ServesAdded(mBed, 1, 2, kShortInForceMs));
+}
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -56,7 +56,8 @@
   /** Writes the configuration. @param aRoutes routes beside the usual ones. */
   void PutConfig(std::uint64_t aVersion, const json& aRoutes = json::array());
   /** Sets the store's fault: "busy", "silent", "slow", "forgetful", "lose_one" or
-   * "lose_whole" (the next read from an offset, or of all, has no answer), or "" for none.
+   * "lose_whole" (the next read from an offset, or of all, has no answer), "stall_whole" (the next
+   * read of all begins and goes no further), or "" for none.
    * @param aSlowMs what each call takes more at a slow store; 0 for the usual. */
   void SetStore(const std::string& aMode, int aSlowMs = 0);
   /** Starts a daemon. @return its number. */
