Add: [Test] halls whose first daemons are all cut off, and runners that leave a slow store one after the other

Cause: two of the tests with many daemons were weak: the first daemons of the other halls also tell the hall whose own is cut off, and with one leaving runner a reading every 3.5 s slipped through. Ruled out: nothing. Change: a seventh test cuts off all four; five runners leave the slow store 390 ms apart.

--- a/src/forward/config_follower.h
+++ b/src/forward/config_follower.h
@@ -15,8 +15,8 @@
 /** A wait is ended after this if another daemon has a newer configuration: it comes by itself
  * mostly. */
 inline constexpr duration kBehindFor = std::chrono::milliseconds(250);
-/** Rest after a read that brought nothing newer although another daemon told of it, at most: a claim
- * that the store doesn't bear out costs a read a second. */
+/** Rest after a read that brought nothing newer although another daemon told of it, at most: a
+ * claim that the store doesn't bear out costs a read a second. */
 inline constexpr duration kLongestFruitlessRest = std::chrono::milliseconds(1000);
 /** The answer to a whole read must begin within this: a lost one is asked for again, early enough
  * for 2 s, the shortest time in which a change must be in force. Doubled up to the longest while a
--- a/src/forward/store_contact.h
+++ b/src/forward/store_contact.h
@@ -52,10 +52,7 @@
     return std::max(mState.mToldStore.mConfig, mLink.Members().HighestNext());
   }
   /** @return whether another daemon has a newer configuration than this one. */
-  bool Behind() const
-  {
-    return mState.mRoutes && NewestTold() > mState.mRoutes->Config().mVersion;
-  }
+  bool Behind() const { return mState.mRoutes && NewestTold() > mState.mRoutes->Config().mVersion; }
   /** @return whether the runners must be read by this daemon itself. */
   bool ReadsRunners() const
   {
--- a/tests/platform/many_test.cpp
+++ b/tests/platform/many_test.cpp
@@ -49,6 +49,10 @@
 constexpr int kBetweenVersionsMs = 330;
 /** What each call takes more at the slow store; ms. */
 constexpr int kSlowStoreMs = 250;
+/** Runners that leave while the store is slow, and the time between them; ms: it doesn't divide the
+ * 0.9 s between two reads of the runners. */
+constexpr int kLeavers = 5;
+constexpr int kBetweenLeaversMs = 390;
 /** Time between signals to the daemons that stop; ms. */
 constexpr int kBetweenStopsMs = 300;
 /** Each third daemon is stopped: 7 of 20, the first one of a hall and of all seeds among them. */
@@ -485,16 +489,48 @@
   CheckInTime(healed, "cut off");
 }
 
+TEST(many, DaemonsLearnInTimeWhereAllThatReadForOthersAreCutOff)
+{
+  std::set<std::size_t> cut;
+  for (std::size_t hall = 0; hall < kHalls; ++hall) {
+    cut.insert(FirstOfHall(hall));
+  }
+  StartAll();
+  steady_callers callers(PlainCallers(mBed, AllBut(cut)));
+  Pass(kSettleMs);
+  for (const std::size_t daemon : cut) {
+    mBed.SetProxy(fleet_bed::StoreLink(daemon), { { "stall", 1 } });
+  }
+  const std::int64_t written = WriteSmall(2);
+  const std::int64_t left = Leave("desk-2");
+  const spread found = AwaitVersion(mBed, AllBut(cut), 2, written, kInForceMs);
+  const std::string late = SentLate(callers, "desk-2", left, kLeftMs);
+  CheckInTime(found, "others");
+  CHECK_TEXT(late.empty(), late.c_str());
+}
+
 TEST(many, ASlowStoreDelaysNothingBeyondItsTime)
 {
+  for (int number = 0; number < kLeavers; ++number) {
+    mBed.AddRunner("leaver-" + std::to_string(number));
+  }
   StartAll();
   steady_callers callers(PlainCallers(mBed, AllBut({})));
   mBed.SetStore("slow", kSlowStoreMs);
   Pass(kSettleMs);
+  // One after the other, so that they leave at different moments between two reads.
+  std::map<std::string, std::int64_t> left;
+  for (int number = 0; number < kLeavers; ++number) {
+    const std::string id = "leaver-" + std::to_string(number);
+    left[id] = Leave(id);
+    Pass(kBetweenLeaversMs);
+  }
   const std::int64_t written = WriteSmall(2);
-  const std::int64_t left = Leave("desk-2");
   const spread found = AwaitVersion(mBed, AllBut({}), 2, written, kInForceMs);
-  const std::string late = SentLate(callers, "desk-2", left, kLeftMs);
+  std::string late;
+  for (const auto& [id, at] : left) {
+    late += SentLate(callers, id, at, kLeftMs);
+  }
   CheckInTime(found, "version 2");
   CHECK_TEXT(late.empty(), late.c_str());
 }
