--- a/src/forward/config_follower.h
+++ b/src/forward/config_follower.h
@@ -136,6 +136,7 @@
       co_return;
     }
     mRest = kFirstStoreRest;
+    mContact.NoteDoubt(false);
     const bool newer = Use(std::move(reading.value()));
     if (!newer && mState.Now() - began < kLookAtTold) {
       co_await Sleep(kLookAtTold); // The store didn't hold the answer.
--- a/src/forward/forward_state.h
+++ b/src/forward/forward_state.h
@@ -82,7 +82,6 @@
   placement_table mPlacement;                   ///< All generations.
   gateway_metrics mMetrics;                     ///< Counters and histograms.
   instant mListedAt{ 0 };                       ///< When the runners were last read, or told.
-  instant mListedBySelfAt{ 0 };                 ///< When this daemon last read them itself.
   upstream_pool mPool;                          ///< Connections to runners, for requests.
   http_pool mSideCalls;                         ///< Connections to runners, for side calls.
   std::map<std::string, retry_budget> mBudgets; ///< By service.
--- a/src/forward/store_contact.h
+++ b/src/forward/store_contact.h
@@ -58,8 +58,8 @@
   {
     return mInDoubt || !IsTold() || mState.mToldStore.mRunners > mState.mRunners.End();
   }
-  /** @return whether a read of the runners was answered since an instant. */
-  bool RunnersAnsweredSince(instant aInstant) const { return mState.mListedBySelfAt >= aInstant; }
+  /** @return whether a read of the runners by this daemon was answered since an instant. */
+  bool RunnersAnsweredSince(instant aInstant) const { return mRunnersAnsweredAt >= aInstant; }
 
   /** Notes whether the store answered a call. */
   void NoteAnswer(bool aAnswered, std::string_view aCall)
@@ -80,8 +80,8 @@
   void NoteRunners(bool aAny)
   {
     mRunnersKnown = mRunnersKnown || aAny;
-    mState.mListedBySelfAt = mState.Now();
-    mState.mListedAt = mState.mListedBySelfAt;
+    mRunnersAnsweredAt = mState.Now();
+    mState.mListedAt = mRunnersAnsweredAt;
     mState.mToldStore.mRunners = std::min(mState.mToldStore.mRunners, mState.mRunners.End());
   }
   /** Notes the version that a read of the newest configuration gave. */
@@ -101,12 +101,13 @@
   }
 
 private:
-  forward_state& mState;      ///< Shared.
-  daemon_link& mLink;         ///< What other daemons tell.
-  instant mAwayAt{ 0 };       ///< Last failed call; zero if none.
-  bool mRunnersKnown = false; ///< A listing with runners was read.
-  bool mAnswers = true;       ///< The last call was answered.
-  bool mInDoubt = false;      ///< The last read of the configuration got no answer in its time.
+  forward_state& mState;           ///< Shared.
+  daemon_link& mLink;              ///< What other daemons tell.
+  instant mAwayAt{ 0 };            ///< Last failed call; zero if none.
+  instant mRunnersAnsweredAt{ 0 }; ///< When a read of the runners was last answered.
+  bool mRunnersKnown = false;      ///< A listing with runners was read.
+  bool mAnswers = true;            ///< The last call was answered.
+  bool mInDoubt = false; ///< The last read of the configuration got no answer in its time.
 };
 
 } // namespace dunehook
--- a/tests/platform/many_test.cpp
+++ b/tests/platform/many_test.cpp
@@ -192,6 +192,7 @@
              int aLimitMs)
 {
   std::vector<std::future<std::int64_t>> looks;
+  looks.reserve(aDaemons.size());
   for (const std::size_t daemon : aDaemons) {
     looks.push_back(std::async(std::launch::async, [&aBed, daemon, aVersion, aWrittenAt, aLimitMs] {
       const headers sent = CallerHeaders("look" + std::to_string(daemon));
