Fix: [Control] engines are looked at once at a time, with a rest after silence

Cause: every 250 ms the owner began a look at each engine for each of its cells, whether the last one had ended or not. A look takes as long as the engine's answers, and after it up to five tries of a cancel for each abandoned hold. So looks piled up the more the slower the engine was, several of them read the cache events from the same place and applied them each, the later answer could set the place back, and the same hold was cancelled by several looks at once. Ruled out: a flag in the timer for the cell's look alone: cells that share an engine would still look at it side by side. One look with the cancels in it: they'd hold up the load report and the note of a silent engine. A rest above 450 ms: with the call's limit of 500 ms work would go to a silent engine in between (kFailedTime, 1 s; held by a static_assert). Change: one coroutine for the holds of an engine and one for its cache, for all cells that have it, each with a rest after the last call has ended; after calls that failed the rest doubles up to kLongestWatchRest. Abandoned holds are freed by one coroutine for an engine, each with one try, as a later look lists those that are left. A front that doesn't answer is asked once, not for each of its attempts. Cache events that were read for a cell given up meanwhile aren't taken for the one in its place. The stand-in of the engine answers those that watch it late (watch_ms) and counts their calls. By reading only: the cell given up during a read, and the front that doesn't answer. An engine whose answer trickles in, each piece within 500 ms, is still not limited as a whole, and now holds up its own looks.

--- a/src/control/cell_owner.h
+++ b/src/control/cell_owner.h
@@ -15,6 +15,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace dunehook {
 
@@ -78,9 +79,27 @@
   asio::awaitable<void> CancelAt(endpoint aEngine, attempt_id aAttempt);
   asio::awaitable<void> TickLoop();
   asio::awaitable<void> WatchLoop();
-  asio::awaitable<void> WatchEngine(cell_key aKey, engine_id aEngine);
-  asio::awaitable<void> ReadCacheEvents(cell_key aKey, engine_id aEngine, endpoint aAddress);
-  asio::awaitable<bool> IsAbandoned(attempt_id aAttempt, duration aAge);
+  /** Something done at an engine again and again. @return whether the engine answered. */
+  using engine_step = asio::awaitable<bool> (cell_owner::*)(engine_id aEngine);
+  /** Attempts that a cell doesn't know, with how long they have been seen. */
+  using stranger_ages = std::map<attempt_id, duration>;
+
+  void WatchEngines();
+  bool IsInACell(engine_id aEngine) const;
+  asio::awaitable<void> Repeat(engine_id aEngine,
+                               engine_step aStep,
+                               std::set<engine_id>& aRepeated);
+  asio::awaitable<bool> LookAtHolds(engine_id aEngine);
+  void ReportHolds(cell_entry& aCell,
+                   engine_id aEngine,
+                   const std::vector<engine_hold>& aHolds,
+                   stranger_ages& aStrangers);
+  asio::awaitable<void> FreeAbandoned(engine_id aEngine,
+                                      endpoint aAddress,
+                                      stranger_ages aStrangers);
+  asio::awaitable<result<bool>> IsAbandoned(attempt_id aAttempt, duration aAge);
+  asio::awaitable<bool> LookAtCache(engine_id aEngine);
+  asio::awaitable<bool> ReadCacheEvents(cell_key aKey, engine_id aEngine, endpoint aAddress);
   void DropLostCells();
   static void Add(cell_counters& aTo, const cell_counters& aFrom);
 
@@ -93,6 +112,9 @@
   attempt_registry& mAttempts;                            ///< Attempts of this daemon.
   std::map<cell_key, std::unique_ptr<cell_entry>> mCells; ///< Owned cells.
   cell_counters mPast;                                    ///< Totals of cells given up.
+  std::set<engine_id> mHoldsRepeated;                     ///< Engines whose holds are looked at.
+  std::set<engine_id> mCacheRepeated;                     ///< Engines whose cache is looked at.
+  std::set<engine_id> mFreeing;                           ///< Engines whose holds are being freed.
 };
 
 } // namespace dunehook
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -5,7 +5,8 @@
  * number of decode slots, resumes and cancels streams, reports load with a lag and cache events
  * late and with gaps, and takes fenced orders. What it holds is freed only by a cancel, by the
  * end of the work, or (prefill results) by their lifetime: never since a connection closed.
- * Faults by POST /control: refuse, delay_ms, cross_answers (next N), cut_after_tokens, stall.
+ * Faults by POST /control: refuse, delay_ms, cross_answers (next N), cut_after_tokens, stall,
+ * watch_ms (holds, cache events and cancels are answered that late).
  */
 #include "callers/completion_type.h"
 #include "core/attempt_type.h"
@@ -89,17 +90,12 @@
       co_await aExchange->Respond(200, mFaults.dump());
     } else if (path == "/counters") {
       co_await aExchange->Respond(200, Counters().dump());
-    } else if (path == "/v1/cancel") {
-      Free(BodyOf(*aExchange).value("attempt", std::string()));
-      co_await aExchange->Respond(200, "{}");
-    } else if (path == "/v1/holds") {
-      co_await aExchange->Respond(200, Holds().dump());
+    } else if (path == "/v1/cancel" || path == "/v1/holds" || path == "/v1/cache_events") {
+      co_await Watched(aExchange);
     } else if (path == "/v1/load") {
       co_await aExchange->Respond(200, mReport.dump());
     } else if (path == "/v1/state") {
       co_await aExchange->Respond(200, mState.dump());
-    } else if (path == "/v1/cache_events") {
-      co_await aExchange->Respond(200, CacheEvents(*aExchange).dump());
     } else if (path == "/v1/orders") {
       co_await TakeOrder(aExchange);
     } else if (path == "/v1/kv") {
@@ -128,6 +124,31 @@
     return left > 0;
   }
 
+  /** Answers a call of those that watch this engine, late if told so. */
+  asio::awaitable<void> Watched(exchange_ptr aExchange)
+  {
+    const std::string path(aExchange->Path());
+    const std::string attempt = BodyOf(*aExchange).value("attempt", std::string());
+    const json cacheEvents =
+      path == "/v1/cache_events" ? CacheEvents(*aExchange) : json(json::object());
+    ++mWatchCalls[path];
+    const int open = ++mWatchOpen[path];
+    mWatchOpenMost[path] = std::max(mWatchOpenMost[path], open);
+    if (mFaults.value("watch_ms", 0) > 0) {
+      co_await Sleep(std::chrono::milliseconds(mFaults.value("watch_ms", 0)));
+    }
+    --mWatchOpen[path];
+    json answer = json::object();
+    if (path == "/v1/cancel") {
+      Free(attempt);
+    } else if (path == "/v1/holds") {
+      answer = Holds();
+    } else {
+      answer = cacheEvents;
+    }
+    co_await aExchange->Respond(200, answer.dump());
+  }
+
   void NoteWork()
   {
     ++mTaken;
@@ -144,6 +165,10 @@
              { "tokens", mTokens },
              { "stale_orders", mStaleOrders },
              { "since_last_work_ms", mTaken == 0 ? -1 : (Now() - mLastWork).count() / 1000 },
+             { "watch_calls", mWatchCalls },
+             { "watch_open_most", mWatchOpenMost },
+             { "cache_events_given", mCacheEventsGiven },
+             { "cache_events_again", mCacheEventsAgain },
              { "holds", mTasks.size() + mKv.size() + mSlots.size() } };
   }
 
@@ -230,7 +255,7 @@
     return cached;
   }
 
-  json CacheEvents(const http_exchange& aExchange) const
+  json CacheEvents(const http_exchange& aExchange)
   {
     const std::uint64_t from = std::stoull("0" + aExchange.Query("from"));
     const duration lag = std::chrono::milliseconds(absl::GetFlag(FLAGS_load_lag_ms));
@@ -241,8 +266,10 @@
       if (number >= from && mCacheEventTimes[at] + lag <= Now()) {
         events.push_back(mCacheEvents[at]);
         next = number + 1;
+        mCacheEventsAgain += number < mCacheEventsGiven ? 1 : 0;
       }
     }
+    mCacheEventsGiven = std::max(mCacheEventsGiven, next);
     return { { "events", events }, { "next", next } };
   }
 
@@ -483,23 +510,28 @@
   std::map<std::string, slot_entry> mSlots;          ///< Decode slots by attempt.
   std::list<std::uint64_t> mCacheOrder;              ///< Cached blocks, latest used first.
   std::map<std::uint64_t, std::list<std::uint64_t>::iterator> mCacheIndex; ///< Into mCacheOrder.
-  std::deque<json> mCacheEvents;        ///< Events that are published.
-  std::deque<instant> mCacheEventTimes; ///< When each of them happened.
-  std::uint64_t mCacheEventCount = 0;   ///< Events, the lost ones included.
-  std::uint64_t mTaskCount = 0;         ///< Prefills taken.
-  std::uint64_t mTaken = 0;             ///< Prefills and slots taken.
-  std::uint64_t mRefusals = 0;          ///< Work refused.
-  std::uint64_t mPrefillTokens = 0;     ///< Prompt tokens computed.
-  std::uint64_t mCachedTokens = 0;      ///< Prompt tokens found in the cache.
-  std::uint64_t mLostTokens = 0;        ///< Prompt tokens whose result expired.
-  std::uint64_t mTokens = 0;            ///< Tokens generated.
-  std::uint64_t mStaleOrders = 0;       ///< Orders refused by their fence.
-  std::uint64_t mFence = 0;             ///< Highest fence taken.
-  instant mLastWork{ 0 };               ///< When work was last taken.
-  instant mLinkFree{ 0 };               ///< When the link is free again.
-  json mReport = json::object();        ///< Load as last reported.
-  json mState = json::object();         ///< Model loaded.
-  wake_list mWork;                      ///< Woken by new prefills.
+  std::deque<json> mCacheEvents;             ///< Events that are published.
+  std::deque<instant> mCacheEventTimes;      ///< When each of them happened.
+  std::uint64_t mCacheEventCount = 0;        ///< Events, the lost ones included.
+  std::uint64_t mCacheEventsGiven = 0;       ///< Number after the newest event handed out.
+  std::uint64_t mCacheEventsAgain = 0;       ///< Events handed out again.
+  std::map<std::string, int> mWatchCalls;    ///< Calls of those that watch, by path.
+  std::map<std::string, int> mWatchOpen;     ///< Those not answered yet.
+  std::map<std::string, int> mWatchOpenMost; ///< Most that were open at once.
+  std::uint64_t mTaskCount = 0;              ///< Prefills taken.
+  std::uint64_t mTaken = 0;                  ///< Prefills and slots taken.
+  std::uint64_t mRefusals = 0;               ///< Work refused.
+  std::uint64_t mPrefillTokens = 0;          ///< Prompt tokens computed.
+  std::uint64_t mCachedTokens = 0;           ///< Prompt tokens found in the cache.
+  std::uint64_t mLostTokens = 0;             ///< Prompt tokens whose result expired.
+  std::uint64_t mTokens = 0;                 ///< Tokens generated.
+  std::uint64_t mStaleOrders = 0;            ///< Orders refused by their fence.
+  std::uint64_t mFence = 0;                  ///< Highest fence taken.
+  instant mLastWork{ 0 };                    ///< When work was last taken.
+  instant mLinkFree{ 0 };                    ///< When the link is free again.
+  json mReport = json::object();             ///< Load as last reported.
+  json mState = json::object();              ///< Model loaded.
+  wake_list mWork;                           ///< Woken by new prefills.
 };
 
 } // namespace
--- /dev/null
+++ b/tests/integration/overlap_test.cpp
@@ -0,0 +1,164 @@
+/**
+ * @file overlap_test.cpp
+ * Promise: what a daemon does again and again isn't begun before the last one has ended, and a far
+ * side that is slow gets less of it, not more. Calls are counted at the stand-ins.
+ */
+#include "tests/support/testbed.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+#include <thread>
+
+using namespace dunehook;
+using namespace dunehook::test;
+
+namespace {
+
+const std::string kHolds = "/v1/holds";
+const std::string kCacheEvents = "/v1/cache_events";
+const std::string kCancel = "/v1/cancel";
+
+/** @return a figure of an engine's calls by those that watch it. */
+int
+Watched(testbed& aBed, const std::string& aEngine, const char* aFigure, const std::string& aPath)
+{
+  const json counters = Call(aBed.At(aEngine).mAddress, "GET", "/counters").Json();
+  return counters.value(aFigure, json::object()).value(aPath, 0);
+}
+
+/** Sets how late an engine answers those that watch it, and lets @p aForMs pass: the time over
+ * which calls are counted. @return calls of @p aPath that began in it. */
+int
+WatchSlowly(testbed& aBed,
+            const std::string& aEngine,
+            const std::string& aPath,
+            int aLateMs,
+            int aForMs)
+{
+  const int before = Watched(aBed, aEngine, "watch_calls", aPath);
+  Control(aBed.At(aEngine), { { "watch_ms", aLateMs } });
+  std::this_thread::sleep_for(std::chrono::milliseconds(aForMs));
+  const int after = Watched(aBed, aEngine, "watch_calls", aPath);
+  const int most = Watched(aBed, aEngine, "watch_open_most", aPath);
+  UT_PRINT(
+    StringFromFormat("%s at %s, answered after %d ms: %d calls in %d ms, %d open at once at most",
+                     aPath.c_str(),
+                     aEngine.c_str(),
+                     aLateMs,
+                     after - before,
+                     aForMs,
+                     most));
+  return after - before;
+}
+
+/** Adds a route whose cell has the same prefill engines. */
+void
+AddCellOnTheSamePrefill(testbed& aBed)
+{
+  const entry_daemon& entry = aBed.Daemon("entry-1");
+  aBed.Put(entry, "link", "second", { { "bytes_per_second", 5000000000 } });
+  aBed.Put(entry,
+           "route",
+           "second",
+           { { "model", "tutor-second" },
+             { "class", "practice" },
+             { "prefill_pool", "tutor-prefill" },
+             { "decode_pool", "tutor-decode" },
+             { "link", "second" } });
+  CHECK_TRUE(Eventually([&] {
+    const std::string lines = entry.mProcess->Output();
+    return lines.find("great-lakes\"") != std::string::npos &&
+           lines.find("|second\"") != std::string::npos;
+  }));
+}
+
+} // namespace
+
+TEST_GROUP(overlap){};
+
+TEST(overlap, AnEngineIsLookedAtOnceAtATime)
+{
+  testbed bed;
+  bed.StartTutoring(1, 1, 1);
+  AddCellOnTheSamePrefill(bed);
+  // Late, but within the time limit of a call.
+  WatchSlowly(bed, "prefill-1", kHolds, 400, 4000);
+  WatchSlowly(bed, "decode-1", kHolds, 400, 2000);
+  LONGS_EQUAL(1, Watched(bed, "prefill-1", "watch_open_most", kHolds));
+  LONGS_EQUAL(1, Watched(bed, "prefill-1", "watch_open_most", kCacheEvents));
+  LONGS_EQUAL(1, Watched(bed, "decode-1", "watch_open_most", kHolds));
+}
+
+TEST(overlap, AnEngineThatIsLateIsLookedAtLessOften)
+{
+  testbed bed;
+  bed.StartTutoring(1, 1, 1);
+  // Each call's time limit of 500 ms passes. With a rest of 450 ms one call begins every 950 ms,
+  // and as the engine answers each after 2 s, three of them are under way there at most.
+  const int calls = WatchSlowly(bed, "prefill-1", kHolds, 2000, 6000);
+  CHECK_TRUE(calls >= 4);
+  CHECK_TRUE(calls <= 8);
+  CHECK_TRUE(Watched(bed, "prefill-1", "watch_open_most", kHolds) <= 3);
+  // It's looked at as often as before once it answers.
+  Control(bed.At("prefill-1"), { { "watch_ms", 0 } });
+  const int before = Watched(bed, "prefill-1", "watch_calls", kHolds);
+  CHECK_TRUE(Eventually(
+    [&] { return Watched(bed, "prefill-1", "watch_calls", kHolds) >= before + 10; }, 5000));
+}
+
+TEST(overlap, CacheEventsOfASlowEngineAreTakenOnce)
+{
+  testbed bed;
+  bed.StartTutoring(1, 1, 1);
+  const entry_daemon& entry = bed.Daemon("entry-1");
+  Control(bed.At("prefill-1"), { { "watch_ms", 400 } });
+  const std::int64_t until = NowMs() + 4000;
+  for (int number = 0; NowMs() < until; ++number) {
+    const std::string prompt(1100, static_cast<char>('a' + number % 26));
+    const std::string body = CompletionBody(std::to_string(number) + prompt, 2, false);
+    Call(entry.mCallers, "POST", "/v1/completions", body);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  const json counters = Call(bed.At("prefill-1").mAddress, "GET", "/counters").Json();
+  UT_PRINT(StringFromFormat("cache events: %d, handed out again: %d",
+                            counters.value("cache_events_given", -1),
+                            counters.value("cache_events_again", -1)));
+  CHECK_TRUE(counters.value("cache_events_given", -1) > 5);
+  LONGS_EQUAL(0, counters.value("cache_events_again", -1));
+}
+
+TEST(overlap, AnAbandonedHoldIsCancelledOnceAtATime)
+{
+  testbed bed;
+  bed.StartRunner("prefill-1", "tutor-prefill", "standin_engine");
+  bed.StartRunner("decode-1", "tutor-decode", "standin_engine");
+  bed.StartDaemon("entry-1");
+  const entry_daemon& entry = bed.Daemon("entry-1");
+  bed.ApplyTutoring(entry);
+  CHECK_FALSE(entry.mProcess->WaitForLine("\"event\":\"cell_taken\"").empty());
+  // A hold of a daemon that nobody has heard of.
+  const standin& engine = bed.At("prefill-1");
+  std::vector<std::future<answer>> calls;
+  for (int number = 1; number <= 4; ++number) {
+    const json prefill{ { "attempt", "00000000000000ab-" + std::to_string(number) },
+                        { "prompt", std::string(200000, 'x') } };
+    calls.push_back(std::async(std::launch::async, [&engine, body = prefill.dump()] {
+      return Call(engine.mAddress, "POST", "/v1/prefill", body);
+    }));
+  }
+  CHECK_TRUE(Eventually([&] { return bed.HoldsAt("prefill-1") == 4; }));
+  Control(engine, { { "watch_ms", 400 } });
+  const auto freed = [&] {
+    const json counters = Call(engine.mAddress, "GET", "/counters").Json();
+    return counters.value("holds", 1) == 0;
+  };
+  CHECK_TRUE(Eventually(freed, 8000));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000)); // For cancels that come too late.
+  const int cancels = Watched(bed, "prefill-1", "watch_calls", kCancel);
+  UT_PRINT(StringFromFormat("cancels of four holds: %d, %d open at once at most",
+                            cancels,
+                            Watched(bed, "prefill-1", "watch_open_most", kCancel)));
+  LONGS_EQUAL(1, Watched(bed, "prefill-1", "watch_open_most", kCancel));
+  LONGS_EQUAL(4, cancels);
+}
