Fix: [Control] a load that failed rests before it's ordered again

Cause: a runner whose load failed was ordered again at the next look, 0.5 s later, without end. After a load whose answer didn't come in 10 s, the runner may still be loading while the next order comes. Ruled out: a rest for the whole pool: one runner that fails would hold up the others. Change: a failed load of a resource on a runner is followed by a rest of 1 s, doubled up to 30 s. A new version of the resource doesn't wait for it. The stand-in of the engine fails loads (fail_loads) and counts orders. By reading only: a load that is late. Loads of all pools still go one after the other, so a late one holds up the other pools for 10 s.

--- a/src/control/model_keeper.cpp
+++ b/src/control/model_keeper.cpp
@@ -6,6 +6,8 @@
 
 #include "core/log_func.h"
 
+#include <algorithm>
+
 namespace dunehook {
 
 namespace {
@@ -16,14 +18,46 @@
 constexpr duration kKeepEvery = 500ms;
 constexpr duration kStateLimit = 500ms;
 constexpr duration kLoadLimit = 10s;
+/** Rest after a runner's failed load, doubled up to the longest: it may still be loading, and what
+ * it reads from the weight store others wait for. A load that fails at once was ordered 14 times in
+ * 7 s without it (counted at a stand-in). */
+constexpr duration kFirstLoadRest = 1s;
+constexpr duration kLongestLoadRest = 30s;
 
 } // namespace
 
+/** @return whether a runner isn't to be ordered yet. Another version doesn't wait for the rest. */
+bool
+model_keeper::Rests(const load_key& aKey, std::uint64_t aFence) const
+{
+  const auto found = mRests.find(aKey);
+  return found != mRests.end() && found->second.mFence == aFence &&
+         steady_clock_source().Now() < found->second.mUntil;
+}
+
+void
+model_keeper::NoteLoad(const load_key& aKey, std::uint64_t aFence, bool aLoaded)
+{
+  if (aLoaded) {
+    mRests.erase(aKey);
+    return;
+  }
+  load_rest& rest = mRests[aKey];
+  const bool again = rest.mFence == aFence;
+  rest.mFence = aFence;
+  rest.mRest = again ? std::min(rest.mRest * 2, kLongestLoadRest) : kFirstLoadRest;
+  rest.mUntil = steady_clock_source().Now() + rest.mRest;
+}
+
 asio::awaitable<void>
 model_keeper::KeepLoop()
 {
   for (;;) {
     co_await Sleep(kKeepEvery);
+    const instant now = steady_clock_source().Now();
+    std::erase_if(mRests, [now](const auto& aRow) { // Of runners that are gone, most of all.
+      return now - aRow.second.mUntil > kLongestLoadRest;
+    });
     std::vector<resource> wanted;
     for (const auto& [key, one] : mLog.State().Resources()) {
       const auto* const spec = std::get_if<model_version_spec>(&one.mSpec);
@@ -56,6 +90,10 @@
 asio::awaitable<bool>
 model_keeper::KeepRunner(host aHost, resource aResource)
 {
+  const load_key key{ aHost.mName, aResource.mKey };
+  if (Rests(key, aResource.mVersion)) {
+    co_return false;
+  }
   const auto& spec = std::get<model_version_spec>(aResource.mSpec);
   const result<json> state = co_await mEngines.Get(aHost.mAddress, "/v1/state", kStateLimit);
   if (!state) {
@@ -72,6 +110,7 @@
                     { "version", spec.mVersion },
                     { "weights", spec.mWeights } };
   const result<void> done = co_await mEngines.Order(aHost.mAddress, order, kLoadLimit);
+  NoteLoad(key, aResource.mVersion, done.has_value());
   LogEvent(log_level::eInfo,
            "model_order",
            { { "runner", aHost.mName },
--- a/src/control/model_keeper.h
+++ b/src/control/model_keeper.h
@@ -11,6 +11,8 @@
 #include "control/log_follower.h"
 #include "runners/engine_client.h"
 
+#include <map>
+
 namespace dunehook {
 
 /** Keeper of the pools that this daemon owns by rank. */
@@ -34,15 +36,29 @@
   void Start() { Spawn(mIo, KeepLoop()); }
 
 private:
+  /** Rest after a load that failed. */
+  struct load_rest
+  {
+    std::uint64_t mFence = 0; ///< Version of the resource that was ordered.
+    duration mRest{ 0 };      ///< How long the rest is.
+    instant mUntil{ 0 };      ///< Its end.
+  };
+
+  /** A runner by its name, and what is to be loaded on it. */
+  using load_key = std::pair<std::string, resource_key>;
+
+  bool Rests(const load_key& aKey, std::uint64_t aFence) const;
+  void NoteLoad(const load_key& aKey, std::uint64_t aFence, bool aLoaded);
   asio::awaitable<void> KeepLoop();
   asio::awaitable<void> KeepPool(resource aResource);
   asio::awaitable<bool> KeepRunner(host aHost, resource aResource);
 
-  asio::io_context& mIo;        ///< Runs the loop.
-  const log_follower& mLog;     ///< Configuration.
-  const host_directory& mHosts; ///< Runners.
-  const member_table& mMembers; ///< Says who owns a pool.
-  engine_client& mEngines;      ///< Carries orders.
+  asio::io_context& mIo;                ///< Runs the loop.
+  const log_follower& mLog;             ///< Configuration.
+  const host_directory& mHosts;         ///< Runners.
+  const member_table& mMembers;         ///< Says who owns a pool.
+  engine_client& mEngines;              ///< Carries orders.
+  std::map<load_key, load_rest> mRests; ///< Loads that failed the last time.
 };
 
 } // namespace dunehook
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -6,7 +6,7 @@
  * late and with gaps, and takes fenced orders. What it holds is freed only by a cancel, by the
  * end of the work, or (prefill results) by their lifetime: never since a connection closed.
  * Faults by POST /control: refuse, delay_ms, cross_answers (next N), cut_after_tokens, stall,
- * watch_ms (holds, cache events and cancels are answered that late).
+ * watch_ms (holds, cache events and cancels are answered that late), fail_loads (1: loads fail).
  */
 #include "callers/completion_type.h"
 #include "core/attempt_type.h"
@@ -163,6 +163,7 @@
              { "cached_tokens", mCachedTokens },
              { "lost_tokens", mLostTokens },
              { "tokens", mTokens },
+             { "orders", mOrders },
              { "stale_orders", mStaleOrders },
              { "since_last_work_ms", mTaken == 0 ? -1 : (Now() - mLastWork).count() / 1000 },
              { "watch_calls", mWatchCalls },
@@ -470,6 +471,11 @@
   asio::awaitable<void> TakeOrder(exchange_ptr aExchange)
   {
     const json order = BodyOf(*aExchange);
+    ++mOrders;
+    if (mFaults.value("fail_loads", 0) != 0) {
+      co_await aExchange->Respond(500, "{}");
+      co_return;
+    }
     const auto fence = order.value("fence", std::uint64_t{ 0 });
     if (absl::GetFlag(FLAGS_check_fences) && fence < mFence) {
       ++mStaleOrders;
@@ -525,6 +531,7 @@
   std::uint64_t mCachedTokens = 0;           ///< Prompt tokens found in the cache.
   std::uint64_t mLostTokens = 0;             ///< Prompt tokens whose result expired.
   std::uint64_t mTokens = 0;                 ///< Tokens generated.
+  std::uint64_t mOrders = 0;                 ///< Orders that came.
   std::uint64_t mStaleOrders = 0;            ///< Orders refused by their fence.
   std::uint64_t mFence = 0;                  ///< Highest fence taken.
   instant mLastWork{ 0 };                    ///< When work was last taken.
--- a/tests/integration/overlap_test.cpp
+++ b/tests/integration/overlap_test.cpp
@@ -162,3 +162,34 @@
   LONGS_EQUAL(1, Watched(bed, "prefill-1", "watch_open_most", kCancel));
   LONGS_EQUAL(4, cancels);
 }
+
+TEST(overlap, AFailedLoadIsOrderedLessOften)
+{
+  testbed bed;
+  bed.StartTutoring(1, 1, 2);
+  const entry_daemon& entry = bed.Daemon("entry-1");
+  const standin& failing = bed.At("decode-1");
+  Control(failing, { { "fail_loads", 1 } });
+  json spec{
+    { "model", "tutor" }, { "version", "2" }, { "weights", "w2" }, { "pool", "tutor-decode" }
+  };
+  const answer written = bed.Put(entry, "model_version", "tutor", spec);
+  const auto loaded = [&](const char* aEngine, const std::string& aVersion) {
+    const json state = Call(bed.At(aEngine).mAddress, "GET", "/v1/state").Json();
+    return state.value("version", std::string()) == aVersion;
+  };
+  const auto orders = [&] {
+    return Call(failing.mAddress, "GET", "/counters").Json().value("orders", -1);
+  };
+  CHECK_TRUE(Eventually([&] { return orders() > 0; }, 3000));
+  std::this_thread::sleep_for(std::chrono::milliseconds(7000));
+  UT_PRINT(StringFromFormat("a load that fails: ordered %d times in 7 s", orders()));
+  CHECK_TRUE(orders() >= 3);
+  CHECK_TRUE(orders() <= 5);
+  CHECK_TRUE(loaded("decode-2", "2")); // The others aren't held up.
+  // Another version is ordered at once.
+  Control(failing, { { "fail_loads", 0 } });
+  spec["version"] = "3";
+  bed.Put(entry, "model_version", "tutor", spec, written.Json()["version"]);
+  CHECK_TRUE(Eventually([&] { return loaded("decode-1", "3"); }, 2500));
+}
