Fix: [Net] a call that ended by its limit drops the kept connections beside it

Cause: http_pool kept the other connections to an endpoint after a call over one of them had passed its limit. Where a path is cut without a word they have all fallen silent, and each cost the next caller one more deadline. Ruled out: a second try over a fresh connection in the same call: it doubles what a slow server is asked. Change: http_pool::Call drops the kept connections to the endpoint after a passed deadline, as store_client does already; so do engine_client's Prefill and Decode, which hold a connection by themselves. A server that is only slow costs its callers a connect each time. Conclusion: mended for the case reproduced. By reading only: Prefill and Decode.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -179,6 +179,14 @@
   }
 }
 
+void
+http_pool::NoteEnd(const endpoint& aTo, const std::error_code& aError)
+{
+  if (aError == errc::eDeadlinePassed) {
+    Drop(aTo);
+  }
+}
+
 asio::awaitable<result<http_answer>>
 http_pool::Call(const endpoint& aTo, const http_call& aCall, duration aLimit)
 {
@@ -190,6 +198,8 @@
   }
   if (answer) {
     Give(aTo, std::move(connection));
+  } else {
+    NoteEnd(aTo, answer.error());
   }
   co_return answer;
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -104,7 +104,13 @@
   void Drop(const endpoint& aTo) { mIdle.erase(aTo); }
   /** Keeps @p aConnection for later if it can carry another request. */
   void Give(const endpoint& aTo, http_connection_ptr aConnection);
-  /** Sends a request that may be repeated: a stale kept connection is replaced once. */
+  /** Drops the kept connections to @p aTo if a call there ended by its time limit. */
+  void NoteEnd(const endpoint& aTo, const std::error_code& aError);
+  /**
+   * Sends a request that may be repeated: a stale kept connection is replaced once. After a call
+   * that ended by its time limit the next one has a fresh connection: of 4 kept connections that
+   * fell silent, one costs a deadline instead of each (a server on loopback).
+   */
   asio::awaitable<result<http_answer>> Call(const endpoint& aTo,
                                             const http_call& aCall,
                                             duration aLimit);
--- a/src/runners/engine_client.cpp
+++ b/src/runners/engine_client.cpp
@@ -134,6 +134,7 @@
                                     { "priority", aCall.mPriority } });
   const result<json> body = ParseAnswer(co_await connection->Call(call, aLimit));
   if (!body) {
+    mPool.NoteEnd(aEngine, body.error());
     co_return body.error();
   }
   if (!Echoes(body.value(), aCall.mAttempt)) {
@@ -172,8 +173,12 @@
                                   { { "attempt", ToText(aCall.mAttempt) },
                                     { "start", aCall.mStartIndex },
                                     { "max_tokens", aCall.mMaxTokens } });
-  BOOST_OUTCOME_CO_TRY(const unsigned status, co_await connection->Start(call, aLimit));
-  if (const std::error_code error = ErrorOf(status)) {
+  const result<unsigned> status = co_await connection->Start(call, aLimit);
+  if (!status) {
+    mPool.NoteEnd(aEngine, status.error());
+    co_return status.error();
+  }
+  if (const std::error_code error = ErrorOf(status.value())) {
     connection->Abort();
     co_return error;
   }
