Fix: [Test] format of the test of kept connections

Cause: the file was new and not tracked when the formatter ran, which takes tracked files. Change: formatted; no other change. Not run again: only the breaks of one statement moved.

--- a/tests/unit/http_pool_test.cpp
+++ b/tests/unit/http_pool_test.cpp
@@ -105,9 +105,8 @@
       io.run_for(10ms);
     }
   }
-  UT_PRINT(StringFromFormat("of %d kept connections that fell silent, %d cost a deadline",
-                            kKept,
-                            failed));
+  UT_PRINT(
+    StringFromFormat("of %d kept connections that fell silent, %d cost a deadline", kKept, failed));
   LONGS_EQUAL(1, failed);
   LONGS_EQUAL(1, answered);
 }
