Cleanup: [Test] the bed of the platform's tests removes its folder

Ruled out: folders of tests that are to be kept: DUNEHOOK_KEEP keeps them, as in the other bed. Change: the bed ends its processes and removes its folder.

--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -146,6 +146,14 @@
   if (mUnread >= 0) {
     ::close(mUnread);
   }
+  // The processes write there until they have ended.
+  mDaemons.clear();
+  mProxies.clear();
+  mFleet.reset();
+  if (std::getenv("DUNEHOOK_KEEP") == nullptr) {
+    std::error_code ignored; // What is left there is for the system's own tidying.
+    std::filesystem::remove_all(mFolder, ignored);
+  }
 }
 
 json
