--- a/tests/unit/http_pool_test.cpp
+++ b/tests/unit/http_pool_test.cpp
@@ -101,7 +101,8 @@
   while (answered == 0 && failed <= kKept) {
     const int before = failed;
     Spawn(io, CallOnce(pool, server.Address(), answered, failed));
-    while (answered == 0 && failed == before) {
+    const auto ended = [&] { return answered != 0 || failed != before; };
+    while (!ended()) {
       io.run_for(10ms);
     }
   }
