--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -448,6 +448,7 @@
                          { "read_elsewhere", mPlace.Choice().mPrefill.has_value() },
                          { "expected_ms", mPlace.Choice().mUntilEvent.count() / 1000 },
                          { "first_ms", (aNow - mArrived).count() / 1000 },
+                         { "placed_alone", mPlace.Alone() },
                          { "peak", mPlace.Choice().mPeakShare } });
   }
 
--- a/src/forward/generation_place.h
+++ b/src/forward/generation_place.h
@@ -110,6 +110,8 @@
   no_place NoPlace() const { return mNoPlace; }
   /** @return expected time until there's a place, after a look that found none. */
   duration FreeIn() const { return mFreeIn; }
+  /** @return whether this daemon chose by itself: none that places had answered. */
+  bool Alone() const { return mAlone; }
   /** @return reservations that engines refused. */
   std::uint32_t Refusals() const { return mRefusals; }
 
@@ -129,6 +131,7 @@
       std::function<bool()> gone = [this] { return mExchange.Gone(); };
       const std::optional<place_reply> reply =
         co_await mState.mAskPlacer(std::move(question), std::move(gone));
+      mAlone = !reply.has_value();
       if (reply) {
         aDemand.mReturned = reply->mReturned;
         mTold = reply->mState == place_state::ePlaced;
@@ -232,6 +235,7 @@
   no_place mNoPlace = no_place::eNoEngine; ///< Why there's no place.
   duration mFreeIn{ 0 };                   ///< Expected time until there's a place.
   std::uint32_t mRefusals = 0;             ///< Reservations that were refused.
+  bool mAlone = true;                      ///< This daemon chose by itself.
   bool mPlaced = false;                    ///< The run is in the table.
   bool mTold = false;                      ///< The others know of the run.
 };
