Fix: [Forward] format of a comment

Ruled out: - Change: the comment; what it says of four reads is worked out from the rests, not measured.

--- a/src/forward/store_follower.h
+++ b/src/forward/store_follower.h
@@ -92,8 +92,8 @@
       co_await Sleep(mContact.Asks() ? kRunnersEvery : kLookAtTold);
       co_return;
     }
-    // The first entries, or the first configuration, are still to be written. 295 daemons that began
-    // with shorter rests made 2 calls more each (lines of a start in a replay).
+    // The first entries, or the first configuration, are still to be written. Rests from 150 ms on
+    // would be four reads in the first 1.5 s (worked out) in place of two or three.
     co_await Sleep(kLongestStoreRest);
   }
 
