--- a/src/forward/placing_desk.cpp
+++ b/src/forward/placing_desk.cpp
@@ -16,9 +16,8 @@
 {
   Withdraw(aQuestion.mDemand.mRun);
   const waiting_question question{ aQuestion, aDaemon, aFrom, aNow };
-  // Those that wait go first: a newcomer that is no more urgent joins them, unless none could be
-  // placed at the last look and it needs less room. It's tried once, so that it isn't held for
-  // larger ones.
+  // Tried at once, also while others wait: what they found too small for them may do for a smaller
+  // one. What comes free is offered to those that wait within one tick.
   const bool waits = aQuestion.mWaitsFor > duration{ 0 };
   place_reply reply = Try(question, aNow, !waits);
   if (reply.mState == place_state::eNone && waits) {
