--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -192,8 +192,8 @@
   LONGS_EQUAL(0, mDesk.Tick(kNow + 150ms).size());
 }
 
-// While an engine that wasn't reached is tried again, one caller finds out for all: 3 are sent there
-// in 3 s, and 26 where all that come meanwhile are sent after it.
+// While an engine that wasn't reached is tried again, one caller finds out for all: 3 are sent
+// there in 3 s, and 26 where all that come meanwhile are sent after it.
 TEST(placing, AnEngineThatWasNotReachedIsTriedByOneCallerAtATime)
 {
   const service_runner_id engine = RunnerIdOf("d");
