--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -32,6 +32,19 @@
   done
 }
 
+# run_script FILE: takes in the tests of a script, which closes with "N passed, N failed" itself.
+run_script() {
+  local line
+  "$1" >"$build/test.out" 2>&1 || true
+  cat "$build/test.out"
+  line=$(grep -E '^[0-9]+ passed, [0-9]+ failed$' "$build/test.out" | tail -n 1)
+  line=${line:-0 passed, 1 failed}
+  passed=$((passed + ${line%% passed*}))
+  line=${line##*, }
+  failed=$((failed + ${line%% failed}))
+}
+
+run_script tests/scripts/regress_test.sh
 run unit_tests
 run forward_tests
 run integration_tests
