Fix: [Control] orders wait for the heartbeat of a front that an owner hasn't heard yet

The front had heard the restarted owner and sent its event; the owner placed it at .5754 s and heard the front at .5796 s; SendOrder found no such member and dropped the order without a word. Change: an order waits up to 1 s for a front that isn't known and isn't known to be gone. Test: orders.AFrontThatIsHeardAfterItsEventGetsTheOrder, with a front that the test plays. Before, after: red (no call within 3 s), green.

--- a/src/control/cell_owner.cpp
+++ b/src/control/cell_owner.cpp
@@ -26,8 +26,14 @@
 constexpr duration kLongestWatchRest = 450ms;
 static_assert(kLongestWatchRest + kEngineLimit < kFailedTime);
 constexpr duration kOrderLimit = 300ms; ///< Time limit of an order to a front.
-constexpr duration kStrangerGrace = 1s; ///< A hold unknown here may be news under way.
-constexpr duration kGiveUpAfter = 2s;   ///< A cell that ranks elsewhere is dropped after this.
+/** An owner that has just started hears of a front some ms after the front has heard it and has
+ * sent its first events: 4 ms in a rolling restart under load. Orders wait for the front's
+ * heartbeat so long, two of the longest times between heartbeats; a dropped one leaves its call
+ * without an answer. */
+constexpr duration kFrontHeardWithin = 1s;
+constexpr duration kFrontUnheardRest = 20ms; ///< Time between looks for it.
+constexpr duration kStrangerGrace = 1s;      ///< A hold unknown here may be news under way.
+constexpr duration kGiveUpAfter = 2s;        ///< A cell that ranks elsewhere is dropped after this.
 constexpr int kOrderTries = 3;
 constexpr int kCancelTries = 5;
 
@@ -203,6 +209,10 @@
 {
   const json message = OrderToJson(aOrder);
   const incarnation_id front = AttemptOf(aOrder.mOrder).mIncarnation;
+  const instant heardBy = Now() + kFrontHeardWithin;
+  while (mMembers.Find(front) == nullptr && !mMembers.IsKnownGone(front) && Now() < heardBy) {
+    co_await Sleep(kFrontUnheardRest);
+  }
   for (int tries = 0; tries < kOrderTries; ++tries) {
     const member_info* const member = mMembers.Find(front);
     if (member == nullptr) {
--- /dev/null
+++ b/tests/integration/order_test.cpp
@@ -0,0 +1,136 @@
+/**
+ * @file order_test.cpp
+ * Orders of an owner to a front whose heartbeat comes after its events. The front is played by the
+ * test: a listener for calls between daemons, and a member table that builds its heartbeat.
+ */
+#include "control/message_func.h"
+#include "members/member_base.h"
+#include "tests/support/testbed.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <thread>
+
+using namespace dunehook;
+using namespace dunehook::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+using asio::ip::tcp;
+using asio::ip::udp;
+using nlohmann::json;
+
+/** A front that a test plays. */
+class played_front
+{
+public:
+  explicit played_front(const std::string& aOwner)
+    : mOwner(ParseEndpoint(aOwner).value())
+    , mListener(mIo, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+  {
+    mListener.non_blocking(true);
+  }
+
+  /** Tells the owner of a request. */
+  void SendArrival()
+  {
+    request_arrived arrived;
+    arrived.mAttempt = { mIncarnation, 1 };
+    arrived.mClass = "practice";
+    arrived.mPromptTokens = 100;
+    arrived.mMaxTokens = 20;
+    const json message{ { "prefill", "tutor-prefill" },
+                        { "decode", "tutor-decode" },
+                        { "link", "great-lakes" },
+                        { "event", EventToJson(arrived) } };
+    const json call{ { "jsonrpc", "2.0" },
+                     { "id", 1 },
+                     { "method", "event" },
+                     { "params", { { "message", message } } } };
+    tcp::socket socket(mIo);
+    socket.connect({ asio::ip::make_address(mOwner.mAddress), mOwner.mPort });
+    asio::write(socket, asio::buffer(std::string(kPeerSecret) + "\n" + call.dump() + "\n"));
+    std::string answer;
+    asio::read_until(socket, asio::dynamic_buffer(answer), '\n');
+    CHECK(answer.find("\"taken\":true") != std::string::npos ||
+          answer.find("taken\\\":true") != std::string::npos);
+  }
+
+  void SendHeartbeat()
+  {
+    member_info self;
+    self.mIncarnation = mIncarnation;
+    self.mName = "entry-9";
+    self.mAddress = { "127.0.0.1", mListener.local_endpoint().port() };
+    member_table members(self, {}, kPeerSecret);
+    members.AddSeed(mOwner);
+    const heartbeat beat = members.BuildHeartbeat(1s);
+    udp::socket socket(mIo, udp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    socket.send_to(asio::buffer(beat.mData),
+                   { asio::ip::make_address(mOwner.mAddress), mOwner.mPort });
+  }
+
+  /** @return the first call that the owner makes in time, or an empty text. */
+  std::string WaitForCall(duration aLimit)
+  {
+    const auto until = std::chrono::steady_clock::now() + aLimit;
+    while (std::chrono::steady_clock::now() < until) {
+      boost::system::error_code error;
+      tcp::socket socket(mIo);
+      mListener.accept(socket, error);
+      if (!error) {
+        std::string lines;
+        asio::read_until(socket, asio::dynamic_buffer(lines), '\n');
+        const std::size_t secret = lines.find('\n') + 1;
+        if (lines.find('\n', secret) == std::string::npos) {
+          asio::read_until(socket, asio::dynamic_buffer(lines), "}\n");
+        }
+        return lines.substr(secret);
+      }
+      std::this_thread::sleep_for(10ms);
+    }
+    return {};
+  }
+
+private:
+  endpoint mOwner;                          ///< Of the cell.
+  incarnation_id mIncarnation{ 0x1234567 }; ///< The front's run.
+  asio::io_context mIo;                     ///< For the sockets; they block.
+  tcp::acceptor mListener;                  ///< Takes the owner's calls.
+};
+
+} // namespace
+
+TEST_GROUP(orders){};
+
+// A daemon that has just started is known to a front, by its own heartbeat, some ms before it knows
+// the front. An order that was dropped then left its call without an answer until the caller gave
+// up.
+TEST(orders, AFrontThatIsHeardAfterItsEventGetsTheOrder)
+{
+  testbed bed;
+  bed.StartTutoring(1, 1, 1);
+  played_front front(bed.Daemon("entry-1").mPeers);
+  front.SendArrival();
+  std::this_thread::sleep_for(300ms);
+  front.SendHeartbeat();
+  CHECK(front.WaitForCall(3s).find("\"order\"") != std::string::npos);
+}
+
+TEST(orders, AFrontThatIsKnownGetsTheOrderAtOnce)
+{
+  testbed bed;
+  bed.StartTutoring(1, 1, 1);
+  played_front front(bed.Daemon("entry-1").mPeers);
+  front.SendHeartbeat();
+  std::this_thread::sleep_for(50ms);
+  front.SendArrival();
+  CHECK(front.WaitForCall(1s).find("\"order\"") != std::string::npos);
+}
--- a/tests/support/testbed.cpp
+++ b/tests/support/testbed.cpp
@@ -24,7 +24,6 @@
 
 namespace {
 
-constexpr const char* kPeerSecret = "peer-secret-of-the-tests";
 constexpr const char* kOperatorToken = "operator-token-of-the-tests";
 
 std::string
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -134,6 +134,9 @@
   std::string mExtra;    ///< Lines for the [platform] section.
 };
 
+/** Secret that the daemons of a test share. */
+inline constexpr const char* kPeerSecret = "peer-secret-of-the-tests";
+
 /** A deployment. */
 class testbed
 {
