--- a/src/control/cell_owner.cpp
+++ b/src/control/cell_owner.cpp
@@ -28,8 +28,8 @@
 constexpr duration kOrderLimit = 300ms; ///< Time limit of an order to a front.
 /** An owner that has just started hears of a front some ms after the front has heard it and has
  * sent its first events: 4 ms in a rolling restart under load. Orders wait for the front's
- * heartbeat so long, two of the longest times between heartbeats; a dropped one leaves its call
- * without an answer. */
+ * heartbeat so long, over six times between heartbeats; a dropped one leaves its call without an
+ * answer. */
 constexpr duration kFrontHeardWithin = 1s;
 constexpr duration kFrontUnheardRest = 20ms; ///< Time between looks for it.
 constexpr duration kStrangerGrace = 1s;      ///< A hold unknown here may be news under way.
