Change: [Forward] an engine that was silent leaves a new caller's wait as it was

A refused reservation shortens a new caller's wait to a fifth of the target, since what is known of the engines' memory is wrong; a silent engine was taken for one that refused. Ruled out: a longer wait for all (the memory of the others was free; free_ms 0 in every line). Change: only a refusal shortens the wait. Test: waiting.ASilentEngineCostsANewCallerNoRefusal, 503 before, 200 now.

--- a/src/forward/generation_place.h
+++ b/src/forward/generation_place.h
@@ -63,7 +63,10 @@
         if (reserved || mExchange.Gone()) {
           co_return reserved;
         }
-        aWait = aWait.Refused(aTarget);
+        // An engine that was silent says nothing of the memory that others have: the wait stays.
+        if (mEngineRefused) {
+          aWait = aWait.Refused(aTarget);
+        }
       }
       const duration wait =
         std::max<duration>(kLookAgain, std::min(answer.mFreeIn, kLookAgain * 3));
@@ -180,6 +183,7 @@
     mDecodeAt = decode->mEntry.mAddress;
     mDecodeName = decode->mEntry.mName;
     mReservation = {};
+    mEngineRefused = false;
     const run_record run = RunOf(aDemand, mChoice, 0, mState.Now());
     mRun = run.mRun;
     mState.mPlacement.Begin(run, mState.Now());
@@ -209,6 +213,7 @@
   {
     const bool reached = aError == errc::eRunnerRefused || aError == errc::eBadRequest;
     ++mRefusals;
+    mEngineRefused = reached;
     NoteFull();
     if (!reached) {
       mState.NoteEngine(mChoice.mDecode, send_outcome::eUnreachable);
@@ -255,6 +260,7 @@
   duration mFreeIn{ 0 };                   ///< Expected time until there's a place.
   duration mWaited{ 0 };                   ///< Time until there was a place.
   std::uint32_t mRefusals = 0;             ///< Reservations that were refused.
+  bool mEngineRefused = false;             ///< The last engine asked has refused the place.
   bool mAlone = true;                      ///< This daemon chose by itself.
   bool mPlaced = false;                    ///< The run is in the table.
   bool mTold = false;                      ///< The others know of the run.
