Change: [Forward] who asks for the rest of a broken stream has come back, and isn't new

Cause: after all hosts lose power, callers whose streams fell silent give up together 3.6 s later and ask for the rest (Last-Event-Id, 5 to 10 s of 14 left). Ruled out: that the daemons were still starting (config in force 1.5 s before); that memory was short (expected peaks 0.05 to 0.35). Change: a request that names its last event waits as returned callers do: after new ones, up to 3 s. Test: waiting.WhoAsksForTheRestOfAStreamWaitsAsOneThatHasComeBack, 503 before, 200 now.

--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -48,7 +48,10 @@
     mDemand.mModel = mFacts.mModel;
     mDemand.mHall = mState.mSettings.mHall;
     mDemand.mEventGap = aRoute.mEventGap;
-    mDemand.mReturned = mState.mRefused.Contains(mFacts.mPromptKey, aArrived);
+    // Whoever asks for the rest of a broken stream is late already, as one that was refused is: a
+    // crowd of them after a loss of hosts waits, instead of being refused as too late to be read.
+    mDemand.mReturned =
+      mFacts.mLastEvent.has_value() || mState.mRefused.Contains(mFacts.mPromptKey, aArrived);
     mDemand.mPromptTokens = mFacts.mPromptTokens;
     mDemand.mAnswerTokens = GuessedTokens();
     mDemand.mMostTokens = mFacts.mMostTokens;
--- a/src/forward/placement_type.h
+++ b/src/forward/placement_type.h
@@ -69,10 +69,10 @@
   std::uint32_t mMostTokens = 0;          ///< Most tokens of the answer; 0 if unknown.
   std::vector<service_runner_id> mFailed; ///< Engines that failed this request already.
   std::vector<service_runner_id> mBarred; ///< Engines that its daemon may send nothing to.
-  bool mReturned = false;                 ///< It was refused before, and its caller has come back.
-  double mWaited = 1.0;                   ///< Part of its wait that is over, if it was refused.
-  duration mEventGap{ 0 };                ///< Longest pause between events that is in time.
-  duration mFirstEventWithin{ 0 };        ///< Time left until the first event is late.
+  bool mReturned = false;  ///< Its caller has come back: it was refused, or its stream broke.
+  double mWaited = 1.0;    ///< Part of its wait that is over, if it was refused.
+  duration mEventGap{ 0 }; ///< Longest pause between events that is in time.
+  duration mFirstEventWithin{ 0 }; ///< Time left until the first event is late.
 
   auto operator<=>(const generation_demand&) const = default;
 };
--- a/tests/platform/waiting_test.cpp
+++ b/tests/platform/waiting_test.cpp
@@ -7,6 +7,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <future>
+#include <thread>
+
 using namespace dunehook;
 using namespace dunehook::test;
 
@@ -60,6 +63,26 @@
   CHECK(mBed.Daemon().WaitForLine("\"reached\":false") != "");
 }
 
+// A caller whose stream broke comes back for the rest: it's late already, so it waits as one that
+// was refused does, instead of being refused with the engines full for a moment.
+TEST(waiting, WhoAsksForTheRestOfAStreamWaitsAsOneThatHasComeBack)
+{
+  StartWith(Decode("hall-a"), Decode("hall-a"));
+  SetRoom(kNoRoom);
+  auto asking = std::async(std::launch::async, [&] {
+    return Call(mBed.Callers(),
+                "POST",
+                "/resumed/a",
+                "prompt",
+                GenerationHeaders("g1", 2000, 10, { { "Last-Event-Id", "4" } }));
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(kFullForMs));
+  SetRoom(1000000);
+  const answer got = asking.get();
+  CHECK_EQUAL(200U, got.mStatus);
+  CHECK(mBed.Daemon().WaitForLine("\"returned\":true") != "");
+}
+
 // Without a word of an earlier try a caller is new, and hears at once that there's no room.
 TEST(waiting, ANewCallerIsRefusedWhileTheEnginesAreFull)
 {
