Change: [Forward] reading speeds and the pauses of runs beside a read are learned, not guessed

A generating engine read no prompt whose whole read was longer than the allowed pause between events, though it reads in pieces between its runs' tokens. Change: prompt_queue learns from what an engine was busy with, sums of tokens over time, the first prompts outweigh the guess; a new engine takes the mean of the others; reading_pauses learns the longest pause of runs beside which a prompt was read, and rules such reads out while they don't stay in time.

--- a/src/forward/daemon_link.cpp
+++ b/src/forward/daemon_link.cpp
@@ -267,10 +267,10 @@
 daemon_link::ApplyReports(const run_message& aMessage, instant aNow)
 {
   for (const finished_run& run : aMessage.mFinished) {
-    mState.mPlacement.NoteFinished(run.mRun, run.mTokens, run.mPaced, run.mTook);
+    mState.mPlacement.NoteFinished(run, aNow);
   }
   for (const finished_read& read : aMessage.mReads) {
-    mState.mPlacement.NoteRead(read.mRun, read.mEngine, read.mExpected, read.mTook, aNow);
+    mState.mPlacement.NoteRead(read.mRun, read.mEngine, read.mTook, aNow);
   }
   for (const engine_report& report : aMessage.mOutcomes) {
     mState.mRunners.NoteOutcome(report.mEngine, report.mOutcome, aNow);
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -442,8 +442,10 @@
   void NoteFinished(std::uint32_t aMade, duration aTook)
   {
     const std::uint32_t first = mTraits.mTokensPerEvent;
-    const finished_run run{ mDemand.mRun, aMade, aMade > first ? aMade - first : 0, aTook };
-    mState.mPlacement.NoteFinished(run.mRun, run.mTokens, run.mPaced, run.mTook);
+    const finished_run run{
+      mDemand.mRun, aMade, aMade > first ? aMade - first : 0, aTook, mLongestGap
+    };
+    mState.mPlacement.NoteFinished(run, mState.Now());
     run_message message;
     message.mFinished.push_back(run);
     mState.NoteEngine(mPlace.Choice().mDecode, send_outcome::eServed, std::move(message));
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -31,8 +31,6 @@
 constexpr duration kTooLateRest = std::chrono::milliseconds(300);
 /** A decode engine that has read a prompt rests this long before the next: its runs catch up. */
 constexpr duration kDecodeReadRest = std::chrono::milliseconds(350);
-/** Part of the longest pause between events that a read at a decode engine may take. */
-constexpr double kPausePart = 0.85;
 /** Weight of a run where engines are chosen by the number of runs. */
 constexpr double kRunWeight = 0.05;
 /** Runs of others are dropped this long after their expected end if nobody said that they ended. */
@@ -49,18 +47,11 @@
 constexpr double kDecodeReadShare = 0.5;
 /** Waiting for a prefill engine beyond this makes reading at the decode engine the better way. */
 constexpr double kDecodeReadPenaltyMicros = 400000.0;
-/** A read that nobody has told the end of is over after this. */
-constexpr duration kReadForgotten = std::chrono::seconds(3);
 /** Decode engines that are looked at closely for one demand. With every one of 2,400 compared to
  * every one of 600 readers a question took 69 ms of a core, longer than an asker waits for its
  * answer; the emptiest 96, each with the readers that may still be cheapest, take 1.2 to 1.5 ms
  * (placing_load.AQuestionAmongThousandsOfEnginesIsAnsweredInTime). */
 constexpr std::size_t kMostLooks = 96;
-/** One read changes the measured speed by no more than this, times the weight. */
-constexpr double kMostSpeedStep = 0.5;
-/** Reading speeds that are believed, in tokens a microsecond. */
-constexpr double kLeastReadSpeed = 0.002;
-constexpr double kMostReadSpeed = 1.0;
 /** Weight of the newest measurement of a speed. */
 constexpr double kSpeedWeight = 0.1;
 
@@ -217,14 +208,24 @@
   return { runs, MicrosPerToken(aDecode), mGuesses };
 }
 
+prompt_queue&
+placement_table::QueueOf(service_runner_id aPrefill)
+{
+  return mPrefills.try_emplace(aPrefill, mReadSpeed).first->second;
+}
+
 duration
 placement_table::ReadTime(service_runner_id aPrefill, std::uint32_t aTokens, instant aNow) const
 {
   const auto found = mPrefills.find(aPrefill);
-  static const prefill_state kUnmeasured;
-  const prefill_state& state = found == mPrefills.end() ? kUnmeasured : found->second;
-  const duration queue = std::max(duration{ 0 }, state.mBusyUntil - aNow);
-  return queue + FromMicros(aTokens / state.mTokensPerMicro);
+  return found == mPrefills.end() ? prompt_queue(mReadSpeed).TimeFor(aTokens, aNow)
+                                  : found->second.TimeFor(aTokens, aNow);
+}
+
+duration
+placement_table::OwnReadTime(std::uint32_t aTokens) const
+{
+  return FromMicros(aTokens / (mReadSpeed * kDecodeReadShare));
 }
 
 duration
@@ -397,14 +398,13 @@
                reader.mFailureMicros + (sameHall ? 0.0 : kOtherHallMoveMicros));
     }
   }
-  const duration ownRead =
-    FromMicros(aDemand.mPromptTokens / (prefill_state{}.mTokensPerMicro * kDecodeReadShare));
+  const duration ownRead = FromMicros(aDemand.mPromptTokens / (mReadSpeed * kDecodeReadShare));
   // The engine's other runs pause while it reads, so it reads one prompt at a time, with rests.
   const bool reads = std::any_of(runs.begin(), runs.end(), [&](const run_record* aRun) {
     return !aRun->mPrefill && aRun->mMadeTokens == 0 && aRun->mSeen + kDecodeReadRest > aNow;
   });
-  const bool pauseFits = Micros(ownRead) + event < kPausePart * Micros(aDemand.mEventGap);
-  if (aSets.mReaders.empty() || (mTuning.mDecodeReads && pauseFits && !reads)) {
+  const bool mayRead = mTuning.mDecodeReads && !reads && mPauses.Fit(aDemand.mEventGap, aNow);
+  if (aSets.mReaders.empty() || mayRead) {
     consider(std::nullopt, ownRead, aSets.mReaders.empty() ? 0.0 : kDecodeReadPenaltyMicros);
   }
 }
@@ -463,11 +463,11 @@
   if (fresh) {
     mSizes.Note(SizeOf(aRun.mPromptTokens, aRun.mAnswerTokens), true);
   }
+  if (fresh && !aRun.mPrefill) {
+    mDecodes[aRun.mDecode].mReadsUntil = aNow + OwnReadTime(aRun.mPromptTokens);
+  }
   if (fresh && aRun.mPrefill) {
-    prefill_state& state = mPrefills[aRun.mPrefill];
-    const duration read = FromMicros(aRun.mPromptTokens / state.mTokensPerMicro);
-    state.mBusyUntil = std::max(state.mBusyUntil, aNow) + read;
-    state.mPending.push_back({ aRun.mRun, static_cast<double>(aRun.mPromptTokens), aNow });
+    QueueOf(aRun.mPrefill).Add(aRun.mRun, aRun.mPromptTokens, aNow);
   }
 }
 
@@ -498,65 +498,41 @@
 }
 
 void
-placement_table::NoteRead(run_id aRun,
-                          service_runner_id aPrefill,
-                          duration aExpected,
-                          duration aTook,
-                          instant aNow)
-{
-  prefill_state& state = mPrefills[aPrefill];
-  const double early = Micros(aExpected - aTook) / std::max(1.0, Micros(aExpected));
-  state.mTokensPerMicro *= 1.0 + kSpeedWeight * std::clamp(early, -kMostSpeedStep, kMostSpeedStep);
-  state.mTokensPerMicro = std::clamp(state.mTokensPerMicro, kLeastReadSpeed, kMostReadSpeed);
-  // Reads go one after the other: what is left of the queue begins now. Moving its end by how early
-  // or late each read was counts the same delay once for each that waited behind it: on a calm day
-  // of 471 generations 41 tries were refused as too late, 3 with that done by seven daemons for a
-  // seventh of the reads each; worth 0.780 with it and 0.877 with the queue known (replays, one
-  // seed).
-  std::erase_if(state.mPending, [&](const pending_read& aRead) {
-    return aRead.mRun == aRun || aNow - aRead.mSince > kReadForgotten;
-  });
-  double tokens = 0.0;
-  for (const pending_read& read : state.mPending) {
-    tokens += read.mTokens;
-  }
-  state.mBusyUntil = aNow + FromMicros(tokens / state.mTokensPerMicro);
+placement_table::NoteRead(run_id aRun, service_runner_id aPrefill, duration aTook, instant aNow)
+{
+  prompt_queue& queue = QueueOf(aPrefill);
+  queue.NoteRead(aRun, aTook, aNow);
+  mReadSpeed += kSpeedWeight * (queue.TokensPerMicro() - mReadSpeed);
 }
 
 void
 placement_table::DropRead(const run_record& aRun)
 {
   const auto found = mPrefills.find(aRun.mPrefill);
-  if (found == mPrefills.end()) {
-    return;
-  }
-  prefill_state& state = found->second;
-  const auto read =
-    std::find_if(state.mPending.begin(), state.mPending.end(), [&](const pending_read& aRead) {
-      return aRead.mRun == aRun.mRun;
-    });
-  if (read != state.mPending.end()) {
-    state.mBusyUntil -= FromMicros(read->mTokens / state.mTokensPerMicro);
-    state.mPending.erase(read);
+  if (found != mPrefills.end()) {
+    found->second.Drop(aRun.mRun);
   }
 }
 
 void
-placement_table::NoteFinished(run_id aRun,
-                              std::uint32_t aTokens,
-                              std::uint32_t aPaced,
-                              duration aTook)
+placement_table::NoteFinished(const finished_run& aRun, instant aNow)
 {
-  const auto found = mRuns.find(aRun);
+  const auto found = mRuns.find(aRun.mRun);
   if (found == mRuns.end()) {
     return;
   }
-  mGuesses.Learn(found->second.mAnswerTokens, aTokens);
-  if (aPaced == 0) {
+  const run_record& run = found->second;
+  mGuesses.Learn(run.mAnswerTokens, aRun.mTokens);
+  if (aRun.mPaced == 0) {
     return;
   }
-  decode_state& state = mDecodes[found->second.mDecode];
-  state.mMicrosPerToken += kSpeedWeight * (Micros(aTook) / aPaced - state.mMicrosPerToken);
+  decode_state& state = mDecodes[run.mDecode];
+  state.mMicrosPerToken +=
+    kSpeedWeight * (Micros(aRun.mTook) / aRun.mPaced - state.mMicrosPerToken);
+  const bool readBeside = run.mPrefill && state.mReadsUntil > aNow - aRun.mTook;
+  if (readBeside) {
+    mPauses.Learn(aRun.mLongestGap, aNow);
+  }
 }
 
 void
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -11,6 +11,8 @@
 
 #include "forward/memory_forecast.h"
 #include "forward/placement_type.h"
+#include "forward/prompt_queue.h"
+#include "forward/reading_pauses.h"
 #include "forward/runner_table.h"
 #include "forward/size_balance.h"
 
@@ -56,13 +58,9 @@
   /** Notes that a run has ended, or was never begun. */
   void End(run_id aRun);
   /** Notes that a run's prompt was read just now, and how long the engine took in all. */
-  void NoteRead(run_id aRun,
-                service_runner_id aPrefill,
-                duration aExpected,
-                duration aTook,
-                instant aNow);
-  /** Notes the length of a finished run, and its pace from its first event on. */
-  void NoteFinished(run_id aRun, std::uint32_t aTokens, std::uint32_t aPaced, duration aTook);
+  void NoteRead(run_id aRun, service_runner_id aPrefill, duration aTook, instant aNow);
+  /** Notes the length and pace of a finished run, and what reads beside it did to its events. */
+  void NoteFinished(const finished_run& aRun, instant aNow);
   /** Notes that an engine had no room: what is known of it was wrong. It rests, for longer the more
    * often it says so; what was asked before the rest changes nothing. */
   void NoteFull(service_runner_id aDecode, instant aNow);
@@ -88,22 +86,8 @@
     double mMicrosPerToken = 800.0; ///< Time for a token of one run; a first guess until measured.
     instant mFullUntil{ 0 };        ///< It said that it has no room, and rests.
     duration mFullRest{ 0 };        ///< Its last rest; zero once it has given a place.
+    instant mReadsUntil{ 0 };       ///< Expected end of its last read of a prompt.
   };
-  /** A read that an engine has under way, or waits for. */
-  struct pending_read
-  {
-    run_id mRun;          ///< Whose prompt it is.
-    double mTokens = 0.0; ///< Its length.
-    instant mSince{ 0 };  ///< When it was placed.
-  };
-  /** A prefill engine's queue. */
-  struct prefill_state
-  {
-    instant mBusyUntil{ 0 };            ///< Expected end of the reads under way.
-    double mTokensPerMicro = 0.05;      ///< Reading speed; a first guess until measured.
-    std::vector<pending_read> mPending; ///< Reads whose end wasn't told yet.
-  };
-
   /** The runs of an engine that generates. */
   struct engine_runs
   {
@@ -187,8 +171,12 @@
   }
   /** @return the forecast of an engine from @p aFrom on. */
   memory_forecast ForecastOf(service_runner_id aDecode, instant aFrom) const;
+  /** @return an engine's queue of reads; a new one takes its speed from the others. */
+  prompt_queue& QueueOf(service_runner_id aPrefill);
   /** @return expected time until the prompt is read by an engine. */
   duration ReadTime(service_runner_id aPrefill, std::uint32_t aTokens, instant aNow) const;
+  /** @return expected time in which a decode engine reads a prompt between its runs' tokens. */
+  duration OwnReadTime(std::uint32_t aTokens) const;
   /** @return how long until the demand fits into an engine's memory; the longest if it doesn't. */
   duration FitsIn(service_runner_id aDecode,
                   const generation_demand& aDemand,
@@ -199,10 +187,14 @@
   std::unordered_map<run_id, run_record> mRuns; ///< All runs known.
   /** Runs by the engine that generates; each run of mRuns once. */
   std::unordered_map<service_runner_id, engine_runs> mByEngine;
-  std::unordered_map<service_runner_id, decode_state> mDecodes;   ///< By engine.
-  std::unordered_map<service_runner_id, prefill_state> mPrefills; ///< By engine.
-  size_balance mSizes;                                            ///< Large and small requests.
-  guess_model mGuesses;                                           ///< Of the answers' length.
+  std::unordered_map<service_runner_id, decode_state> mDecodes;  ///< By engine.
+  std::unordered_map<service_runner_id, prompt_queue> mPrefills; ///< By engine.
+  size_balance mSizes;                                           ///< Large and small requests.
+  guess_model mGuesses;                                          ///< Of the answers' length.
+  /** Tokens a microsecond that engines read of late: what is expected of one that hasn't read yet.
+   */
+  double mReadSpeed = kGuessedReadSpeed;
+  reading_pauses mPauses; ///< Of runs beside which their engine read a prompt.
 };
 
 } // namespace dunehook
--- a/src/forward/placement_type.h
+++ b/src/forward/placement_type.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "forward/prompt_queue.h"
 #include "forward/runner_type.h"
 
 #include <optional>
@@ -12,10 +13,6 @@
 
 namespace dunehook {
 
-struct run_tag;
-/** A generation under way, by the hash of its request's id. */
-using run_id = strong_id<run_tag>;
-
 /** An engine that had no room isn't given work again before this: about the time in which a run of
  * some ends. */
 inline constexpr duration kFullRest = std::chrono::milliseconds(60);
@@ -123,4 +120,16 @@
   auto operator<=>(const run_record&) const = default;
 };
 
+/** A run that ended well. */
+struct finished_run
+{
+  run_id mRun;               ///< Its id.
+  std::uint32_t mTokens = 0; ///< Tokens that it made.
+  std::uint32_t mPaced = 0;  ///< Tokens after its first event.
+  duration mTook{ 0 };       ///< Time that those took.
+  duration mLongestGap{ 0 }; ///< Longest pause between its events.
+
+  auto operator<=>(const finished_run&) const = default;
+};
+
 } // namespace dunehook
--- /dev/null
+++ b/src/forward/prompt_queue.cpp
@@ -0,0 +1,90 @@
+/**
+ * @file prompt_queue.cpp
+ * What is left of an engine's reads, and its speed.
+ */
+#include "forward/prompt_queue.h"
+
+#include <algorithm>
+
+namespace dunehook {
+
+namespace {
+
+/** What earlier reads still count as each new one is taken in. */
+constexpr double kEarlierWeight = 0.9;
+/** A read is taken in as at most so many times quicker or slower than those before it: an engine
+ * that stood still hasn't become slow. */
+constexpr double kMostChange = 4.0;
+/** Speeds that are believed, in tokens a microsecond. */
+constexpr double kLeastSpeed = 0.002;
+constexpr double kMostSpeed = 1.0;
+/** A read that nobody has told the end of is over after this. */
+constexpr duration kReadForgotten = std::chrono::seconds(3);
+
+} // namespace
+
+void
+read_speed::Learn(double aTokens, duration aBusy)
+{
+  const double speed = TokensPerMicro();
+  const double slowest = aTokens / std::max(kLeastSpeed, speed / kMostChange);
+  const double quickest = aTokens / std::min(kMostSpeed, speed * kMostChange);
+  const double micros = std::clamp(static_cast<double>(aBusy.count()), quickest, slowest);
+  mTokens = mTokens * kEarlierWeight + aTokens;
+  mMicros = mMicros * kEarlierWeight + micros;
+}
+
+duration
+prompt_queue::ReadTime(double aTokens) const
+{
+  return duration(static_cast<std::int64_t>(aTokens / mSpeed.TokensPerMicro()));
+}
+
+void
+prompt_queue::Add(run_id aRun, double aTokens, instant aNow)
+{
+  mBusyUntil = std::max(mBusyUntil, aNow) + ReadTime(aTokens);
+  mPending.push_back({ aRun, aTokens, aNow });
+}
+
+void
+prompt_queue::NoteRead(run_id aRun, duration aTook, instant aNow)
+{
+  const auto read = std::find_if(
+    mPending.begin(), mPending.end(), [&](const auto& aRead) { return aRead.mRun == aRun; });
+  if (read != mPending.end()) {
+    // It waited for the read before it: only what came after that was its own.
+    const instant from = std::max(mLastRead, aNow - aTook);
+    mSpeed.Learn(read->mTokens, aNow - from);
+    mLastRead = aNow;
+  }
+  // What is left of the queue begins now. Moving its end by how late the read was would count one
+  // delay once for each read that waited behind it.
+  std::erase_if(mPending, [&](const pending_read& aRead) {
+    return aRead.mRun == aRun || aNow - aRead.mSince > kReadForgotten;
+  });
+  double tokens = 0.0;
+  for (const pending_read& left : mPending) {
+    tokens += left.mTokens;
+  }
+  mBusyUntil = aNow + ReadTime(tokens);
+}
+
+void
+prompt_queue::Drop(run_id aRun)
+{
+  const auto read = std::find_if(
+    mPending.begin(), mPending.end(), [&](const auto& aRead) { return aRead.mRun == aRun; });
+  if (read != mPending.end()) {
+    mBusyUntil -= ReadTime(read->mTokens);
+    mPending.erase(read);
+  }
+}
+
+duration
+prompt_queue::TimeFor(double aTokens, instant aNow) const
+{
+  return std::max(duration{ 0 }, mBusyUntil - aNow) + ReadTime(aTokens);
+}
+
+} // namespace dunehook
--- a/src/forward/prompt_read.h
+++ b/src/forward/prompt_read.h
@@ -83,8 +83,8 @@
     }
     mState.mMetrics.CountPromptTokens("read", aDemand.mPromptTokens);
     const instant now = mState.Now();
-    const finished_read done{ aDemand.mRun, id, aChoice.mUntilRead, now - began };
-    mState.mPlacement.NoteRead(done.mRun, done.mEngine, done.mExpected, done.mTook, now);
+    const finished_read done{ aDemand.mRun, id, now - began };
+    mState.mPlacement.NoteRead(done.mRun, done.mEngine, done.mTook, now);
     run_message message;
     message.mReads.push_back(done);
     mState.NoteEngine(id, send_outcome::eServed, std::move(message));
--- a/src/forward/run_message.cpp
+++ b/src/forward/run_message.cpp
@@ -111,7 +111,8 @@
 {
   json items = json::array();
   for (const finished_run& run : aMessage.mFinished) {
-    items.push_back({ run.mRun.mValue, run.mTokens, run.mPaced, run.mTook.count() });
+    items.push_back(
+      { run.mRun.mValue, run.mTokens, run.mPaced, run.mTook.count(), run.mLongestGap.count() });
   }
   return items;
 }
@@ -121,8 +122,7 @@
 {
   json items = json::array();
   for (const finished_read& read : aMessage.mReads) {
-    items.push_back(
-      { read.mRun.mValue, read.mEngine.mValue, read.mExpected.count(), read.mTook.count() });
+    items.push_back({ read.mRun.mValue, read.mEngine.mValue, read.mTook.count() });
   }
   return items;
 }
@@ -144,13 +144,13 @@
     aMessage.mFinished.push_back({ { item.at(0).get<std::uint64_t>() },
                                    item.at(1).get<std::uint32_t>(),
                                    item.at(2).get<std::uint32_t>(),
-                                   duration(item.at(3).get<std::int64_t>()) });
+                                   duration(item.at(3).get<std::int64_t>()),
+                                   duration(item.at(4).get<std::int64_t>()) });
   }
   for (const json& item : aBody.at(10)) {
     aMessage.mReads.push_back({ { item.at(0).get<std::uint64_t>() },
                                 { item.at(1).get<std::uint64_t>() },
-                                duration(item.at(2).get<std::int64_t>()),
-                                duration(item.at(3).get<std::int64_t>()) });
+                                duration(item.at(2).get<std::int64_t>()) });
   }
   for (const json& item : aBody.at(11)) {
     aMessage.mOutcomes.push_back(
--- a/src/forward/run_message.h
+++ b/src/forward/run_message.h
@@ -45,23 +45,11 @@
   bool operator==(const runner_changes&) const = default;
 };
 
-/** A run that ended well. */
-struct finished_run
-{
-  run_id mRun;               ///< Its id.
-  std::uint32_t mTokens = 0; ///< Tokens that it made.
-  std::uint32_t mPaced = 0;  ///< Tokens after its first event.
-  duration mTook{ 0 };       ///< Time that those took.
-
-  auto operator<=>(const finished_run&) const = default;
-};
-
 /** A prompt that was read. */
 struct finished_read
 {
   run_id mRun;               ///< Whose prompt it is.
   service_runner_id mEngine; ///< Engine that read it.
-  duration mExpected{ 0 };   ///< Time expected until it's read.
   duration mTook{ 0 };       ///< Time that it took.
 
   auto operator<=>(const finished_read&) const = default;
