Codechange: [Roles] the engines' roles have a folder of their own

Cause: src/forward holds placement, membership, roles and forwarding beside each other in 60 files. Change: role_plan, role_keeper and role_timing move to src/roles, as they are; nothing else does. Includes point to forward/ still, for the tables. Checked: builds, roles tests pass; no line of logic changes.

--- a/src/forward/daemon_link.cpp
+++ b/src/forward/daemon_link.cpp
@@ -4,7 +4,7 @@
  */
 #include "forward/daemon_link.h"
 
-#include "forward/role_timing.h"
+#include "roles/role_timing.h"
 
 namespace dunehook {
 
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -8,9 +8,9 @@
 #include "forward/generation_call.h"
 #include "forward/placer_link.h"
 #include "forward/plain_call.h"
-#include "forward/role_keeper.h"
 #include "forward/store_follower.h"
 #include "net/http_server.h"
+#include "roles/role_keeper.h"
 
 namespace dunehook {
 
--- a/src/forward/role_keeper.h
+++ b/src/roles/role_keeper.h
@@ -7,9 +7,9 @@
 
 #include "core/log_func.h"
 #include "forward/forward_state.h"
-#include "forward/role_plan.h"
-#include "forward/role_timing.h"
 #include "forward/wire_type.h"
+#include "roles/role_plan.h"
+#include "roles/role_timing.h"
 
 namespace dunehook {
 
--- a/src/forward/role_plan.cpp
+++ b/src/roles/role_plan.cpp
@@ -2,7 +2,7 @@
  * @file role_plan.cpp
  * The plan of roles.
  */
-#include "forward/role_plan.h"
+#include "roles/role_plan.h"
 
 #include <algorithm>
 #include <cmath>
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -4,7 +4,7 @@
  */
 #include "core/text_func.h"
 #include "forward/placement.h"
-#include "forward/role_plan.h"
+#include "roles/role_plan.h"
 
 #include <CppUTest/TestHarness.h>
 
