Change: [Roles] how many engines read follows the work that is seen

Cause: the share of reading engines was a constant, 0.22, that no load changed. Change: role_work keeps means of tokens asked to be read and to be held, of the same requests; with the measured speeds they say how busy each role is, and the planner wants the split whose busier role is least busy, if that is 20% less busy than now. Until work and speeds are seen: the share. Tests: roles.WhereEnginesReadSlowlyMoreOfThemRead (the share of 0.22 gives no change there), roles.WhereTheSplitSuitsTheWorkItStays.

--- a/src/forward/memory_forecast.cpp
+++ b/src/forward/memory_forecast.cpp
@@ -48,6 +48,12 @@
   return std::clamp(std::sqrt(mVariance), kLeastSpread, kMostSpread);
 }
 
+double
+guess_model::MeanOf(double aGuess) const
+{
+  return aGuess * std::exp(mBias + mVariance / 2.0);
+}
+
 memory_forecast::memory_forecast(const std::vector<growing_run>& aRuns,
                                  double aMicrosPerToken,
                                  const guess_model& aModel)
--- a/src/forward/memory_forecast.h
+++ b/src/forward/memory_forecast.h
@@ -24,6 +24,8 @@
   double Bias() const { return mBias; }
   /** @return standard deviation of ln(made / guess). */
   double Spread() const;
+  /** @return mean length of the answers with a guess. */
+  double MeanOf(double aGuess) const;
 
 private:
   double mBias = 0.0;      ///< Mean of the logarithm; the guess is taken for the median at first.
--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -52,8 +52,8 @@
  * answer; the emptiest 96, each with the readers that may still be cheapest, take 1.2 to 1.5 ms
  * (placing_load.AQuestionAmongThousandsOfEnginesIsAnsweredInTime). */
 constexpr std::size_t kMostLooks = 96;
-/** Weight of the newest measurement of a speed. */
-constexpr double kSpeedWeight = 0.1;
+/** Weight of the newest measurement of a pace. */
+constexpr double kPaceWeight = 0.1;
 
 double
 Micros(duration aSpan)
@@ -211,21 +211,21 @@
 prompt_queue&
 placement_table::QueueOf(service_runner_id aPrefill)
 {
-  return mPrefills.try_emplace(aPrefill, mReadSpeed).first->second;
+  return mPrefills.try_emplace(aPrefill, ReadSpeed()).first->second;
 }
 
 duration
 placement_table::ReadTime(service_runner_id aPrefill, std::uint32_t aTokens, instant aNow) const
 {
   const auto found = mPrefills.find(aPrefill);
-  return found == mPrefills.end() ? prompt_queue(mReadSpeed).TimeFor(aTokens, aNow)
+  return found == mPrefills.end() ? prompt_queue(ReadSpeed()).TimeFor(aTokens, aNow)
                                   : found->second.TimeFor(aTokens, aNow);
 }
 
 duration
 placement_table::OwnReadTime(std::uint32_t aTokens) const
 {
-  return FromMicros(aTokens / (mReadSpeed * kDecodeReadShare));
+  return FromMicros(aTokens / (ReadSpeed() * kDecodeReadShare));
 }
 
 duration
@@ -398,7 +398,7 @@
                reader.mFailureMicros + (sameHall ? 0.0 : kOtherHallMoveMicros));
     }
   }
-  const duration ownRead = FromMicros(aDemand.mPromptTokens / (mReadSpeed * kDecodeReadShare));
+  const duration ownRead = FromMicros(aDemand.mPromptTokens / (ReadSpeed() * kDecodeReadShare));
   // The engine's other runs pause while it reads, so it reads one prompt at a time, with rests.
   const bool reads = std::any_of(runs.begin(), runs.end(), [&](const run_record* aRun) {
     return !aRun->mPrefill && aRun->mMadeTokens == 0 && aRun->mSeen + kDecodeReadRest > aNow;
@@ -463,11 +463,22 @@
   if (fresh) {
     mSizes.Note(SizeOf(aRun.mPromptTokens, aRun.mAnswerTokens), true);
   }
-  if (fresh && !aRun.mPrefill) {
-    mDecodes[aRun.mDecode].mReadsUntil = aNow + OwnReadTime(aRun.mPromptTokens);
+  if (fresh) {
+    NoteWork(aRun, aNow);
   }
-  if (fresh && aRun.mPrefill) {
+}
+
+void
+placement_table::NoteWork(const run_record& aRun, instant aNow)
+{
+  const double answer = mGuesses.MeanOf(aRun.mAnswerTokens);
+  mAsked[aRun.mDecode].mHeldTokens += answer * (aRun.mPromptTokens + answer / 2.0);
+  const service_runner_id reader = aRun.mPrefill ? aRun.mPrefill : aRun.mDecode;
+  mAsked[reader].mReadTokens += aRun.mPromptTokens;
+  if (aRun.mPrefill) {
     QueueOf(aRun.mPrefill).Add(aRun.mRun, aRun.mPromptTokens, aNow);
+  } else {
+    mDecodes[aRun.mDecode].mReadsUntil = aNow + OwnReadTime(aRun.mPromptTokens);
   }
 }
 
@@ -502,7 +513,7 @@
 {
   prompt_queue& queue = QueueOf(aPrefill);
   queue.NoteRead(aRun, aTook, aNow);
-  mReadSpeed += kSpeedWeight * (queue.TokensPerMicro() - mReadSpeed);
+  mReadSpeed.Learn(queue.TokensPerMicro());
 }
 
 void
@@ -526,9 +537,10 @@
   if (aRun.mPaced == 0) {
     return;
   }
+  const double pace = Micros(aRun.mTook) / aRun.mPaced;
   decode_state& state = mDecodes[run.mDecode];
-  state.mMicrosPerToken +=
-    kSpeedWeight * (Micros(aRun.mTook) / aRun.mPaced - state.mMicrosPerToken);
+  state.mMicrosPerToken += kPaceWeight * (pace - state.mMicrosPerToken);
+  mPace.Learn(pace);
   const bool readBeside = run.mPrefill && state.mReadsUntil > aNow - aRun.mTook;
   if (readBeside) {
     mPauses.Learn(aRun.mLongestGap, aNow);
@@ -577,6 +589,7 @@
   });
   std::erase_if(mDecodes, [&](const auto& aRow) { return aRunners.Find(aRow.first) == nullptr; });
   std::erase_if(mPrefills, [&](const auto& aRow) { return aRunners.Find(aRow.first) == nullptr; });
+  std::erase_if(mAsked, [&](const auto& aRow) { return aRunners.Find(aRow.first) == nullptr; });
 }
 
 std::vector<run_record>
@@ -591,14 +604,19 @@
   return runs;
 }
 
-std::map<service_runner_id, std::size_t>
-placement_table::RunsByEngine() const
+engine_work
+placement_table::Work() const
 {
-  std::map<service_runner_id, std::size_t> counts;
-  for (const auto& [id, run] : mRuns) {
-    ++counts[run.mDecode];
+  engine_work work;
+  for (const auto& [id, engine] : mByEngine) {
+    work.mLoads[id].mRuns = engine.mRuns.size();
+  }
+  for (const auto& [id, asked] : mAsked) {
+    work.mLoads[id].mReadTokens = asked.mReadTokens;
+    work.mLoads[id].mHeldTokens = asked.mHeldTokens;
   }
-  return counts;
+  work.mSpeeds = { mReadSpeed.Or(0.0), mPace.Or(0.0) };
+  return work;
 }
 
 std::uint32_t
--- a/src/forward/placement.h
+++ b/src/forward/placement.h
@@ -9,6 +9,7 @@
  */
 #pragma once
 
+#include "forward/learned_mean.h"
 #include "forward/memory_forecast.h"
 #include "forward/placement_type.h"
 #include "forward/prompt_queue.h"
@@ -73,8 +74,8 @@
 
   /** @return runs that this daemon placed. */
   std::vector<run_record> OwnRuns() const;
-  /** @return runs under way by decode engine. */
-  std::map<service_runner_id, std::size_t> RunsByEngine() const;
+  /** @return what engines have to do and how quickly they do it. */
+  engine_work Work() const;
   std::size_t RunCount() const { return mRuns.size(); }
   /** @return tokens reserved at the engine for a demand. */
   std::uint32_t ReservedTokens(const generation_demand& aDemand) const;
@@ -94,6 +95,12 @@
     std::set<run_id> mRuns;      ///< Each is in the table of runs.
     std::uint64_t mPromised = 0; ///< Tokens: their prompts, and their answers as guessed.
   };
+  /** All work that an engine was given, see engine_load. */
+  struct asked_work
+  {
+    double mReadTokens = 0.0; ///< Of prompts.
+    double mHeldTokens = 0.0; ///< Of runs.
+  };
   /** An engine that could read a demand's prompt. */
   struct prompt_reader
   {
@@ -153,6 +160,8 @@
   /** @return when a run has most likely ended. */
   instant EndOf(const run_record& aRun) const;
   std::vector<const run_record*> RunsOn(service_runner_id aDecode) const;
+  /** Notes what a run that is new here gives its engines to do. */
+  void NoteWork(const run_record& aRun, instant aNow);
   /** Takes a read that was never done out of an engine's queue. */
   void DropRead(const run_record& aRun);
   /** Takes a run out of both tables. */
@@ -171,6 +180,8 @@
   }
   /** @return the forecast of an engine from @p aFrom on. */
   memory_forecast ForecastOf(service_runner_id aDecode, instant aFrom) const;
+  /** @return tokens a microsecond that an engine reads of which nothing was seen. */
+  double ReadSpeed() const { return mReadSpeed.Or(kGuessedReadSpeed); }
   /** @return an engine's queue of reads; a new one takes its speed from the others. */
   prompt_queue& QueueOf(service_runner_id aPrefill);
   /** @return expected time until the prompt is read by an engine. */
@@ -189,12 +200,12 @@
   std::unordered_map<service_runner_id, engine_runs> mByEngine;
   std::unordered_map<service_runner_id, decode_state> mDecodes;  ///< By engine.
   std::unordered_map<service_runner_id, prompt_queue> mPrefills; ///< By engine.
+  std::unordered_map<service_runner_id, asked_work> mAsked;      ///< By engine.
   size_balance mSizes;                                           ///< Large and small requests.
   guess_model mGuesses;                                          ///< Of the answers' length.
-  /** Tokens a microsecond that engines read of late: what is expected of one that hasn't read yet.
-   */
-  double mReadSpeed = kGuessedReadSpeed;
-  reading_pauses mPauses; ///< Of runs beside which their engine read a prompt.
+  learned_mean mReadSpeed; ///< Tokens a microsecond that engines read: of one that hasn't yet.
+  learned_mean mPace;      ///< Microseconds for a token of a run, over all engines.
+  reading_pauses mPauses;  ///< Of runs beside which their engine read a prompt.
 };
 
 } // namespace dunehook
--- a/src/forward/placement_type.h
+++ b/src/forward/placement_type.h
@@ -7,6 +7,7 @@
 #include "forward/prompt_queue.h"
 #include "forward/runner_type.h"
 
+#include <map>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -120,6 +121,34 @@
   auto operator<=>(const run_record&) const = default;
 };
 
+/** What an engine has to do, and was given so far. */
+struct engine_load
+{
+  std::size_t mRuns = 0;    ///< Runs under way that it generates.
+  double mReadTokens = 0.0; ///< Of all prompts that it was asked to read.
+  /** Of all runs that it was given: tokens held, summed over the tokens that they make meanwhile.
+   */
+  double mHeldTokens = 0.0;
+
+  auto operator<=>(const engine_load&) const = default;
+};
+
+/** How quickly engines work, as means of what was seen of late. */
+struct engine_speeds
+{
+  double mReadTokensPerMicro = 0.0; ///< Of one that reads; zero if no read has ended yet.
+  double mMicrosPerToken = 0.0;     ///< Of one run that generates; zero if none has ended yet.
+
+  auto operator<=>(const engine_speeds&) const = default;
+};
+
+/** The work of all engines. */
+struct engine_work
+{
+  std::map<service_runner_id, engine_load> mLoads; ///< Those with nothing so far are left out.
+  engine_speeds mSpeeds;                           ///< Of all engines.
+};
+
 /** A run that ended well. */
 struct finished_run
 {
--- a/src/roles/role_keeper.h
+++ b/src/roles/role_keeper.h
@@ -49,8 +49,12 @@
   /** Looks at the plan once, and orders what is wanted if this daemon holds the term. */
   asio::awaitable<void> Tick(role_peers aPeers)
   {
+    const memory_lookup memory = [this](const std::string& aService) {
+      const std::optional<engine_traits> traits = mState.TraitsOf(aService);
+      return traits ? traits->mMemoryTokens : 0;
+    };
     const std::vector<role_change> wanted =
-      mPlanner.Plan(mState.mRunners, mState.mPlacement.RunsByEngine(), mState.Now());
+      mPlanner.Plan(mState.mRunners, mState.mPlacement.Work(), memory, mState.Now());
     if (wanted.empty() || mState.mStopping) {
       co_return;
     }
--- a/src/roles/role_plan.cpp
+++ b/src/roles/role_plan.cpp
@@ -24,21 +24,15 @@
 /** At the start nothing is running yet, and a change costs nothing. */
 constexpr duration kStartTime = std::chrono::seconds(8);
 
-/** How the engines of a service stand against what is wanted. */
-struct role_balance
-{
-  std::int64_t mReading = 0; ///< Engines that read, or were ordered to.
-  std::int64_t mWanted = 0;  ///< Engines that shall read.
-};
-
 } // namespace
 
 std::vector<role_change>
 role_planner::Plan(const runner_table& aRunners,
-                   const std::map<service_runner_id, std::size_t>& aRuns,
+                   const engine_work& aWork,
+                   const memory_lookup& aMemory,
                    instant aNow)
 {
-  mRuns = aRuns;
+  mEngines = aWork;
   if (mStarted == instant{ 0 }) {
     mStarted = aNow;
   }
@@ -50,24 +44,59 @@
   }
   std::vector<role_change> changes;
   for (const auto& [service, engines] : services) {
-    PlanService(service, engines, aNow, changes);
+    ObserveWork(service, engines, aNow);
+    PlanService(service, engines, aMemory(service), aNow, changes);
   }
   return changes;
 }
 
+void
+role_planner::ObserveWork(const std::string& aService,
+                          const std::vector<const runner_state*>& aEngines,
+                          instant aNow)
+{
+  double read = 0.0;
+  double held = 0.0;
+  for (const runner_state* const engine : aEngines) {
+    const auto load = mEngines.mLoads.find(engine->mId);
+    if (load != mEngines.mLoads.end()) {
+      read += load->second.mReadTokens;
+      held += load->second.mHeldTokens;
+    }
+  }
+  mWork[aService].Observe(read, held, aNow);
+}
+
+std::int64_t
+role_planner::ReadersWanted(const std::string& aService,
+                            const role_split& aSplit,
+                            std::uint64_t aMemory,
+                            instant aNow) const
+{
+  const engine_speeds& speeds = mEngines.mSpeeds;
+  const bool measured = speeds.mReadTokensPerMicro > 0.0 && speeds.mMicrosPerToken > 0.0;
+  const auto work = mWork.find(aService);
+  if (measured && aMemory > 0 && work != mWork.end() && work->second.Known(aNow)) {
+    return work->second.Readers(aSplit, speeds, static_cast<double>(aMemory));
+  }
+  const auto all = static_cast<double>(aSplit.mReading + aSplit.mGenerating);
+  return std::max<std::int64_t>(1, std::lround(mPrefillShare * all));
+}
+
 void
 role_planner::PlanService(const std::string& aService,
                           const std::vector<const runner_state*>& aEngines,
+                          std::uint64_t aMemory,
                           instant aNow,
                           std::vector<role_change>& aChanges)
 {
-  const double share = mPrefillShare * static_cast<double>(aEngines.size());
-  role_balance balance;
-  balance.mWanted = std::max<std::int64_t>(1, std::lround(share));
+  role_split split;
   for (const runner_state* const engine : aEngines) {
-    balance.mReading += RoleToCome(*engine, aNow) == engine_role::ePrefill ? 1 : 0;
+    const bool reads = RoleToCome(*engine, aNow) == engine_role::ePrefill;
+    ++(reads ? split.mReading : split.mGenerating);
   }
-  if (balance.mReading == balance.mWanted || aEngines.size() < 2) {
+  const std::int64_t wanted = ReadersWanted(aService, split, aMemory, aNow);
+  if (split.mReading == wanted || aEngines.size() < 2) {
     mOffSince.erase(aService);
     return;
   }
@@ -75,10 +104,10 @@
   if (aNow - mStarted > kStartTime && aNow - since < kSteadyFor) {
     return;
   }
-  const bool tooMany = balance.mReading > balance.mWanted;
+  const bool tooMany = split.mReading > wanted;
   const engine_role from = tooMany ? engine_role::ePrefill : engine_role::eDecode;
   const engine_role to = tooMany ? engine_role::eDecode : engine_role::ePrefill;
-  const std::int64_t missing = std::abs(balance.mReading - balance.mWanted);
+  const std::int64_t missing = std::abs(split.mReading - wanted);
   // The hall with the most engines of the role gives one, so that halls stay alike.
   engines_by_hall byHall;
   for (const runner_state* const engine : aEngines) {
@@ -123,8 +152,8 @@
       const int left = aByHall.at(aThis.mEntry.mHall);
       const int right = aByHall.at(aThat.mEntry.mHall);
       const auto runs = [&](const runner_state& aEngine) {
-        const auto found = mRuns.find(aEngine.mId);
-        return found == mRuns.end() ? 0 : found->second;
+        const auto found = mEngines.mLoads.find(aEngine.mId);
+        return found == mEngines.mLoads.end() ? 0 : found->second.mRuns;
       };
       if (left != right) {
         return left > right;
--- a/src/roles/role_plan.h
+++ b/src/roles/role_plan.h
@@ -6,7 +6,9 @@
 
 #include "forward/placement_type.h"
 #include "forward/runner_table.h"
+#include "roles/role_work.h"
 
+#include <functional>
 #include <map>
 #include <set>
 
@@ -21,10 +23,15 @@
   auto operator<=>(const role_change&) const = default;
 };
 
-/** Plans the roles of the engines of all services. */
+/** Tokens that an engine of a service holds; 0 if it isn't known. */
+using memory_lookup = std::function<std::uint64_t(const std::string& aService)>;
+
+/** Plans the roles of the engines of all services: at first by a share of them, then by the work
+ * that their traffic makes. */
 class role_planner
 {
 public:
+  /** @param aPrefillShare part of the engines that read, until the work is known. */
   explicit role_planner(double aPrefillShare)
     : mPrefillShare(aPrefillShare)
   {
@@ -32,11 +39,12 @@
 
   /**
    * Compares what engines do with what they should.
-   * @param aRuns runs under way by engine: they end before it changes.
+   * @param aWork what engines have to do; their runs end before they change.
    * @return changes wanted now: those that were wanted for a while, or any in the first moments.
    */
   std::vector<role_change> Plan(const runner_table& aRunners,
-                                const std::map<service_runner_id, std::size_t>& aRuns,
+                                const engine_work& aWork,
+                                const memory_lookup& aMemory,
                                 instant aNow);
   /** Notes that an engine was ordered, so that it's left alone until the order must be done. */
   void NoteOrdered(const role_change& aChange, instant aNow)
@@ -45,8 +53,18 @@
   }
 
 private:
+  /** Takes in the work of a service's engines. */
+  void ObserveWork(const std::string& aService,
+                   const std::vector<const runner_state*>& aEngines,
+                   instant aNow);
+  /** @return how many engines of a service should read. */
+  std::int64_t ReadersWanted(const std::string& aService,
+                             const role_split& aSplit,
+                             std::uint64_t aMemory,
+                             instant aNow) const;
   void PlanService(const std::string& aService,
                    const std::vector<const runner_state*>& aEngines,
+                   std::uint64_t aMemory,
                    instant aNow,
                    std::vector<role_change>& aChanges);
   /** @return the role an engine has, or will have once a recent order is done. */
@@ -65,7 +83,7 @@
                                    const engines_by_hall& aByHall,
                                    const std::set<service_runner_id>& aChosen) const;
 
-  double mPrefillShare; ///< Part of the engines that read.
+  double mPrefillShare; ///< Part of the engines that read, until the work is known.
   /** An order that was given. */
   struct given_order
   {
@@ -74,7 +92,8 @@
   };
 
   std::map<service_runner_id, given_order> mOrdered; ///< Last order by engine.
-  std::map<service_runner_id, std::size_t> mRuns;    ///< Runs under way, of the last call.
+  engine_work mEngines;                              ///< Of the last call.
+  std::map<std::string, role_work> mWork;            ///< By service.
   std::map<std::string, instant> mOffSince;          ///< By service: since when the plan isn't met.
   instant mStarted{ 0 };                             ///< First call.
 };
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -189,9 +189,9 @@
     demand.mFirstEventWithin = 1h;
     Begin(demand, *Choose(demand).mChoice, kNow);
   }
-  const auto runs = mPlacement.RunsByEngine();
-  CHECK(runs.at(RunnerIdOf("near")) <= 5);
-  CHECK(runs.at(RunnerIdOf("far")) >= 3);
+  const auto loads = mPlacement.Work().mLoads;
+  CHECK(loads.at(RunnerIdOf("near")).mRuns <= 5);
+  CHECK(loads.at(RunnerIdOf("far")).mRuns >= 3);
 }
 
 TEST(placement, AReadThatWouldBeLateIsRefused)
@@ -511,9 +511,40 @@
     }
     mRunners.Apply({ entries, { 0, ++mListings } }, aNow, false);
   }
+  /** Plays a load: 10.4 generations a second, on engines that read so many tokens a microsecond.
+   * @return changes that were wanted; each is ordered as it's wanted. */
+  std::vector<role_change> PlayLoad(double aReadSpeed)
+  {
+    constexpr double kReadRate = 33300.0; // Tokens a second.
+    constexpr double kHeldRate = 25.8e6;  // Tokens held, over the tokens made, a second.
+    constexpr double kMicrosPerToken = 5500.0;
+    const auto memory = [](const std::string&) { return std::uint64_t{ 41191 }; };
+    std::vector<role_change> all;
+    for (duration passed{ 0 }; passed < 30s; passed += 700ms) {
+      engine_work work;
+      work.mSpeeds = { aReadSpeed, kMicrosPerToken };
+      work.mLoads[RunnerIdOf("p0")].mReadTokens = kReadRate * ToSeconds(passed);
+      work.mLoads[RunnerIdOf("d0")].mHeldTokens = kHeldRate * ToSeconds(passed);
+      for (const role_change& change : mPlanner.Plan(mRunners, work, memory, kNow + passed)) {
+        mPlanner.NoteOrdered(change, kNow + passed);
+        all.push_back(change);
+      }
+      if (passed == 14s) { // Done, if there was any.
+        ListDone(all, kNow + passed);
+      }
+    }
+    return all;
+  }
+  /** Lists two engines that read and seven that generate, after changes. */
+  void ListDone(const std::vector<role_change>& aChanges, instant aNow)
+  {
+    const auto reads = static_cast<int>(aChanges.size());
+    List(2 + reads, 7 - reads, aNow);
+  }
   std::vector<role_change> Plan(instant aNow = kNow)
   {
-    return mPlanner.Plan(mRunners, {}, aNow);
+    const auto memory = [](const std::string&) { return std::uint64_t{ 0 }; };
+    return mPlanner.Plan(mRunners, {}, memory, aNow);
   }
 };
 
@@ -571,6 +602,22 @@
   CHECK(Plan(kNow + 1s).empty());
 }
 
+// On a deployment whose engines read half as fast, two of nine can't read what comes.
+TEST(roles, WhereEnginesReadSlowlyMoreOfThemRead)
+{
+  List(2, 7);
+  const std::vector<role_change> changes = PlayLoad(0.016);
+  CHECK_EQUAL(1U, changes.size());
+  CHECK(changes[0].mRole == engine_role::ePrefill);
+}
+
+// Two are right for the same load on quicker engines: none is taken out of work.
+TEST(roles, WhereTheSplitSuitsTheWorkItStays)
+{
+  List(2, 7);
+  CHECK(PlayLoad(0.0333).empty());
+}
+
 TEST(roles, TheLastEngineKeepsItsRole)
 {
   List(0, 1);
