--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -47,10 +47,8 @@
 constexpr double kDecodeReadShare = 0.5;
 /** Waiting for a prefill engine beyond this makes reading at the decode engine the better way. */
 constexpr double kDecodeReadPenaltyMicros = 400000.0;
-/** Decode engines that are looked at closely for one demand. With every one of 2,400 compared to
- * every one of 600 readers a question took 69 ms of a core, longer than an asker waits for its
- * answer; the emptiest 96, each with the readers that may still be cheapest, take 1.2 to 1.5 ms
- * (placing_load.AQuestionAmongThousandsOfEnginesIsAnsweredInTime). */
+/** Decode engines that are looked at closely for one demand, the emptiest ones: an asker doesn't
+ * wait for a comparison of thousands. */
 constexpr std::size_t kMostLooks = 96;
 /** Weight of the newest measurement of a pace. */
 constexpr double kPaceWeight = 0.1;
--- a/src/forward/placement_type.h
+++ b/src/forward/placement_type.h
@@ -18,8 +18,7 @@
  * some ends. */
 inline constexpr duration kFullRest = std::chrono::milliseconds(60);
 /** The rest doubles with each refusal after a rest, up to this: an engine that goes on refusing
- * holds more than anybody has told of, and a run takes some seconds to end. Two such engines were
- * asked in vain 194 times in 10 s with the first rest alone (replay of a day with 12 runners). */
+ * holds more than anybody has told of, and a run takes some seconds to end. */
 inline constexpr duration kLongestFullRest = std::chrono::milliseconds(960);
 
 /** Knobs of placement; the defaults are those of the settings. */
@@ -27,10 +26,7 @@
 {
   /** Part of an engine's memory that the forecast may fill. */
   double mMemoryShare = 0.97;
-  /** Standard deviations that the forecast adds to the expected use of memory. With all runs known
-   * to one daemon, 2.5 and 2.0 were worth the same on a day of 295 hosts and 64 engines (0.607,
-   * 0.609): 2.0 served 0.771 of the worth, against 0.751, and had 210 of 2,639 runs put back,
-   * against 75 of 2,617. On 14 days of 7 or 8 hosts 2.0 was worth 0.008 more on average. */
+  /** Standard deviations that the forecast adds to the expected use of memory. */
   double mCaution = 2.25;
   /** Part of an engine's memory that large requests leave to smaller ones. */
   double mLargeReserve = 0.12;
@@ -41,7 +37,7 @@
   double mReturnedReserve = 1.0;
   /** Part of the guessed answer that is reserved at the engine before the prompt is read. */
   double mReservedShare = 0.3;
-  /** Part of the engines that read prompts. */
+  /** Part of the engines that read prompts, until their work is known. */
   double mPrefillShare = 0.22;
   /** Decode engines read prompts themselves where prefill engines are behind. */
   bool mDecodeReads = true;
--- a/src/forward/placing_desk.h
+++ b/src/forward/placing_desk.h
@@ -18,14 +18,12 @@
 namespace dunehook {
 
 /** Tries for questions that wait, on one tick, so that those that come in a peak aren't kept
- * waiting behind them: all looks together cost 1.1 to 1.4 ms of a core a generation with 64 engines
- * (placing_load.AQuestionAmongManyEnginesIsCheap). */
+ * waiting behind them. */
 inline constexpr std::size_t kMostTriesOnTick = 6;
 
 /** A question waits only where this part of the places that are given meanwhile, at the rate of
- * late, is enough for it and all before it: else it's refused at once. On 2.2 times what the
- * engines take (placing_return) 240 waits of 2,081 callers were in vain with it, 331 where all may
- * wait, and 1,764 and 1,776 were served in time. */
+ * late, is enough for it and all before it: else it's refused at once, since it would wait in
+ * vain. */
 inline constexpr double kSureShare = 0.8;
 /** So many may wait however few places were given lately: at a start none were. */
 inline constexpr double kLeastServed = 8.0;
--- a/src/forward/return_plan.h
+++ b/src/forward/return_plan.h
@@ -15,15 +15,13 @@
 namespace dunehook {
 
 /** Part of the latency target in which a new request may wait for a place: what is left is enough
- * for the read, as long as its queue is short. On 2.2 times what the engines take for 4.5 s
- * (placing_return) 1,736 of 2,081 callers were served in time with 0.2, 1,764 with 0.5. */
+ * for the read, as long as its queue is short. */
 inline constexpr double kWaitShare = 0.5;
 /** The same once an engine has refused a new request the place that it was given: what is known of
  * the engines is wrong, and so is what was expected of the wait. */
 inline constexpr double kRefusedWaitShare = 0.2;
-/** Longest wait of a request whose caller was refused before: about the time of a run, in which
- * each engine's memory comes free once. On a load of 2.2 times what the engines take for 4.5 s
- * (placing_return) 49 of 2,081 callers got no answer with 0.18 s, 31 with 3 s. */
+/** Longest wait of a request whose caller has come back: about the time of a run, in which each
+ * engine's memory comes free once. */
 inline constexpr duration kReturnedWait = std::chrono::seconds(3);
 /** Part of the time until its caller's deadline that a request may wait: the rest is for its run.
  */
@@ -36,7 +34,7 @@
 struct place_wait
 {
   duration mNew{ 0 };      ///< If its caller asks for the first time.
-  duration mReturned{ 0 }; ///< If it was refused before, by any daemon.
+  duration mReturned{ 0 }; ///< If its caller has come back.
 
   /** @param aTarget the route's latency target. @param aTimeLeft until the caller's deadline. */
   static place_wait Make(duration aTarget, duration aTimeLeft)
--- a/src/roles/role_keeper.h
+++ b/src/roles/role_keeper.h
@@ -19,7 +19,7 @@
  */
 inline constexpr duration kTermFresh = std::chrono::milliseconds(400);
 /** A daemon takes no term before it has run for so long: until it has heard the others, it takes
- * itself for the first of them. 295 daemons that started together made 1,825 tries to take one. */
+ * itself for the first of them. */
 inline constexpr duration kHearsOthersFor = std::chrono::milliseconds(2500);
 /** After a term went to another daemon, none is asked for until that one has been heard. */
 inline constexpr duration kTermLostRest = std::chrono::seconds(5);
