Fix: [Forward] a generating engine reads no prompt that doesn't fit between two events of its runs

There an event holds 64 tokens, so a whole prompt is read between two events; the learned pauses ruled such reads out only once runs had ended. Change: the former bound on a prompt's length holds again, beside what is learned of the pauses. Test: placement.ADecodeEngineGoesOnReadingShortPromptsWhereItsRunsStayInTime (a prompt of 15,000 tokens is not read there).

--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -31,6 +31,8 @@
 constexpr duration kTooLateRest = std::chrono::milliseconds(300);
 /** A decode engine that has read a prompt rests this long before the next: its runs catch up. */
 constexpr duration kDecodeReadRest = std::chrono::milliseconds(350);
+/** Part of the longest pause between events that a read at a decode engine may take. */
+constexpr double kPausePart = 0.85;
 /** Weight of a run where engines are chosen by the number of runs. */
 constexpr double kRunWeight = 0.05;
 /** Runs of others are dropped this long after their expected end if nobody said that they ended. */
@@ -88,6 +90,16 @@
   return (failedThis ? kFailedThisMicros : 0.0) + kFailureMicros * share;
 }
 
+/** @return whether a prompt is short enough to be read by a decode engine between two events of its
+ * runs. Where an event holds many tokens the whole prompt is read between two, so that a long one
+ * would make all runs of the engine late before any of them tells. */
+bool
+FitsBetweenEvents(const generation_demand& aDemand, double aEventMicros)
+{
+  const double read = aDemand.mPromptTokens / (kGuessedReadSpeed * kDecodeReadShare);
+  return read + aEventMicros < kPausePart * Micros(aDemand.mEventGap);
+}
+
 /** @return what an engine's load, failures and way weigh, as waiting. */
 double
 BaseCost(const runner_state& aDecode, const generation_demand& aDemand, double aLoad)
@@ -401,7 +413,8 @@
   const bool reads = std::any_of(runs.begin(), runs.end(), [&](const run_record* aRun) {
     return !aRun->mPrefill && aRun->mMadeTokens == 0 && aRun->mSeen + kDecodeReadRest > aNow;
   });
-  const bool mayRead = mTuning.mDecodeReads && !reads && mPauses.Fit(aDemand.mEventGap, aNow);
+  const bool mayRead = mTuning.mDecodeReads && !reads && FitsBetweenEvents(aDemand, event) &&
+                       mPauses.Fit(aDemand.mEventGap, aNow);
   if (aSets.mReaders.empty() || mayRead) {
     consider(std::nullopt, ownRead, aSets.mReaders.empty() ? 0.0 : kDecodeReadPenaltyMicros);
   }
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -72,12 +72,6 @@
   {
     return mPlacement.Choose(aDemand, Traits(), mRunners, aNow);
   }
-  /** @return the demand with so little time that a long prompt can't be read at a decode engine. */
-  static generation_demand Urgent(generation_demand aDemand)
-  {
-    aDemand.mFirstEventWithin = 300ms;
-    return aDemand;
-  }
   /** Lets a run end on engine "d" beside which it read a prompt. */
   void EndBesideRead(duration aLongestGap, instant aNow)
   {
@@ -201,7 +195,7 @@
     generation_demand demand = Demand(++mRuns);
     Begin(demand, { RunnerIdOf("other"), RunnerIdOf("p"), 0ms, 0ms, 0.0 }, kNow);
   }
-  const placement_answer answer = Choose(Urgent(Demand(++mRuns, 9000)));
+  const placement_answer answer = Choose(Demand(++mRuns, 9000));
   CHECK_FALSE(answer.mChoice.has_value());
   CHECK(answer.mReason == no_place::eTooLate);
 }
@@ -252,9 +246,7 @@
   CHECK_FALSE(Choose(Demand(++mRuns, 2000)).mChoice.has_value());
 }
 
-// Prompts are read in pieces between the tokens of the engine's runs, so also a long one keeps them
-// waiting only for as long as a piece takes. What a piece takes is seen in the runs beside it.
-TEST(placement, ADecodeEngineReadsLongPromptsWhereItsRunsStayInTime)
+TEST(placement, ADecodeEngineGoesOnReadingShortPromptsWhereItsRunsStayInTime)
 {
   List({ Engine("p", engine_role::ePrefill), Engine("d", engine_role::eDecode) });
   for (int run = 0; run < 6; ++run) {
@@ -262,9 +254,10 @@
   }
   const instant later = kNow + 20s;
   PutBehind(later);
-  const placement_answer answer = Choose(Demand(++mRuns, 15000), later);
+  const placement_answer answer = Choose(Demand(++mRuns, 2000), later);
   CHECK(answer.mChoice.has_value());
   CHECK_FALSE(answer.mChoice->mPrefill.has_value());
+  CHECK_FALSE(Choose(Demand(++mRuns, 15000), later).mChoice.has_value()); // Too long for a pause.
 }
 
 TEST(placement, ADecodeEngineReadsNoPromptsWhereItsRunsPauseTooLong)
@@ -283,7 +276,7 @@
   runner_entry newer = Engine("p", engine_role::ePrefill);
   newer.mModels["m"] = 2;
   List({ newer, Engine("d", engine_role::eDecode) });
-  const placement_answer answer = Choose(Urgent(Demand(1, 9000)));
+  const placement_answer answer = Choose(Demand(1, 9000));
   CHECK_FALSE(answer.mChoice.has_value());
 }
 
@@ -292,7 +285,7 @@
   List({ Engine("p", engine_role::ePrefill),
          Engine("q", engine_role::ePrefill, "b"),
          Engine("d", engine_role::eDecode) });
-  generation_demand demand = Urgent(Demand(1, 9000)); // Too long for a decode engine.
+  generation_demand demand = Demand(1, 9000); // Too long for a read at the decode engine.
   CHECK(Choose(demand).mChoice->mPrefill == RunnerIdOf("p"));
   demand.mFailed = { RunnerIdOf("p") };
   CHECK(Choose(demand).mChoice->mPrefill == RunnerIdOf("q"));
