Cleanup: [Forward] the time of a decode engine's own read is worked out in one place

Cause: read once more, ConsiderReads still wrote out what OwnReadTime gives. Change: it calls OwnReadTime; the same expression, no behaviour changes. Checked: forward_tests 137 of 137, format.

--- a/src/forward/placement.cpp
+++ b/src/forward/placement.cpp
@@ -408,7 +408,7 @@
                reader.mFailureMicros + (sameHall ? 0.0 : kOtherHallMoveMicros));
     }
   }
-  const duration ownRead = FromMicros(aDemand.mPromptTokens / (ReadSpeed() * kDecodeReadShare));
+  const duration ownRead = OwnReadTime(aDemand.mPromptTokens);
   // The engine's other runs pause while it reads, so it reads one prompt at a time, with rests.
   const bool reads = std::any_of(runs.begin(), runs.end(), [&](const run_record* aRun) {
     return !aRun->mPrefill && aRun->mMadeTokens == 0 && aRun->mSeen + kDecodeReadRest > aNow;
