Add: [Forward] lines on broken runs name what the tries of one request have in common

Lines on broken runs and lost answers named the try's own id and the runner; two tries of one request couldn't be known for the same. They now have a fingerprint (method, host, target, body, the prompt's own part; the caller's address where there is no prompt), the caller's address and the age of the run, and dunehook_answers_broken_total counts them.

--- a/src/forward/caller_session.cpp
+++ b/src/forward/caller_session.cpp
@@ -233,6 +233,14 @@
   mOnGone = std::move(aCallback);
 }
 
+std::string
+caller_exchange::CallerAddress() const
+{
+  boost::system::error_code error;
+  const tcp::endpoint remote = mStream.socket().remote_endpoint(error);
+  return error ? std::string() : remote.address().to_string();
+}
+
 void
 caller_exchange::NoteGone()
 {
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -53,6 +53,9 @@
   const std::shared_ptr<const std::string>& Body() const { return mBody; }
   std::string_view Target() const { return { mRequest.target().data(), mRequest.target().size() }; }
 
+  /** @return the address of the caller's host, without the port; empty once it has closed. */
+  std::string CallerAddress() const;
+
   /** Sends a whole answer. */
   asio::awaitable<void> Answer(unsigned aStatus, const http::fields& aHead, std::string_view aBody);
   /**
--- a/src/forward/gateway_metrics.cpp
+++ b/src/forward/gateway_metrics.cpp
@@ -40,6 +40,8 @@
   , mGaps(Histograms(mRegistry,
                      "dunehook_longest_gap_seconds",
                      "Longest pause between two events of a stream."))
+  , mBroken(
+      Counters(mRegistry, "dunehook_answers_broken_total", "Sends that gave no whole answer."))
   , mPlaces(Counters(mRegistry, "dunehook_places_total", "Places asked for, by outcome."))
   , mNotices(Counters(mRegistry,
                       "dunehook_runner_notices_total",
@@ -89,6 +91,12 @@
   mGaps->Add({ { "route", RouteLabel(aRoute) } }, kGapBounds).Observe(aSeconds);
 }
 
+void
+gateway_metrics::CountBroken(const std::string& aRoute)
+{
+  mBroken->Add({ { "route", RouteLabel(aRoute) } }).Increment();
+}
+
 void
 gateway_metrics::CountPlace(std::string_view aOutcome)
 {
--- a/src/forward/gateway_metrics.h
+++ b/src/forward/gateway_metrics.h
@@ -37,6 +37,8 @@
   void ObserveGap(const std::string& aRoute, double aSeconds);
   /** Counts an answer in which a runner says something of itself: "leaves", "wants_nothing". */
   void CountNotice(std::string_view aNotice);
+  /** Counts an answer that broke off, or never came, after the request was sent to a runner. */
+  void CountBroken(const std::string& aRoute);
   /** Counts a place that was asked for at an engine, by what came of it. */
   void CountPlace(std::string_view aOutcome);
   /** Counts prompt tokens: "read", or thrown away for a reason. */
@@ -59,6 +61,7 @@
   prometheus::Family<prometheus::Counter>* mRequests; ///< By route, outcome, reason.
   prometheus::Family<prometheus::Histogram>* mFirst;  ///< By route.
   prometheus::Family<prometheus::Histogram>* mGaps;   ///< By route.
+  prometheus::Family<prometheus::Counter>* mBroken;   ///< By route.
   prometheus::Family<prometheus::Counter>* mPlaces;   ///< By outcome.
   prometheus::Family<prometheus::Counter>* mNotices;  ///< By notice.
   prometheus::Family<prometheus::Counter>* mPrompts;  ///< Tokens, by what became of them.
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -199,6 +199,7 @@
     plan.mReservation = mPlace.UseReservation();
     plan.mPrefillAt = mRead.At();
     plan.mRunner = mPlace.Choice().mDecode;
+    mRunBegan = mState.Now();
     upstream_answer answer = co_await SendToRunner<Wire>(
       mState, *mExchange, mPlace.DecodeAt(), plan, mFacts.mId, true, TimeLeft() + kAnswerSlack);
     if (mExchange->Gone()) {
@@ -371,7 +372,11 @@
                        mFacts.mId,
                        { { "runner", mPlace.DecodeName() },
                          { "events", mEvents.Count() },
-                         { "resumable", mRoute.mResumable } });
+                         { "resumable", mRoute.mResumable },
+                         { "began_ms", (mState.Now() - mRunBegan).count() / 1000 },
+                         { "fingerprint", FingerprintOf(*mExchange, mFacts).mValue },
+                         { "caller", mExchange->CallerAddress() } });
+    mState.mMetrics.CountBroken(mRoute.mName);
     const bool mayGoOn = mRoute.mResumable && mSends < mRoute.mMaxRunners &&
                          TimeLeft() > mRoute.mFirstAnswer && !mExchange->Gone();
     if (mayGoOn && TakeReplacement(kSendsOfPlacement)) {
@@ -508,6 +513,7 @@
   double mSendsForRead = 0.0;                 ///< Sends too many by the last read that failed.
   std::uint32_t mReads = 0;                   ///< Reads that failed.
   std::uint32_t mHandoffsLost = 0;            ///< Handoffs that were refused.
+  instant mRunBegan{ 0 };                     ///< When the last run was sent.
   duration mLongestGap{ 0 };                  ///< Longest pause between events passed on.
   bool mStarted = false;                      ///< The caller has the head of the answer.
   bool mUnknown = false;                      ///< It may have run somewhere.
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -189,7 +189,10 @@
                        { { "runner", mRunnerName },
                          { "outcome", OutcomeName(OutcomeOf(aAnswer)) },
                          { "may_repeat", MayRepeat() },
-                         { "sends", mSends } });
+                         { "sends", mSends },
+                         { "fingerprint", FingerprintOf(*mExchange, mFacts).mValue },
+                         { "caller", mExchange->CallerAddress() } });
+    mState.mMetrics.CountBroken(mRoute.mName);
     mUnknown = true;
     if (MayRepeat() && TakeRepeat()) {
       co_return true;
--- a/src/forward/upstream_send.cpp
+++ b/src/forward/upstream_send.cpp
@@ -59,6 +59,24 @@
   return out;
 }
 
+request_fingerprint
+FingerprintOf(const caller_exchange& aExchange, const request_facts& aFacts)
+{
+  const auto& request = aExchange.Request();
+  const auto method = request.method_string();
+  const auto host = request[http::field::host];
+  // A prompt is the same whoever asks; an address that is asked for without a body is not.
+  const std::string caller = aFacts.mPromptKey == 0 ? aExchange.CallerAddress() : std::string();
+  request_identity identity;
+  identity.mMethod = { method.data(), method.size() };
+  identity.mHost = { host.data(), host.size() };
+  identity.mTarget = aExchange.Target();
+  identity.mCaller = caller;
+  identity.mPromptKey = aFacts.mPromptKey;
+  identity.mBody = *aExchange.Body();
+  return FingerprintOf(identity);
+}
+
 asio::awaitable<result<void>>
 ReadBody(upstream_connection& aConnection, std::string& aOut, std::size_t aMost, duration aLimit)
 {
--- a/src/forward/upstream_send.h
+++ b/src/forward/upstream_send.h
@@ -9,6 +9,7 @@
 #include "core/text_func.h"
 #include "forward/forward_state.h"
 #include "forward/wire_type.h"
+#include "quarantine/request_fingerprint.h"
 
 namespace dunehook {
 
@@ -157,6 +158,10 @@
   return silent ? send_outcome::eUnreachable : send_outcome::eFailed;
 }
 
+/** @return what a caller's request is known by among tries. */
+request_fingerprint
+FingerprintOf(const caller_exchange& aExchange, const request_facts& aFacts);
+
 /** Gives a connection back: from then on it's not this caller's to end. */
 inline void
 GiveBack(forward_state& aState,
