Add: [Test] known red: a request that crashes its runners is sent on without end

The stand-in's runners crash on requests with a text in path or body and are back under another id. Nine tests fail on the code as it is: a request that crashed three runners reaches further ones by the same daemon, by others, by many tries at once, by resumed streams, by plain requests, by daemons that start later, stood still or were all killed. One passes and must go on passing: all callers are served after all engines have failed three times.

--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -2,8 +2,8 @@
  * @file fleet.cpp
  * Stand-in of the users' platform: the store of configuration, runners and terms, and any number of
  * runners, in one process. A test sets faults over the control address, and reads what runners saw.
- * Control calls: POST /control/config, /control/server?id=, /control/store, /control/runner?id=;
- * GET /control/seen, /control/holds, /control/terms.
+ * Control calls: POST /control/config, /control/server?id=, /control/store, /control/runner?id=,
+ * /control/crash?id=; GET /control/seen, /control/holds, /control/terms, /control/crashes.
  */
 #include "core/text_func.h"
 #include "standins/common/standin.h"
@@ -31,6 +31,8 @@
 constexpr std::size_t kPageKb = 1024;
 /** Time between looks whether a held read goes on. */
 constexpr duration kLookAtMode = std::chrono::milliseconds(5);
+/** Time from the begin of a run that crashes its runner to the crash. */
+constexpr duration kCrashAfter = std::chrono::milliseconds(40);
 
 std::string
 BigEndian(std::uint64_t aNumber, std::size_t aBytes)
@@ -74,6 +76,17 @@
     return { { "items", items }, { "more", false }, { "end", mRecords.size() } };
   }
 
+  /** @return the newest value of a key; empty if it has none. */
+  std::string Last(const std::string& aKey) const
+  {
+    for (auto one = mRecords.rbegin(); one != mRecords.rend(); ++one) {
+      if (one->mKey == aKey) {
+        return one->mValue;
+      }
+    }
+    return {};
+  }
+
   /** @return whole records from an offset on, as many as @p aMost bytes hold, and at least one. */
   std::string ReadFrom(std::size_t aFrom, std::size_t aMost) const
   {
@@ -104,6 +117,12 @@
   int mOpenRuns = 0;                     ///< Requests that it works on.
   bool mLeaves = false;                  ///< It says in all its answers that it leaves.
   std::string mRetryAfter;               ///< Seconds that it adds to a 503; empty for none.
+  std::string mCrashesOn;                ///< Requests with this in path or body crash it; or empty.
+  duration mDownFor{ 0 };                ///< Time from a crash to its next life.
+  bool mDown = false;                    ///< It crashed and isn't back.
+  int mLives = 1;                        ///< Lives so far; all but the first have ids of their own.
+  std::string mName;                     ///< Id of its first life.
+  std::set<tcp::socket*> mSockets;       ///< Open connections.
 };
 
 /** The stand-in. */
@@ -261,6 +280,10 @@
       mSlowStore = std::chrono::milliseconds(body.value("slow_ms", kSlowStore.count() / 1000));
     } else if (aWhat == "runner") {
       answer = SetRunner(id, body);
+    } else if (aWhat == "crash") {
+      Crash(mRunners.at(id));
+    } else if (aWhat == "crashes") {
+      answer["crashes"] = mCrashes;
     } else if (aWhat == "seen") {
       answer["seen"] = mSeen;
       answer["store_calls"] = mStoreCalls;
@@ -296,7 +319,13 @@
                                                                {},
                                                                0,
                                                                false,
-                                                               "" });
+                                                               "",
+                                                               "",
+                                                               duration{ 0 },
+                                                               false,
+                                                               1,
+                                                               aId,
+                                                               {} });
       found = mRunners.emplace(aId, runner).first;
       Spawn(mIo, Accept(runner));
     }
@@ -307,6 +336,9 @@
     runner.mFree = aBody.value("free", runner.mFree);
     runner.mLeaves = aBody.value("leaves", false);
     runner.mRetryAfter = aBody.value("retry_after", "");
+    runner.mCrashesOn = aBody.value("crashes_on", runner.mCrashesOn);
+    runner.mDownFor =
+      std::chrono::milliseconds(aBody.value("down_ms", runner.mDownFor.count() / 1000));
     if (aBody.value("reborn", false)) {
       runner.mHolds.clear();
     }
@@ -316,16 +348,69 @@
   asio::awaitable<void> Accept(std::shared_ptr<fake_runner> aRunner)
   {
     for (;;) {
-      tcp::socket socket = co_await aRunner->mAcceptor.async_accept(asio::use_awaitable);
+      boost::system::error_code error;
+      tcp::socket socket =
+        co_await aRunner->mAcceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+      if (error) {
+        co_return; // It crashed; its next life accepts anew.
+      }
       Spawn(mIo, Session(aRunner, std::move(socket)));
     }
   }
 
+  /** Ends a runner's life: its connections are reset, and its port refuses until the next one. */
+  void Crash(std::shared_ptr<fake_runner> aRunner)
+  {
+    if (aRunner->mDown) {
+      return;
+    }
+    aRunner->mDown = true;
+    aRunner->mHolds.clear();
+    mCrashes.push_back(
+      { { "runner", aRunner->mId }, { "at_ms", steady_clock_source{}.Now().count() / 1000 } });
+    const endpoint at = AddressOf(aRunner->mAcceptor);
+    boost::system::error_code ignored; // The socket may be closed already.
+    aRunner->mAcceptor.close(ignored);
+    for (tcp::socket* const socket : aRunner->mSockets) {
+      socket->set_option(asio::socket_base::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+    Spawn(mIo, Revive(aRunner, at));
+  }
+
+  /** Begins a runner's next life at its address, under an id of its own. */
+  asio::awaitable<void> Revive(std::shared_ptr<fake_runner> aRunner, endpoint aAt)
+  {
+    co_await Sleep(aRunner->mDownFor);
+    auto acceptor = OpenAcceptor(mIo, aAt);
+    aRunner->mAcceptor = std::move(acceptor.value());
+    const std::string former = aRunner->mId;
+    aRunner->mId = Join(aRunner->mName, ".", ++aRunner->mLives);
+    topic& listed = mTopics["keyed.servers"];
+    const std::string entry = listed.Last(former);
+    listed.Append(former, "");
+    listed.Append(aRunner->mId, entry);
+    mChanged.Notify();
+    aRunner->mDown = false;
+    Spawn(mIo, Accept(aRunner));
+  }
+
+  /** Crashes a runner a moment after a run has begun. */
+  asio::awaitable<void> CrashSoon(std::shared_ptr<fake_runner> aRunner)
+  {
+    const int life = aRunner->mLives;
+    co_await Sleep(kCrashAfter);
+    if (life == aRunner->mLives) {
+      Crash(aRunner);
+    }
+  }
+
   asio::awaitable<void> Session(std::shared_ptr<fake_runner> aRunner, tcp::socket aSocket)
   {
     beast::tcp_stream stream(std::move(aSocket));
     beast::flat_buffer buffer;
     bool open = true;
+    aRunner->mSockets.insert(&stream.socket());
     while (open) {
       http::request<http::string_body> request;
       boost::system::error_code error;
@@ -334,10 +419,11 @@
       open = !error;
       if (open) {
         ++aRunner->mOpenRuns;
-        open = co_await Answer(*aRunner, stream, request);
+        open = co_await Answer(aRunner, stream, request);
         --aRunner->mOpenRuns;
       }
     }
+    aRunner->mSockets.erase(&stream.socket());
   }
 
   static asio::awaitable<bool> Write(beast::tcp_stream& aStream, std::string aText)
@@ -388,10 +474,11 @@
   }
 
   /** @return whether the connection goes on. */
-  asio::awaitable<bool> Answer(fake_runner& aRunner,
+  asio::awaitable<bool> Answer(std::shared_ptr<fake_runner> aOwner,
                                beast::tcp_stream& aStream,
                                const http::request<http::string_body>& aRequest)
   {
+    fake_runner& aRunner = *aOwner;
     const std::size_t number = Note(aRunner, aRequest);
     const std::string target(aRequest.target());
     const std::string id(aRequest["X-Request-Id"]);
@@ -441,6 +528,11 @@
       const std::string text = Whole(200, own, body);
       co_return co_await Write(aStream, text);
     }
+    const bool crashes = aRequest.body().find(aRunner.mCrashesOn) != std::string::npos ||
+                         target.find(aRunner.mCrashesOn) != std::string::npos;
+    if (!aRunner.mCrashesOn.empty() && crashes) {
+      Spawn(mIo, CrashSoon(aOwner));
+    }
     if (aRunner.mRole == "decode") {
       co_return co_await Generate(aRunner, aStream, aRequest, own, mode);
     }
@@ -552,6 +644,7 @@
   std::uint64_t mEra = 1;                                       ///< Rises as the store goes back.
   std::uint64_t mWholeReads = 0;                                ///< Reads of a whole topic.
   std::uint64_t mHolds = 0;                                     ///< Reservations granted.
+  json mCrashes = json::array();                                ///< Lives that crashed, and when.
 };
 
 } // namespace
--- /dev/null
+++ b/tests/platform/crash_test.cpp
@@ -0,0 +1,314 @@
+/**
+ * @file crash_test.cpp
+ * A request that crashes the runners that run it is kept from further runners, with real processes.
+ */
+#include "tests/platform/fleet_bed.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+#include <set>
+#include <thread>
+
+using namespace dunehook;
+using namespace dunehook::test;
+
+namespace {
+
+/** Crashes that one request may cause before it's kept from runners. */
+constexpr std::size_t kAllowed = 3;
+/** Time in which all daemons must know of a third crash, in ms. */
+constexpr int kKnownWithinMs = 3000;
+/** The latest that a final refusal may come, in ms: a quarter of the latency target of 0.3 s, and
+ * the way of a busy machine. */
+constexpr std::int64_t kRefusalMs = 175;
+/** Time from a crash to the runner's next life, in ms. */
+constexpr int kDownMs = 400;
+/** Time that a plain runner takes for an answer, in ms. */
+constexpr int kPlainMs = 100;
+constexpr int kPrompt = 2000;
+constexpr int kEvents = 10;
+const std::string kPoison = "poison";
+
+} // namespace
+
+TEST_GROUP(crashes)
+{
+  fleet_bed mBed;   ///< The deployment.
+  int mRequest = 0; ///< Number of the last request.
+
+  /** Starts six generating engines, three plain runners and some daemons. */
+  void StartFleet(std::size_t aDaemons)
+  {
+    const json faults{ { "crashes_on", kPoison }, { "down_ms", kDownMs } };
+    json slow = faults;
+    slow["step_ms"] = kPlainMs; // The crash comes before the answer.
+    for (int i = 1; i <= 3; ++i) {
+      mBed.AddRunner("desk-" + std::to_string(i), { "desk", "", "ready", slow });
+    }
+    mBed.AddRunner("prefill-1", { "tutor", "prefill" });
+    for (int i = 1; i <= 6; ++i) {
+      mBed.AddRunner("decode-" + std::to_string(i), { "tutor", "decode", "ready", faults });
+    }
+    mBed.PutConfig(1);
+    mBed.StartDaemons(std::vector<platform_daemon_options>(aDaemons));
+  }
+
+  std::string NextId()
+  {
+    return "r" + std::to_string(++mRequest);
+  }
+
+  /** Sends a generation, as another try of the same caller if the body is the same. */
+  answer Generate(
+    const std::string& aBody, std::size_t aDaemon, const std::string& aPath = "/turns/a")
+  {
+    mLastId = NextId();
+    return Call(
+      mBed.Callers(aDaemon), "POST", aPath, aBody, GenerationHeaders(mLastId, kPrompt, kEvents));
+  }
+
+  answer Page(const std::string& aPath, std::size_t aDaemon)
+  {
+    mLastId = NextId();
+    return Call(mBed.Callers(aDaemon), "GET", aPath, "", CallerHeaders(mLastId));
+  }
+
+  /** @return tries that reached any runner, of requests with a text in their path or body. */
+  std::size_t Reached(const std::string& aText) const
+  {
+    std::set<std::string> ids;
+    for (const json& seen : mBed.Seen()) {
+      const bool same = seen.value("body", "").find(aText) != std::string::npos ||
+                        seen.value("target", "").find(aText) != std::string::npos;
+      if (same) {
+        ids.insert(seen["headers"].value("X-Request-Id", ""));
+      }
+    }
+    return ids.size();
+  }
+
+  std::size_t CrashCount() const
+  {
+    return mBed.Crashes().size();
+  }
+
+  /** Has a request crash as many runners as it's let, by trying it at all daemons in turn. */
+  void CrashThree()
+  {
+    for (int i = 0; i < 8 && CrashCount() < kAllowed; ++i) {
+      Generate(kPoison, static_cast<std::size_t>(i) % mBed.Daemons());
+    }
+    LONGS_EQUAL(kAllowed, CrashCount());
+  }
+
+  /** Checks that a refusal came at once, and tells that the request didn't run and when to come
+   * back. */
+  void CheckRefusal(const answer& aAnswer, std::int64_t aSent)
+  {
+    LONGS_EQUAL(503, aAnswer.mStatus);
+    CHECK_TRUE(NowMs() - aSent <= kRefusalMs);
+    CHECK_TRUE(aAnswer.mHeaders.count("retry-after") == 1);
+  }
+
+  /** Checks that a daemon sends the request to no runner. */
+  void CheckKeptAt(std::size_t aDaemon)
+  {
+    const std::size_t reached = Reached(kPoison);
+    const std::int64_t sent = NowMs();
+    CheckRefusal(Generate(kPoison, aDaemon), sent);
+    LONGS_EQUAL(reached, Reached(kPoison));
+  }
+
+  /** Checks the same for all daemons. */
+  void CheckKept()
+  {
+    for (std::size_t daemon = 0; daemon < mBed.Daemons(); ++daemon) {
+      CheckKeptAt(daemon);
+    }
+  }
+
+  static void Wait(int aMs)
+  {
+    std::this_thread::sleep_for(std::chrono::milliseconds(aMs));
+  }
+
+  /** @return how many of some requests, each with a body of its own, are served at their first or
+   * second try. */
+  int CountServed(int aRequests)
+  {
+    int served = 0;
+    for (int i = 0; i < aRequests; ++i) {
+      const std::string body = "other " + std::to_string(i);
+      const std::size_t daemon = static_cast<std::size_t>(i) % mBed.Daemons();
+      const bool well =
+        Generate(body, daemon).mStatus == 200 || Generate(body, daemon).mStatus == 200;
+      served += well ? 1 : 0;
+    }
+    return served;
+  }
+
+  std::string mLastId; ///< Of the last request.
+};
+
+TEST(crashes, ARequestThatCrashedThreeEnginesReachesNoFurtherOneByAnyDaemon)
+{
+  StartFleet(3);
+  CrashThree();
+  Wait(kKnownWithinMs);
+  CheckKept();
+  CheckKept();
+  LONGS_EQUAL(kAllowed, CrashCount());
+}
+
+TEST(crashes, ManyTriesAtOnceAtAllDaemonsReachNoEngineOnceThreeHaveCrashed)
+{
+  StartFleet(3);
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 9; ++i) {
+    callers.emplace_back([this, i] {
+      const std::string id = "many" + std::to_string(i);
+      Call(mBed.Callers(static_cast<std::size_t>(i) % 3),
+           "POST",
+           "/turns/a",
+           kPoison,
+           GenerationHeaders(id, kPrompt, kEvents));
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK_TRUE(CrashCount() > 0);
+  for (int i = 0; i < 3; ++i) {
+    Generate(kPoison, static_cast<std::size_t>(i));
+  }
+  Wait(kKnownWithinMs);
+  CheckKept();
+}
+
+TEST(crashes, APlainRequestThatCrashedThreeRunnersReachesNoFurtherOne)
+{
+  StartFleet(3);
+  for (int i = 0; i < 8 && CrashCount() < kAllowed; ++i) {
+    Page("/pages/" + kPoison, static_cast<std::size_t>(i) % 3);
+  }
+  Wait(kKnownWithinMs);
+  const std::size_t reached = Reached(kPoison);
+  for (std::size_t daemon = 0; daemon < 3; ++daemon) {
+    const std::int64_t sent = NowMs();
+    CheckRefusal(Page("/pages/" + kPoison, daemon), sent);
+    LONGS_EQUAL(200, Page("/pages/other", daemon).mStatus);
+  }
+  LONGS_EQUAL(reached, Reached(kPoison));
+}
+
+TEST(crashes, AStreamThatIsResumedCrashesNoFurtherEngineOnceThreeHaveCrashed)
+{
+  StartFleet(3);
+  for (int i = 0; i < 4; ++i) {
+    Generate(kPoison, static_cast<std::size_t>(i) % 3, "/resumed/a");
+  }
+  Wait(kKnownWithinMs);
+  const std::size_t crashes = CrashCount();
+  CheckKept();
+  LONGS_EQUAL(503, Generate(kPoison, 0, "/resumed/a").mStatus);
+  LONGS_EQUAL(crashes, CrashCount());
+}
+
+TEST(crashes, CallersWhoseRunsBrokeBesideItAreServedAfterwards)
+{
+  StartFleet(3);
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 12; ++i) {
+    callers.emplace_back([this, i] {
+      const std::string id = "beside" + std::to_string(i);
+      Call(mBed.Callers(static_cast<std::size_t>(i) % 3),
+           "POST",
+           "/resumed/a",
+           "other " + std::to_string(i),
+           GenerationHeaders(id, kPrompt, 100));
+    });
+  }
+  Wait(200);
+  CrashThree();
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  Wait(kDownMs * 2);
+  LONGS_EQUAL(12, CountServed(12));
+  CheckKept();
+}
+
+TEST(crashes, AllCallersAreServedAfterAllEnginesHaveFailedThreeTimes)
+{
+  StartFleet(3);
+  for (int failure = 0; failure < 3; ++failure) {
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 12; ++i) {
+      callers.emplace_back([this, i, failure] {
+        const std::string id = "all" + std::to_string(failure) + "-" + std::to_string(i);
+        Call(mBed.Callers(static_cast<std::size_t>(i) % 3),
+             "POST",
+             "/turns/a",
+             "other " + std::to_string(i),
+             GenerationHeaders(id, kPrompt, 100));
+      });
+    }
+    Wait(300);
+    for (int i = 1; i <= 6; ++i) {
+      mBed.CrashRunner("decode-" + std::to_string(i));
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    Wait(kDownMs * 3);
+  }
+  LONGS_EQUAL(18, CrashCount());
+  LONGS_EQUAL(12, CountServed(12));
+}
+
+TEST(crashes, ADaemonThatStartsLaterKeepsTheRequestFromRunners)
+{
+  StartFleet(2);
+  CrashThree();
+  const std::size_t fresh = mBed.StartDaemon();
+  Wait(kKnownWithinMs);
+  CheckKeptAt(fresh);
+}
+
+TEST(crashes, DaemonsThatAreAllKilledKeepTheRequestFromRunnersAfterTheirStart)
+{
+  StartFleet(3);
+  CrashThree();
+  Wait(kKnownWithinMs);
+  for (std::size_t daemon = 0; daemon < 3; ++daemon) {
+    mBed.Daemon(daemon).Signal(SIGKILL);
+  }
+  for (std::size_t daemon = 0; daemon < 3; ++daemon) {
+    mBed.RestartDaemon(daemon);
+  }
+  Wait(kKnownWithinMs);
+  CheckKept();
+}
+
+TEST(crashes, ADaemonThatStoodStillMeanwhileKeepsTheRequestFromRunners)
+{
+  StartFleet(3);
+  mBed.Daemon(2).Signal(SIGSTOP);
+  for (int i = 0; i < 8 && CrashCount() < kAllowed; ++i) {
+    Generate(kPoison, static_cast<std::size_t>(i) % 2);
+  }
+  Wait(kKnownWithinMs);
+  mBed.Daemon(2).Signal(SIGCONT);
+  Wait(kKnownWithinMs);
+  CheckKeptAt(2);
+}
+
+TEST(crashes, DaemonsTellEachOtherWhileTheStoreIsSilent)
+{
+  StartFleet(3);
+  mBed.SetStore("silent");
+  CrashThree();
+  Wait(kKnownWithinMs);
+  CheckKept();
+}
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -530,6 +530,18 @@
   return seen;
 }
 
+void
+fleet_bed::CrashRunner(const std::string& aId) const
+{
+  Control("crash?id=" + aId, "{}");
+}
+
+std::vector<json>
+fleet_bed::Crashes() const
+{
+  return Control("crashes", "").at("crashes").get<std::vector<json>>();
+}
+
 json
 fleet_bed::Holds(const std::string& aId) const
 {
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -118,6 +118,11 @@
   process& Daemon(std::size_t aDaemon = 0) { return *mDaemons.at(aDaemon); }
   /** @return requests that runners saw, those of one request id if given. */
   std::vector<json> Seen(const std::string& aRequest = "") const;
+  /** Ends a runner's life. Its next one begins at its address under another id, after the time that
+   * "down_ms" among its faults sets. */
+  void CrashRunner(const std::string& aId) const;
+  /** @return lives of runners that crashed: "runner" and "at_ms" each. */
+  std::vector<json> Crashes() const;
   /** @return the runner's reservations and open requests. */
   json Holds(const std::string& aId) const;
   /** Sends any bytes to one of the daemon's own ports. @param aPort 0 takes heartbeats, 1 run
