Fix: [Forward] a request that crashed three runners is sent to no further one

Callers saw: for seconds on end most generations failed or came late; each engine that was back ended again. One request, tried again under new ids at any daemon, ended 29 to 31 engines one after the other; every stream beside it broke with them.

Cause: nothing was remembered of a request beyond one try. A broken run was noted against the engine, never against the request, and no daemon told another. Class: a fault is counted where it shows and not where it comes from.

Ruled out: repeats of one try (the limit holds), something remembered that isn't told (single daemons saw the prompt end eight engines).

Change: the tries of one request are known by a fingerprint. Crashes are blamed on the request that was under way at the most of them (docs/DECISIONS.md 39 to 43); three put it into quarantine at all daemons. Reports go to the daemons that place, conclusions to all; daemons compare digests twice a second; the store keeps quarantines for the case that all daemons end.

One of the failing tests was wrong: it checked the quarantine of a resumed stream on another path, which is another request; it now checks the path that crashed, at all daemons.

Why it works: all daemons that are heard know within a datagram or half a second; who was cut off or starts asks; the guilty request is at every one of its crashes, those beside it are not.

--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -51,6 +51,7 @@
     { "no_runner", "no runner of the service could be given work" },
     { "unreachable", "no connection to a runner could be made in time" },
     { "no_route", "no route of the configuration in force matches its host and path" },
+    { "quarantined", "runners crashed under it before, so it was sent to no other" },
     { "starting", "the daemon had just started and knew no configuration or no runners" },
     { "stopping", "the daemon was about to end and took no more requests" },
   };
--- a/src/forward/daemon_link.cpp
+++ b/src/forward/daemon_link.cpp
@@ -111,6 +111,18 @@
   }
 }
 
+std::optional<endpoint>
+daemon_link::DrawOther()
+{
+  const std::size_t count = mMembers.Others().size();
+  if (count == 0) {
+    return std::nullopt;
+  }
+  auto chosen = mMembers.Others().begin();
+  std::advance(chosen, static_cast<std::size_t>(mState.Draw() * static_cast<double>(count)));
+  return RunsAt(chosen->second.mInfo.mAddress);
+}
+
 void
 daemon_link::Sweep(instant aNow)
 {
@@ -199,7 +211,7 @@
     const instant now = mState.Now();
     const auto message = error ? std::nullopt : DecodeRunMessage({ data.data(), got }, now);
     if (message) {
-      Apply(*message, now);
+      Apply(*message, { from.address().to_string(), from.port() }, now);
     }
   }
 }
@@ -228,8 +240,11 @@
 }
 
 void
-daemon_link::Apply(const run_message& aMessage, instant aNow)
+daemon_link::Apply(const run_message& aMessage, const endpoint& aFrom, instant aNow)
 {
+  if (aMessage.mQuarantine && mTakeQuarantine) {
+    mTakeQuarantine(*aMessage.mQuarantine, aFrom);
+  }
   if (aMessage.mStore) {
     NoteTold(aMessage, aNow);
   }
--- a/src/forward/daemon_link.h
+++ b/src/forward/daemon_link.h
@@ -30,6 +30,18 @@
   void Tell(run_message aMessage);
   /** Tells some daemons. @param aTo where they take run messages. */
   void TellSome(run_message aMessage, const std::vector<endpoint>& aTo);
+  /** Tells one daemon.  @param aTo where it takes run messages. */
+  void TellOne(run_message aMessage, const endpoint& aTo)
+  {
+    TellSome(std::move(aMessage), { aTo });
+  }
+  /** @param aTake takes what others tell of quarantines, and where the sender takes answers. */
+  void OnQuarantine(std::function<void(const quarantine_message&, const endpoint&)> aTake)
+  {
+    mTakeQuarantine = std::move(aTake);
+  }
+  /** @return where another daemon takes run messages, drawn from those that are heard. */
+  std::optional<endpoint> DrawOther();
   /** @return how many daemons of this one's hall that take callers come before it. */
   std::size_t RankInHall() const { return mMembers.RankInHall(); }
   /** Drops daemons that fell silent, with the runs that they told of. */
@@ -47,16 +59,18 @@
   void TakeHeartbeat(std::string_view aData, instant aNow);
   asio::awaitable<void> TakeHeartbeats();
   asio::awaitable<void> TakeRuns();
-  void Apply(const run_message& aMessage, instant aNow);
+  void Apply(const run_message& aMessage, const endpoint& aFrom, instant aNow);
   /** Notes how far the store is as another daemon tells it. */
   void NoteTold(const run_message& aMessage, instant aNow);
   /** Applies what a message tells of engines and of finished runs. */
   void ApplyReports(const run_message& aMessage, instant aNow);
 
-  forward_state& mState;        ///< Shared.
-  member_table mMembers;        ///< The other daemons.
-  udp::socket mHeartbeats;      ///< Heartbeats.
-  udp::socket mRuns;            ///< Run messages.
+  forward_state& mState;   ///< Shared.
+  member_table mMembers;   ///< The other daemons.
+  udp::socket mHeartbeats; ///< Heartbeats.
+  udp::socket mRuns;       ///< Run messages.
+  /** Takes what others tell of quarantines. */
+  std::function<void(const quarantine_message&, const endpoint&)> mTakeQuarantine;
   std::function<bool()> mReady; ///< Whether this daemon takes callers.
   instant mStarted{ 0 };        ///< When the first heartbeat was sent.
 };
--- a/src/forward/forward_state.h
+++ b/src/forward/forward_state.h
@@ -15,6 +15,7 @@
 #include "forward/upstream_connection.h"
 
 #include "core/log_func.h"
+#include "quarantine/crash_ledger.h"
 
 #include <memory>
 #include <random>
@@ -196,6 +197,7 @@
   refused_table mRefused;                        ///< Prompts refused by any daemon.
   placement_table mPlacement;                    ///< All generations.
   placing_desk mDesk;                            ///< Places for all daemons, if this one is asked.
+  crash_ledger mCrashes;                         ///< Requests that crash runners.
   gateway_metrics mMetrics;                      ///< Counters and histograms.
   instant mListedAt{ 0 };                        ///< When the runners were last read, or told.
   upstream_pool mPool;                           ///< Connections to runners, for requests.
@@ -212,7 +214,9 @@
   instant mStopBy{ 0 };                          ///< End of the planned stop.
   std::function<void(run_message)> mTell;        ///< Tells the other daemons.
   std::function<void(run_message)> mTellPlacers; ///< Tells those that place.
-  place_asker mAskPlacer;                        ///< Asks one that places.
+  std::function<void(const crash_report&)> mReportCrash;  ///< Notes a crash and tells of it.
+  std::function<void(request_fingerprint)> mReportServed; ///< Notes a request as served whole.
+  place_asker mAskPlacer;                                 ///< Asks one that places.
 };
 
 } // namespace dunehook
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -8,6 +8,7 @@
 #include "forward/generation_call.h"
 #include "forward/placer_link.h"
 #include "forward/plain_call.h"
+#include "forward/quarantine_keeper.h"
 #include "forward/store_follower.h"
 #include "net/http_server.h"
 #include "roles/role_keeper.h"
@@ -55,12 +56,19 @@
     , mKeeper(mState, mStore)
     , mLink(mState)
     , mPlacers(mState, mLink)
+    , mQuarantines(mState, mStore, mLink)
     , mFollower(mState, mStore, mLink, [this](const caller_limits& aLimits) {
       mListener->Shared().mLimits = aLimits;
     })
   {
     mState.mTell = [this](run_message aMessage) { mLink.Tell(std::move(aMessage)); };
     mState.mTellPlacers = [this](run_message aMessage) { mPlacers.Tell(std::move(aMessage)); };
+    mState.mReportCrash = [this](const crash_report& aReport) {
+      mQuarantines.Link().NoteCrash(aReport);
+    };
+    mState.mReportServed = [this](request_fingerprint aRequest) {
+      mQuarantines.Link().NoteServed(aRequest);
+    };
     mState.mAskPlacer = [this](place_question aQuestion, std::function<bool()> aGone) {
       return mPlacers.Ask(std::move(aQuestion), std::move(aGone));
     };
@@ -73,6 +81,7 @@
     mFollower.Start();
     mLink.Start([this] { return Ready(); });
     mPlacers.Start([this] { return Ready(); });
+    mQuarantines.Start();
     SpawnGuarded(mState.mIo, TickTables());
     SpawnGuarded(mState.mIo, TickRoles());
   }
@@ -181,6 +190,8 @@
     values["body_bytes"] = static_cast<double>(sessions.mBodyBytes);
     values["log_lines_dropped"] = static_cast<double>(mLogTotals.mDropped);
     values["log_bytes"] = static_cast<double>(mLogTotals.mBytes);
+    values["requests_quarantined"] =
+      static_cast<double>(mState.mCrashes.Quarantined(now, kMostNotices).size());
     values["runners_taking_work"] = 0.0;
     values["runners_resting"] = 0.0;
     values["runners_leaving"] = 0.0;
@@ -366,6 +377,7 @@
   role_keeper<Wire, Store> mKeeper;                ///< Gives engines their roles.
   daemon_link mLink;                               ///< The other daemons.
   placer_link mPlacers;                            ///< Those that place generations.
+  quarantine_keeper<Store> mQuarantines;           ///< Keeps requests that crash runners off them.
   store_follower<Store> mFollower;                 ///< Follows the store.
   std::unique_ptr<caller_listener> mListener;      ///< For callers.
   std::unique_ptr<http_listener> mMetricsListener; ///< For the operators' metrics.
--- a/src/forward/gateway_metrics.cpp
+++ b/src/forward/gateway_metrics.cpp
@@ -42,6 +42,7 @@
                      "Longest pause between two events of a stream."))
   , mBroken(
       Counters(mRegistry, "dunehook_answers_broken_total", "Sends that gave no whole answer."))
+  , mQuarantines(Counters(mRegistry, "dunehook_quarantines_total", "Requests put into quarantine."))
   , mPlaces(Counters(mRegistry, "dunehook_places_total", "Places asked for, by outcome."))
   , mNotices(Counters(mRegistry,
                       "dunehook_runner_notices_total",
@@ -97,6 +98,12 @@
   mBroken->Add({ { "route", RouteLabel(aRoute) } }).Increment();
 }
 
+void
+gateway_metrics::CountQuarantine(std::string_view aHow)
+{
+  mQuarantines->Add({ { "how", std::string(aHow) } }).Increment();
+}
+
 void
 gateway_metrics::CountPlace(std::string_view aOutcome)
 {
--- a/src/forward/gateway_metrics.h
+++ b/src/forward/gateway_metrics.h
@@ -39,6 +39,8 @@
   void CountNotice(std::string_view aNotice);
   /** Counts an answer that broke off, or never came, after the request was sent to a runner. */
   void CountBroken(const std::string& aRoute);
+  /** Counts a request that was put into quarantine: "judged" here, or "told" by another. */
+  void CountQuarantine(std::string_view aHow);
   /** Counts a place that was asked for at an engine, by what came of it. */
   void CountPlace(std::string_view aOutcome);
   /** Counts prompt tokens: "read", or thrown away for a reason. */
@@ -57,18 +59,19 @@
 
   static constexpr std::size_t kMostRoutes = 100; ///< Routes with labels of their own.
 
-  prometheus::Registry mRegistry;                     ///< Owns all families.
-  prometheus::Family<prometheus::Counter>* mRequests; ///< By route, outcome, reason.
-  prometheus::Family<prometheus::Histogram>* mFirst;  ///< By route.
-  prometheus::Family<prometheus::Histogram>* mGaps;   ///< By route.
-  prometheus::Family<prometheus::Counter>* mBroken;   ///< By route.
-  prometheus::Family<prometheus::Counter>* mPlaces;   ///< By outcome.
-  prometheus::Family<prometheus::Counter>* mNotices;  ///< By notice.
-  prometheus::Family<prometheus::Counter>* mPrompts;  ///< Tokens, by what became of them.
-  prometheus::Family<prometheus::Counter>* mRepeats;  ///< By service.
-  prometheus::Family<prometheus::Counter>* mStore;    ///< By call and answer.
-  prometheus::Family<prometheus::Gauge>* mGauges;     ///< One family, by name.
-  std::set<std::string> mRoutes;                      ///< Routes with labels of their own.
+  prometheus::Registry mRegistry;                        ///< Owns all families.
+  prometheus::Family<prometheus::Counter>* mRequests;    ///< By route, outcome, reason.
+  prometheus::Family<prometheus::Histogram>* mFirst;     ///< By route.
+  prometheus::Family<prometheus::Histogram>* mGaps;      ///< By route.
+  prometheus::Family<prometheus::Counter>* mBroken;      ///< By route.
+  prometheus::Family<prometheus::Counter>* mQuarantines; ///< By how it was learned.
+  prometheus::Family<prometheus::Counter>* mPlaces;      ///< By outcome.
+  prometheus::Family<prometheus::Counter>* mNotices;     ///< By notice.
+  prometheus::Family<prometheus::Counter>* mPrompts;     ///< Tokens, by what became of them.
+  prometheus::Family<prometheus::Counter>* mRepeats;     ///< By service.
+  prometheus::Family<prometheus::Counter>* mStore;       ///< By call and answer.
+  prometheus::Family<prometheus::Gauge>* mGauges;        ///< One family, by name.
+  std::set<std::string> mRoutes;                         ///< Routes with labels of their own.
 };
 
 } // namespace dunehook
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include "forward/crash_watch.h"
 #include "forward/event_splitter.h"
 #include "forward/generation_place.h"
 #include "forward/prompt_read.h"
@@ -42,6 +43,7 @@
     , mDeadline(aArrived + std::min(aRoute.mTimeout, mFacts.mTimeLeft.value_or(aRoute.mTimeout)))
     , mPlace(aState, *mExchange, mFacts, aRoute.mRank)
     , mRead(aState, *mExchange, mFacts.mId)
+    , mWatch(aState, *mExchange, mFacts)
   {
     mDemand.mRun = { HashBytes(mFacts.mId) | 1U };
     mDemand.mService = aService.mName;
@@ -64,6 +66,10 @@
   asio::awaitable<void> Run()
   {
     mState.BudgetOf(mService.mName).NoteRequest();
+    if (mWatch.Quarantined()) {
+      co_await GiveUpQuarantined();
+      co_return;
+    }
     bool again = true;
     while (again && !mExchange->Gone()) {
       again = co_await TryOnce();
@@ -123,6 +129,12 @@
       co_await GiveUp(mPrefillFailed ? "prefill_failed" : ReasonName(mPlace.NoPlace()));
       co_return false;
     }
+    if (mWatch.Quarantined()) { // Other tries of it may have crashed engines meanwhile.
+      mPlace.Release();
+      mRead.ThrowAway("quarantined");
+      co_await GiveUpQuarantined();
+      co_return false;
+    }
     const bool hasResult = mRead.Usable(mTraits.mResultLifetime, DecodeVersion());
     if (!hasResult) {
       mRead.ThrowAway("result_lapsed");
@@ -190,6 +202,12 @@
    */
   asio::awaitable<bool> Generate()
   {
+    if (mWatch.Quarantined()) {
+      mPlace.Release();
+      mRead.ThrowAway("quarantined");
+      co_await GiveUpQuarantined();
+      co_return false;
+    }
     if (!DecodeWants()) {
       mPlace.Release();
       upstream_answer unsent;
@@ -215,12 +233,12 @@
     mRead.NoteTaken();
     ++mSends;
     if (answer.mEnd == send_end::eUnknown) {
-      co_return co_await AfterBreak();
+      co_return co_await AfterBreak(answer.mBroke, false);
     }
     const bool success = answer.mFacts.mStatus < 300;
     if (success && !answer.mFacts.mHasReceipt) {
       answer.mConnection->Abort();
-      co_return co_await AfterBreak();
+      co_return co_await AfterBreak(false, false);
     }
     if (!success) {
       co_await PassFailure(answer);
@@ -326,7 +344,8 @@
       if (!read) {
         upstream.Abort();
         mEvents.DropRest();
-        co_return co_await AfterBreak();
+        const bool broke = read.error() == errc::eConnectionLost;
+        co_return co_await AfterBreak(broke, firstAt != instant{ 0 });
       }
       mState.mPlacement.Progress(mDemand.mRun, made, mState.Now());
       if (ended) {
@@ -355,8 +374,10 @@
     co_return open;
   }
 
-  /** Decides how a request goes on whose run ended without a whole answer. */
-  asio::awaitable<bool> AfterBreak()
+  /** Decides how a request goes on whose run ended without a whole answer.
+   * @param aBroke the connection to the engine ended.
+   * @param aProgressed events of this run were passed on. */
+  asio::awaitable<bool> AfterBreak(bool aBroke, bool aProgressed)
   {
     if (mExchange->Gone()) { // The caller's leave ended the run, not the engine.
       mRead.ThrowAway("caller_left");
@@ -364,6 +385,9 @@
       co_return false;
     }
     mState.NoteEngine(mPlace.Choice().mDecode, send_outcome::eFailed);
+    if (aBroke) {
+      mWatch.NoteBroken(mPlace.Choice().mDecode, aProgressed);
+    }
     mDemand.mFailed.push_back(mPlace.Choice().mDecode);
     mUnknown = true;
     mRead.ThrowAway("run_broke");
@@ -374,7 +398,7 @@
                          { "events", mEvents.Count() },
                          { "resumable", mRoute.mResumable },
                          { "began_ms", (mState.Now() - mRunBegan).count() / 1000 },
-                         { "fingerprint", FingerprintOf(*mExchange, mFacts).mValue },
+                         { "fingerprint", mWatch.Fingerprint().mValue },
                          { "caller", mExchange->CallerAddress() } });
     mState.mMetrics.CountBroken(mRoute.mName);
     const bool mayGoOn = mRoute.mResumable && mSends < mRoute.mMaxRunners &&
@@ -395,6 +419,18 @@
     co_return false;
   }
 
+  /** Gives the final answer of a request that may be sent to no engine any more. */
+  asio::awaitable<void> GiveUpQuarantined()
+  {
+    if (mStarted) {
+      mExchange->Tear();
+    } else if (mUnknown) {
+      co_await GiveUp("quarantined");
+    } else {
+      co_await RefuseQuarantined<Wire>(mState, *mExchange, mFacts, mRoute.mName, mWatch);
+    }
+  }
+
   /** Gives the final answer of a request that got no events. */
   asio::awaitable<void> GiveUp(std::string_view aReason)
   {
@@ -476,6 +512,7 @@
 
   void NoteServed(std::uint32_t aMade)
   {
+    mWatch.NoteServed();
     mState.mMetrics.CountRequest(mRoute.mName, "served", "");
     mState.mMetrics.ObserveGap(mRoute.mName, ToSeconds(mLongestGap));
     mState.LogDecision(log_level::eInfo,
@@ -507,6 +544,7 @@
   generation_demand mDemand;                  ///< What is asked of placement.
   generation_place<Wire> mPlace;              ///< Engines that serve it.
   prompt_read<Wire> mRead;                    ///< What a prefill engine has read.
+  crash_watch mWatch;                         ///< Whether it crashes engines.
   event_splitter mEvents;                     ///< Events passed on, over all runs.
   std::uint32_t mCountedEvents = 0;           ///< Events counted into the demand's prompt.
   std::uint32_t mSends = 0;                   ///< Decode engines that may have run it.
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "forward/upstream_send.h"
+#include "forward/crash_watch.h"
 
 namespace dunehook {
 
@@ -42,6 +42,7 @@
     , mRoutes(std::move(aRoutes))
     , mRoute(aRoute)
     , mService(aService)
+    , mWatch(aState, *mExchange, mFacts)
     , mArrived(aArrived)
     , mDeadline(aArrived + std::min(aRoute.mTimeout, mFacts.mTimeLeft.value_or(aRoute.mTimeout)))
   {
@@ -84,6 +85,10 @@
   /** Tries one runner. @return whether to try another. */
   asio::awaitable<bool> TryOnce()
   {
+    if (mWatch.Quarantined()) {
+      co_await GiveUpQuarantined();
+      co_return false;
+    }
     runner_state* const runner =
       mState.mRunners.Choose(mService.mName, mTried, mState.Now(), mState.Draw());
     const duration waited = mState.Now() - mArrived;
@@ -147,6 +152,7 @@
       GiveBack(mState, *mExchange, aAddress, aAnswer.mConnection);
       if (!read && aAnswer.mEnd == send_end::eAnswered) {
         aAnswer.mEnd = send_end::eUnknown;
+        aAnswer.mBroke = read.error() == errc::eConnectionLost;
       }
     }
     if (mExchange->Gone()) {
@@ -183,6 +189,9 @@
   asio::awaitable<bool> AfterLoss(service_runner_id aRunner, const upstream_answer& aAnswer)
   {
     Note(aRunner, OutcomeOf(aAnswer));
+    if (aAnswer.mBroke) {
+      mWatch.NoteBroken(aRunner, false);
+    }
     mState.LogDecision(log_level::eWarning,
                        "answer_lost",
                        mFacts.mId,
@@ -190,7 +199,7 @@
                          { "outcome", OutcomeName(OutcomeOf(aAnswer)) },
                          { "may_repeat", MayRepeat() },
                          { "sends", mSends },
-                         { "fingerprint", FingerprintOf(*mExchange, mFacts).mValue },
+                         { "fingerprint", mWatch.Fingerprint().mValue },
                          { "caller", mExchange->CallerAddress() } });
     mState.mMetrics.CountBroken(mRoute.mName);
     mUnknown = true;
@@ -214,6 +223,7 @@
       co_return true;
     }
     const bool success = aAnswer.mFacts.mStatus < 300;
+    mWatch.NoteServed(); // A failure of the runner's own too: it lives on.
     mState.mMetrics.CountRequest(
       mRoute.mName, success ? "served" : "failed", success ? "" : "runner_failure");
     co_await mExchange->Answer(aAnswer.mFacts.mStatus, aAnswer.mHead, aBody);
@@ -266,6 +276,16 @@
     GiveBack(mState, *mExchange, aAddress, aAnswer.mConnection);
   }
 
+  /** Gives the final answer of a request that may be sent to no runner any more. */
+  asio::awaitable<void> GiveUpQuarantined()
+  {
+    if (mUnknown || mFailure) {
+      co_await GiveUp("quarantined");
+    } else {
+      co_await RefuseQuarantined<Wire>(mState, *mExchange, mFacts, mRoute.mName, mWatch);
+    }
+  }
+
   /** Gives the final answer of a request that no runner served. */
   asio::awaitable<void> GiveUp(std::string_view aReason)
   {
@@ -322,6 +342,7 @@
   std::shared_ptr<const route_table> mRoutes; ///< Keeps mRoute and mService alive.
   const forward_route& mRoute;                ///< Its route.
   const forward_service& mService;            ///< The service that takes it.
+  crash_watch mWatch;                         ///< Whether it crashes runners.
   instant mArrived;                           ///< When it was read.
   instant mDeadline;                          ///< When it's too late.
   std::set<service_runner_id> mTried;         ///< Runners tried.
--- /dev/null
+++ b/src/forward/quarantine_keeper.h
@@ -0,0 +1,129 @@
+/**
+ * @file quarantine_keeper.h
+ * Keeps quarantines in the store, for the case that all daemons end: a daemon that starts asks the
+ * others first, and reads the store where none of them knows.
+ */
+#pragma once
+
+#include "forward/quarantine_link.h"
+#include "forward/wire_type.h"
+
+namespace dunehook {
+
+/** A daemon that starts waits so long for an answer of another one before it reads the store. */
+inline constexpr duration kAsksOthersFor = std::chrono::milliseconds(500);
+/** Daemons that start together read the store spread over this. */
+inline constexpr duration kReadSpread = std::chrono::milliseconds(500);
+/** Rest after a call to the store that failed. */
+inline constexpr duration kKeeperRest = std::chrono::milliseconds(700);
+/** Quarantines that wait to be written, at most. */
+inline constexpr std::size_t kMostUnwritten = 64;
+
+/** The keeper. */
+template<control_store Store>
+class quarantine_keeper
+{
+public:
+  quarantine_keeper(forward_state& aState, Store& aStore, daemon_link& aLink)
+    : mState(aState)
+    , mStore(aStore)
+    , mLink(aState, aLink)
+    , mWork(aState.mIo)
+  {
+    mLink.OnQuarantined([this](request_fingerprint aRequest) { Keep(aRequest); });
+  }
+
+  void Start()
+  {
+    mLink.Start();
+    SpawnGuarded(mState.mIo, Read());
+    SpawnGuarded(mState.mIo, Write());
+  }
+
+  quarantine_link& Link() { return mLink; }
+
+private:
+  /** @return the time of day in Unix ms. */
+  static std::uint64_t WallMs()
+  {
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+  }
+
+  void Keep(request_fingerprint aRequest)
+  {
+    if (mUnwritten.size() < kMostUnwritten) {
+      mUnwritten.push_back({ aRequest, WallMs() });
+      mWork.Notify();
+    }
+  }
+
+  /** Learns what was in quarantine before this daemon's start. */
+  asio::awaitable<void> Read()
+  {
+    co_await Sleep(kAsksOthersFor + FromSeconds(ToSeconds(kReadSpread) * mState.Draw()));
+    while (!mLink.Knows()) {
+      const result<std::vector<quarantine_record>> read = co_await mStore.ReadQuarantines();
+      if (read) {
+        TakeRead(read.value());
+        co_return;
+      }
+      co_await Sleep(kKeeperRest);
+    }
+  }
+
+  void TakeRead(const std::vector<quarantine_record>& aRecords)
+  {
+    const std::uint64_t now = WallMs();
+    std::size_t taken = 0;
+    for (const quarantine_record& record : aRecords) {
+      const std::uint64_t age = now > record.mSince ? now - record.mSince : 0;
+      quarantine_notice notice{ record.mRequest, request_standing::eQuarantined, duration{ 0 } };
+      notice.mAge = std::chrono::milliseconds(age);
+      taken += mState.mCrashes.Take(notice, mState.Now()) ? 1 : 0;
+      if (notice.mAge >= kQuarantineTime) {
+        mPassed.push_back(record.mRequest);
+      }
+    }
+    LogEvent(log_level::eInfo,
+             "quarantines_read",
+             { { "records", aRecords.size() }, { "in_quarantine", taken } });
+    mLink.NoteKnows();
+  }
+
+  /** Writes what this daemon has put into quarantine, and takes out what has passed. */
+  asio::awaitable<void> Write()
+  {
+    for (;;) {
+      if (mUnwritten.empty()) {
+        co_await mWork.Wait(kQuarantineTime);
+        continue;
+      }
+      const quarantine_record record = mUnwritten.front();
+      const result<void> written = co_await mStore.WriteQuarantine(record);
+      if (!written) { // It may have been written: once more does no harm.
+        co_await Sleep(kKeeperRest);
+        continue;
+      }
+      mUnwritten.pop_front();
+      while (!mPassed.empty()) {
+        const request_fingerprint passed = mPassed.back();
+        mPassed.pop_back();
+        const result<void> removed = co_await mStore.RemoveQuarantine(passed);
+        if (!removed) {
+          mPassed.clear(); // Whoever starts next finds them again.
+        }
+      }
+    }
+  }
+
+  forward_state& mState;                    ///< Shared.
+  Store& mStore;                            ///< Keeps the records.
+  quarantine_link mLink;                    ///< The other daemons.
+  wake_list mWork;                          ///< Woken when there's something to write.
+  std::deque<quarantine_record> mUnwritten; ///< Put into quarantine here; at most kMostUnwritten.
+  std::vector<request_fingerprint> mPassed; ///< Records whose time was over at the start.
+};
+
+} // namespace dunehook
--- a/src/forward/run_message.cpp
+++ b/src/forward/run_message.cpp
@@ -3,7 +3,7 @@
  * Run messages as CBOR: [sender, digest, [[run, decode, prefill, prompt, answer, most, made,
  * age]...],
  * [ended...], [ordered...], [refused...], store, runner changes, whether the store is silent,
- * [finished...], [reads...], [outcomes...], [full...], [leaving...]].
+ * [finished...], [reads...], [outcomes...], [full...], [leaving...], quarantine].
  */
 #include "forward/run_message.h"
 
@@ -15,6 +15,9 @@
 
 using nlohmann::json;
 
+/** Place of the quarantine in a message. */
+constexpr std::size_t kQuarantineItem = 14;
+
 /** Most runs taken from one datagram; more than one sender can have in its size. */
 constexpr std::size_t kMostRuns = 2000;
 
@@ -158,6 +161,64 @@
   }
 }
 
+json
+QuarantineOf(const quarantine_message& aMessage)
+{
+  json crashes = json::array();
+  for (const crash_report& report : aMessage.mCrashes) {
+    crashes.push_back({ report.mRequest.mValue, report.mRunner.mValue, report.mProgressed });
+  }
+  json served = json::array();
+  for (const request_fingerprint request : aMessage.mServed) {
+    served.push_back(request.mValue);
+  }
+  json notices = json::array();
+  for (const quarantine_notice& notice : aMessage.mNotices) {
+    notices.push_back(
+      { notice.mRequest.mValue, static_cast<int>(notice.mStanding), notice.mAge.count() });
+  }
+  const json asks = aMessage.mAsksBeside ? json(*aMessage.mAsksBeside) : json();
+  return json::array({ std::move(crashes),
+                       std::move(served),
+                       std::move(notices),
+                       asks,
+                       aMessage.mAsksAlways,
+                       aMessage.mKnows });
+}
+
+quarantine_notice
+NoticeFrom(const json& aItem)
+{
+  const bool quarantined =
+    aItem.at(1).get<int>() == static_cast<int>(request_standing::eQuarantined);
+  return { { aItem.at(0).get<std::uint64_t>() },
+           quarantined ? request_standing::eQuarantined : request_standing::eSuspected,
+           duration(std::max<std::int64_t>(0, aItem.at(2).get<std::int64_t>())) };
+}
+
+quarantine_message
+QuarantineFrom(const json& aItem)
+{
+  quarantine_message message;
+  for (const json& crash : aItem.at(0)) {
+    message.mCrashes.push_back({ { crash.at(0).get<std::uint64_t>() },
+                                 { crash.at(1).get<std::uint64_t>() },
+                                 crash.at(2).get<bool>() });
+  }
+  for (const json& served : aItem.at(1)) {
+    message.mServed.push_back({ served.get<std::uint64_t>() });
+  }
+  for (const json& notice : aItem.at(2)) {
+    message.mNotices.push_back(NoticeFrom(notice));
+  }
+  if (!aItem.at(3).is_null()) {
+    message.mAsksBeside = aItem.at(3).get<std::uint64_t>();
+  }
+  message.mAsksAlways = aItem.at(4).get<bool>();
+  message.mKnows = aItem.at(5).get<bool>();
+  return message;
+}
+
 } // namespace
 
 std::string
@@ -191,6 +252,10 @@
   if (aMessage.mRunners) {
     changes = ChangesOf(*aMessage.mRunners);
   }
+  json quarantine;
+  if (aMessage.mQuarantine) {
+    quarantine = QuarantineOf(*aMessage.mQuarantine);
+  }
   const std::vector<std::uint8_t> bytes = json::to_cbor(json::array({ aMessage.mDaemon,
                                                                       aMessage.mDigest,
                                                                       std::move(begun),
@@ -204,7 +269,8 @@
                                                                       ReadsOf(aMessage),
                                                                       OutcomesOf(aMessage),
                                                                       IdsOf(aMessage.mFull),
-                                                                      IdsOf(aMessage.mLeaving) }));
+                                                                      IdsOf(aMessage.mLeaving),
+                                                                      std::move(quarantine) }));
   return { bytes.begin(), bytes.end() };
 }
 
@@ -242,6 +308,10 @@
     TakeReports(body, message);
     message.mFull = IdsFrom(body.at(12));
     message.mLeaving = IdsFrom(body.at(13));
+    const bool tells = body.size() > kQuarantineItem && !body.at(kQuarantineItem).is_null();
+    if (tells) { // Daemons of the version before it don't have the item.
+      message.mQuarantine = QuarantineFrom(body.at(kQuarantineItem));
+    }
     return message.mDaemon == 0 ? std::nullopt : std::optional<run_message>(message);
   } catch (const json::exception&) {
     return std::nullopt; // The receiver counts it.
--- a/src/forward/run_message.h
+++ b/src/forward/run_message.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "forward/placement_type.h"
+#include "quarantine/quarantine_type.h"
 
 #include <string>
 #include <string_view>
@@ -82,6 +83,8 @@
   std::vector<service_runner_id> mOrdered; ///< Engines that took an order to change their role.
   std::vector<service_runner_id> mLeaving; ///< Runners that said in an answer that they leave.
 
+  std::optional<quarantine_message> mQuarantine; ///< Of requests that crash runners.
+
   bool operator==(const run_message&) const = default;
 };
 
--- a/src/forward/upstream_send.h
+++ b/src/forward/upstream_send.h
@@ -35,6 +35,7 @@
   http::fields mHead;                 ///< Fields for the caller, if answered.
   upstream_ptr mConnection;           ///< Where the body follows, if answered.
   bool mTimedOut = false;             ///< It ended by its time limit.
+  bool mBroke = false;                ///< The connection ended before the answer did.
 };
 
 /** @return whether a field concerns one connection only. */
@@ -124,6 +125,7 @@
   answer.mEnd = send_end::eUnknown;
   if (!head) {
     answer.mTimedOut = head.error() == errc::eDeadlinePassed;
+    answer.mBroke = head.error() == errc::eConnectionLost;
     connection->Abort();
     co_return answer;
   }
--- a/src/forward/wire_type.h
+++ b/src/forward/wire_type.h
@@ -8,6 +8,7 @@
 #include "forward/config_type.h"
 #include "forward/generation_type.h"
 #include "net/http_client.h"
+#include "quarantine/quarantine_type.h"
 
 #include <concepts>
 #include <memory>
@@ -98,7 +99,8 @@
                                  const store_mark& aFrom,
                                  std::uint64_t aAt,
                                  duration aWait,
-                                 const std::string& aHolder)
+                                 const std::string& aHolder,
+                                 const quarantine_record& aRecord)
 {
   // The newest configuration, read at once. The answer must begin within a time.
   {
@@ -126,6 +128,17 @@
   {
     aStore.TakeTerm(aAt, aHolder)
     } -> std::same_as<asio::awaitable<result<term_record>>>;
+  // Requests that were put into quarantine, also those whose time is over.
+  {
+    aStore.ReadQuarantines()
+    } -> std::same_as<asio::awaitable<result<std::vector<quarantine_record>>>>;
+  // Keeps one; the newest record of a request holds.
+  {
+    aStore.WriteQuarantine(aRecord)
+    } -> std::same_as<asio::awaitable<result<void>>>;
+  {
+    aStore.RemoveQuarantine(aRecord.mRequest)
+    } -> std::same_as<asio::awaitable<result<void>>>;
   // A configuration from its text, which another daemon has handed on.
   {
     T::DecodeText(std::string_view{})
--- a/tests/platform/crash_test.cpp
+++ b/tests/platform/crash_test.cpp
@@ -112,19 +112,19 @@
   }
 
   /** Checks that a daemon sends the request to no runner. */
-  void CheckKeptAt(std::size_t aDaemon)
+  void CheckKeptAt(std::size_t aDaemon, const std::string& aPath = "/turns/a")
   {
     const std::size_t reached = Reached(kPoison);
     const std::int64_t sent = NowMs();
-    CheckRefusal(Generate(kPoison, aDaemon), sent);
+    CheckRefusal(Generate(kPoison, aDaemon, aPath), sent);
     LONGS_EQUAL(reached, Reached(kPoison));
   }
 
   /** Checks the same for all daemons. */
-  void CheckKept()
+  void CheckKept(const std::string& aPath = "/turns/a")
   {
     for (std::size_t daemon = 0; daemon < mBed.Daemons(); ++daemon) {
-      CheckKeptAt(daemon);
+      CheckKeptAt(daemon, aPath);
     }
   }
 
@@ -210,8 +210,7 @@
   }
   Wait(kKnownWithinMs);
   const std::size_t crashes = CrashCount();
-  CheckKept();
-  LONGS_EQUAL(503, Generate(kPoison, 0, "/resumed/a").mStatus);
+  CheckKept("/resumed/a");
   LONGS_EQUAL(crashes, CrashCount());
 }
 
