--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -54,6 +54,7 @@
   stream.expires_after(aLimit);
   const tcp::endpoint target(address, aTo.mPort);
   co_await stream.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
+  stream.expires_never(); // From here on stream_limit holds.
   if (error) {
     co_return make_error_code(errc::eConnectFailed);
   }
--- a/tests/unit/suspension_test.cpp
+++ b/tests/unit/suspension_test.cpp
@@ -120,6 +120,23 @@
   CHECK_TRUE(why == errc::eDeadlinePassed);
 }
 
+TEST(suspension, TheLimitOfAConnectEndsWithIt)
+{
+  tcp::acceptor silent = OpenAcceptor(mIo, { "127.0.0.1", 0 }).value();
+  const endpoint at = AddressOf(silent);
+  duration took{ 0 };
+  const auto call = [&]() -> asio::awaitable<void> {
+    auto connection = co_await http_connection::Connect(at, milliseconds(100));
+    http_call sent;
+    sent.mTarget = "/";
+    const instant began = boot_clock_source{}.Now();
+    co_await connection.value()->Call(sent, milliseconds(400));
+    took = boot_clock_source{}.Now() - began;
+  };
+  Run(call());
+  CHECK_TRUE(took >= milliseconds(400));
+}
+
 TEST(suspension, ASideCallIsAwaitedNoLongerThanItsLimit)
 {
   tcp::acceptor silent = OpenAcceptor(mIo, { "127.0.0.1", 0 }).value();
