Add: [Soak] requests that crash the runners that run them, tried again at any daemon

Seeds from 2000 on (--only=poison plays them alone): one caller in eight sends the same body under ids of its own, at any daemon, while daemons are killed, paused, stopped and all killed at once, connections and the store fail, runners leave. A runner that runs it crashes and begins anew under its id. Promises: later than 3 s after the third crash at most three tries reach a runner, but by daemons that were just stopped, killed or paused; no other request is ever told that it's quarantined.

gateway.OnlyWhatChangedIsReadOfTheRunners failed once on: it counts whole reads of the store, and a daemon now reads the quarantines once, half a second after its start. The stand-in counts those apart; the test's own check stays, and crashes.QuarantinesAreReadFromTheStoreOnce... holds the new count to one.

--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -17,7 +17,8 @@
 ABSL_FLAG(std::string,
           only,
           "all",
-          "kind of faults that aren't planned work: process, network, runner, store or all");
+          "kind of faults that aren't planned work: process, network, runner, store, memory, "
+          "poison or all");
 ABSL_FLAG(int, daemons, 4, "daemons");
 ABSL_FLAG(int, callers, 16, "callers");
 
@@ -29,6 +30,8 @@
 
 /** Longest time until all is served again after the last fault, in ms. */
 constexpr int kRecoveryMs = 12000;
+/** A crash may break what is under way, and what begins until the runner is back, in ms. */
+constexpr std::int64_t kCrashedMs = 1500;
 /** Longest time until nothing is held for anybody, in ms: a reservation's own life, and a second.
  */
 constexpr int kFreeMs = 4000;
@@ -36,11 +39,11 @@
 fault_kind
 KindOf(const std::string& aName)
 {
-  static const std::map<std::string, fault_kind> kinds{ { "process", fault_kind::eProcess },
-                                                        { "network", fault_kind::eNetwork },
-                                                        { "runner", fault_kind::eRunner },
-                                                        { "store", fault_kind::eStore },
-                                                        { "memory", fault_kind::eMemory } };
+  static const std::map<std::string, fault_kind> kinds{
+    { "process", fault_kind::eProcess }, { "network", fault_kind::eNetwork },
+    { "runner", fault_kind::eRunner },   { "store", fault_kind::eStore },
+    { "memory", fault_kind::eMemory },   { "poison", fault_kind::ePoison }
+  };
   const auto found = kinds.find(aName);
   return found == kinds.end() ? fault_kind::eAll : found->second;
 }
@@ -58,6 +61,7 @@
   {
     mBed.StartUsual();
     mFaults.TellBirths();
+    mFaults.ArmRunners();
     for (std::size_t daemon = 1; daemon < mDaemons; ++daemon) {
       mBed.StartDaemon();
     }
@@ -92,6 +96,11 @@
     known.mSeen = mBed.Seen();
     known.mFaults = mFaults.Faults();
     known.mDrains = mFaults.Drains();
+    known.mCrashes = mBed.Crashes();
+    for (const json& crash : known.mCrashes) { // What ran there broke, whoever else was stopped.
+      const auto at = crash.value("at_ms", std::int64_t{ 0 });
+      known.mFaults.push_back({ at, at + kCrashedMs, std::nullopt, false });
+    }
     mFound.merge(CheckPromises(known));
     for (const std::string& end : mFaults.BadEnds()) {
       mFound.insert({ "no process ends by itself", "", end });
@@ -154,6 +163,7 @@
       { "calls", aCalls.size() },
       { "answers", statuses },
       { "faults", mFaults.Counts() },
+      { "crashes", mBed.Crashes().size() },
       { "broken", broken }
     }.dump() << std::endl;
   }
--- a/soak/soak_callers.cpp
+++ b/soak/soak_callers.cpp
@@ -21,6 +21,7 @@
 /** Chances, of 100. */
 constexpr int kLeaves = 8;
 constexpr int kFreshConnection = 25;
+constexpr int kPoisoned = 12;
 /** Rest between two requests of a caller, in ms. */
 constexpr int kMostRest = 60;
 /** Events of a stream; the stand-in makes one each 10 ms. */
@@ -69,7 +70,7 @@
     request.set(name, value);
   }
   if (!reads) {
-    request.body() = "body of " + aCall.mId;
+    request.body() = aCall.mPoison.empty() ? "body of " + aCall.mId : aCall.mPoison;
   }
   request.prepare_payload();
   return request;
@@ -153,6 +154,13 @@
   }
   call.mEvents = IsStream(call.mKind) ? 1 + static_cast<std::uint64_t>(Draw(kMostEvents)) : 0;
   call.mLeft = Draw(100) < kLeaves;
+  const int poison = mWorld.mPoison;
+  if (poison != 0 && Draw(100) < kPoisoned) {
+    // Tries of one request are alike in all but their ids, so its kind follows from its number.
+    call.mKind = poison % 2 == 0 ? call_kind::eTurn : call_kind::eResumed;
+    call.mEvents = kMostEvents;
+    call.mPoison = kPoison + std::to_string(poison);
+  }
   return call;
 }
 
@@ -171,7 +179,8 @@
       call.mLeft = false;
     }
     co_await Perform(open, call);
-    const bool broke = call.mKind == call_kind::eResumed && call.mStatus == 200 && !call.mWhole;
+    const bool broke = call.mKind == call_kind::eResumed && call.mStatus == 200 && !call.mWhole &&
+                       call.mPoison.empty();
     resume.reset();
     if (broke && !call.mLeft) {
       resume = call;
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -15,6 +15,9 @@
 
 namespace dunehook::soak {
 
+/** What a body that crashes runners begins with. */
+inline const std::string kPoison = "poison-";
+
 /** What callers and faults share. */
 struct caller_world
 {
@@ -22,6 +25,8 @@
   std::vector<std::atomic<int>> mLives;     ///< Runs of each daemon's process so far.
   std::atomic<std::uint64_t> mVersion{ 1 }; ///< Newest configuration that was written.
 
+  std::atomic<int> mPoison{ 0 }; ///< Number of the body that crashes runners; 0: none.
+
   explicit caller_world(std::size_t aDaemons)
     : mLives(aDaemons)
   {
--- a/soak/soak_check.cpp
+++ b/soak/soak_check.cpp
@@ -19,6 +19,11 @@
 constexpr std::int64_t kLeftTime = 500;
 /** Faults and requests are taken for overlapping within this, in ms. */
 constexpr std::int64_t kAround = 300;
+/** Runners that a request may crash, and its tries that may reach one later than the time in which
+ * all daemons that are in contact learn of it, in ms. */
+constexpr int kCrashesAllowed = 3;
+constexpr std::size_t kRetriesAllowed = 3;
+constexpr std::int64_t kContactTime = 3000;
 
 /** Runs that runners began, by request. */
 using runs_by_request = std::map<std::string, std::vector<const json*>>;
@@ -222,6 +227,65 @@
   }
 }
 
+/** @return when a body had crashed as many runners as it may; nothing if it hasn't. */
+std::optional<std::int64_t>
+LastAllowedCrash(const evidence& aEvidence, const std::string& aPoison)
+{
+  int crashes = 0;
+  for (const json& crash : aEvidence.mCrashes) {
+    crashes += crash.value("by", "") == aPoison ? 1 : 0;
+    if (crashes == kCrashesAllowed) {
+      return crash.value("at_ms", std::int64_t{ 0 });
+    }
+  }
+  return std::nullopt;
+}
+
+/** A request that has crashed three runners reaches hardly any more, by whichever daemon, unless
+ * that one was just stopped, killed or held up. */
+void
+CheckPoison(const evidence& aEvidence, std::set<violation>& aFound)
+{
+  std::map<std::string, std::set<std::string>> late;
+  std::map<std::string, const call_record*> calls;
+  for (const call_record& call : aEvidence.mCalls) {
+    if (!call.mPoison.empty()) {
+      calls[call.mId] = &call;
+    }
+  }
+  for (const json& one : aEvidence.mSeen) {
+    const std::string poison = one.value("body", "");
+    const auto call = calls.find(one.at("headers").value("X-Request-Id", ""));
+    if (call == calls.end()) {
+      continue;
+    }
+    const std::optional<std::int64_t> third = LastAllowedCrash(aEvidence, poison);
+    const std::int64_t at = one.value("at_ms", std::int64_t{ 0 });
+    const bool excused = std::any_of(
+      aEvidence.mFaults.begin(), aEvidence.mFaults.end(), [&](const fault_record& aFault) {
+        return aFault.mDaemon == call->second->mDaemon && aFault.mFrom < at &&
+               aFault.mUntil > at - kContactTime;
+      });
+    if (third && at > *third + kContactTime && !excused) {
+      late[poison].insert(call->first);
+    }
+  }
+  for (const auto& [poison, requests] : late) {
+    if (requests.size() > kRetriesAllowed) {
+      aFound.insert({ "crashes end", *requests.begin(), poison + " went on being sent" });
+    }
+  }
+}
+
+/** A request that crashes nobody isn't taken for one that does. */
+void
+CheckBeside(const call_record& aCall, std::set<violation>& aFound)
+{
+  if (aCall.mPoison.empty() && aCall.mBody.find("quarantined") != std::string::npos) {
+    aFound.insert({ "callers beside a crash", aCall.mId, aCall.mBody });
+  }
+}
+
 } // namespace
 
 std::set<violation>
@@ -234,7 +298,9 @@
     CheckRuns(call, runs, found);
     CheckPlanned(aEvidence, call, runs, found);
     CheckLeft(aEvidence, call, runs, found);
+    CheckBeside(call, found);
   }
+  CheckPoison(aEvidence, found);
   CheckVersions(aEvidence, found);
   CheckDrains(aEvidence, found);
   return found;
--- a/soak/soak_check.h
+++ b/soak/soak_check.h
@@ -26,11 +26,12 @@
 /** All that is known so far. */
 struct evidence
 {
-  std::vector<call_record> mCalls;   ///< What callers saw.
-  std::vector<nlohmann::json> mSeen; ///< What runners saw, in order.
-  std::vector<fault_record> mFaults; ///< What was done, with its times.
-  std::vector<drain_record> mDrains; ///< Runners that were told to leave.
-  std::int64_t mDrainTime = 2000;    ///< Time that a leaving runner may get work, in ms.
+  std::vector<call_record> mCalls;      ///< What callers saw.
+  std::vector<nlohmann::json> mSeen;    ///< What runners saw, in order.
+  std::vector<fault_record> mFaults;    ///< What was done, with its times.
+  std::vector<drain_record> mDrains;    ///< Runners that were told to leave.
+  std::vector<nlohmann::json> mCrashes; ///< Runners' lives that crashed, and by which body.
+  std::int64_t mDrainTime = 2000;       ///< Time that a leaving runner may get work, in ms.
 };
 
 /** @return the promises that the evidence shows broken. */
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -24,6 +24,10 @@
 constexpr std::int64_t kAfterwardsMs = 1500;
 /** Seeds from here on play what is forgotten as well; those before play what they always did. */
 constexpr unsigned kFirstWithMemory = 1000;
+/** Seeds from here on play requests that crash runners as well. */
+constexpr unsigned kFirstWithPoison = 2000;
+/** Time from a runner's crash to its next life, in ms. */
+constexpr int kDownMs = 700;
 /** Most records that an older copy lacks, of each topic. */
 constexpr int kMostLacked = 4;
 /** One of so many episodes has planned work only. */
@@ -45,6 +49,8 @@
   , mOnly(aOnly)
   , mMemory(aOnly == fault_kind::eMemory ||
             (aOnly == fault_kind::eAll && aSeed >= kFirstWithMemory))
+  , mPoisons(aOnly == fault_kind::ePoison ||
+             (aOnly == fault_kind::eAll && aSeed >= kFirstWithPoison))
   , mRunners{ "desk-1", "desk-2", "prefill-1", "decode-1", "decode-2" }
 {
 }
@@ -118,7 +124,7 @@
 soak_faults::ReplaceRunner()
 {
   const std::string former = Supersede();
-  mBed.List(former, "draining");
+  List(former, "draining");
   mDrains.push_back({ former, NowMs(), false });
   mDraining[former] = "draining";
 }
@@ -133,23 +139,67 @@
   test::runner_options options;
   options.mService = kind == "desk" ? "desk" : "tutor";
   options.mRole = kind == "desk" ? "" : kind;
-  options.mBorn = mMemory ? ++mBorn : 0;
+  options.mBorn = mMemory || mPoisons ? NextBirth() : 0;
   mBed.AddRunner(fresh, options);
   mRunners[which] = fresh;
+  ArmRunners();
   return former;
 }
 
 void
 soak_faults::TellBirths()
 {
-  if (!mMemory) {
+  if (!mMemory && !mPoisons) {
     return;
   }
   for (const std::string& runner : mRunners) {
-    mBed.ListBorn(runner, ++mBorn);
+    mBed.ListBorn(runner, NextBirth());
   }
 }
 
+std::uint64_t
+soak_faults::NextBirth()
+{
+  if (!mPoisons) {
+    return ++mBorn;
+  }
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  mBorn = std::max(mBorn + 1, static_cast<std::uint64_t>(ms));
+  return mBorn;
+}
+
+void
+soak_faults::List(const std::string& aRunner, const std::string& aState)
+{
+  if (mPoisons) { // It may have crashed and begun anew since it was listed.
+    mBed.TakeBirth(aRunner);
+  }
+  mBed.List(aRunner, aState);
+}
+
+void
+soak_faults::ArmRunners()
+{
+  if (!mPoisons) {
+    return;
+  }
+  for (const std::string& runner : mRunners) {
+    mBed.SetRunner(runner,
+                   { { "crashes_on", kPoison }, { "down_ms", kDownMs }, { "keeps_id", true } });
+  }
+}
+
+void
+soak_faults::AddPoison(timeline& aTimes)
+{
+  const auto [from, until] = DrawSpan();
+  aTimes.emplace(from, [this] {
+    Note("poison", std::nullopt, 0, false);
+    mWorld.mPoison = mWorld.mPoison + 1 + Draw(2);
+  });
+}
+
 void
 soak_faults::LetStoreGoBack()
 {
@@ -162,13 +212,13 @@
 soak_faults::WriteAgain()
 {
   for (const std::string& runner : mRunners) {
-    mBed.List(runner, "ready");
+    List(runner, "ready");
   }
   for (const auto& [runner, state] : mDraining) {
-    mBed.List(runner, state);
+    List(runner, state);
   }
   for (const std::string& runner : mLeft) {
-    mBed.List(runner, "");
+    List(runner, "");
   }
   PutVersion(mWorld.mVersion);
 }
@@ -192,7 +242,7 @@
 soak_faults::Rebear(const std::string& aRunner)
 {
   mBed.SetProxy(aRunner, { { "reset", 1 } });
-  mBed.Rebear(aRunner, ++mBorn);
+  mBed.Rebear(aRunner, NextBirth());
   mBed.MendProxy(aRunner);
 }
 
@@ -379,7 +429,7 @@
 void
 soak_faults::AddUnplanned(timeline& aTimes)
 {
-  const int kinds = mMemory ? 5 : 4;
+  const int kinds = mPoisons ? 6 : mMemory ? 5 : 4;
   const fault_kind kind = mOnly == fault_kind::eAll ? static_cast<fault_kind>(Draw(kinds)) : mOnly;
   switch (kind) {
     case fault_kind::eProcess:
@@ -394,6 +444,9 @@
     case fault_kind::eMemory:
       AddMemoryFault(aTimes);
       break;
+    case fault_kind::ePoison:
+      AddPoison(aTimes);
+      break;
     default:
       AddStoreFault(aTimes);
       break;
@@ -451,7 +504,7 @@
   if (!mDraining.empty()) { // Their entries go only when they would have ended.
     std::this_thread::sleep_for(std::chrono::milliseconds(kDrainMs));
     for (const auto& [runner, state] : mDraining) {
-      mBed.List(runner, "");
+      List(runner, "");
       mLeft.push_back(runner);
     }
     mDraining.clear();
--- a/soak/soak_faults.h
+++ b/soak/soak_faults.h
@@ -22,6 +22,7 @@
   eRunner,  ///< What runners answer.
   eStore,   ///< What the store answers.
   eMemory,  ///< What the store and runners forget, and what others write.
+  ePoison,  ///< Requests that crash the runners that run them.
   eAll,     ///< Any of them.
 };
 
@@ -45,6 +46,8 @@
   const std::map<std::string, int>& Counts() const { return mCounts; }
   /** @return daemons that ended by themselves, or didn't end as they should. */
   const std::vector<std::string>& BadEnds() const { return mBadEnds; }
+  /** Sets up that requests may crash runners, where that is among what is played. */
+  void ArmRunners();
   /** @return runners that take work now, by id. */
   const std::vector<std::string>& Runners() const { return mRunners; }
 
@@ -66,6 +69,7 @@
   void AddRunnerFault(timeline& aTimes);
   void AddStoreFault(timeline& aTimes);
   void AddMemoryFault(timeline& aTimes);
+  void AddPoison(timeline& aTimes);
   /** Lets the store come back from an older copy; its writers write again later. */
   void LetStoreGoBack();
   /** Writes again what the store may have lost. */
@@ -78,6 +82,10 @@
   void Rebear(const std::string& aRunner);
   /** Writes what is no entry. @param aKey a key of nobody's, or a runner's. */
   void WriteRubbish(const std::string& aKey);
+  /** @return the birth of a runner that begins now, in Unix ms; never the same twice. */
+  std::uint64_t NextBirth();
+  /** Lists a runner in a state, with the birth of its life. */
+  void List(const std::string& aRunner, const std::string& aState);
   /** Adds a runner in place of another. @return the former one. */
   std::string Supersede();
   void Note(const std::string& aKind,
@@ -97,6 +105,7 @@
   std::mt19937 mRandom;                         ///< From the seed.
   fault_kind mOnly;                             ///< Kind of unplanned faults, or eAll.
   bool mMemory;                                 ///< eMemory is among what is played.
+  bool mPoisons;                                ///< ePoison is among what is played.
   std::vector<std::string> mRunners;            ///< Ids of runners that take work.
   std::vector<fault_record> mFaults;            ///< What was done.
   std::vector<drain_record> mDrains;            ///< Runners told to leave.
--- a/soak/soak_type.h
+++ b/soak/soak_type.h
@@ -21,7 +21,7 @@
   eVersion, ///< A page on a route that a later configuration brought.
 };
 
-/** A request as its caller saw it. Times are in milliseconds of the steady clock. */
+/** A request as its caller saw it. Times are in milliseconds, see NowMs(). */
 struct call_record
 {
   std::string mId;                      ///< Chosen for this try.
@@ -37,6 +37,7 @@
   std::string mBody;                    ///< What came of the body.
   std::uint64_t mFirstEvent = 0;        ///< Streams: first event that the caller lacks.
   std::uint64_t mEvents = 0;            ///< Streams: events of the whole answer.
+  std::string mPoison;                  ///< Body that crashes runners; empty for a body of its own.
   std::uint64_t mVersion = 0;           ///< eVersion: the configuration that brought the route.
 };
 
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -3,7 +3,8 @@
  * Stand-in of the users' platform: the store of configuration, runners and terms, and any number of
  * runners, in one process. A test sets faults over the control address, and reads what runners saw.
  * Control calls: POST /control/config, /control/server?id=, /control/store, /control/runner?id=,
- * /control/crash?id=; GET /control/seen, /control/holds, /control/terms, /control/crashes.
+ * /control/crash?id=; GET /control/seen, /control/holds, /control/terms, /control/crashes,
+ * /control/birth?id=.
  */
 #include "core/text_func.h"
 #include "standins/common/standin.h"
@@ -120,7 +121,9 @@
   std::string mCrashesOn;                ///< Requests with this in path or body crash it; or empty.
   duration mDownFor{ 0 };                ///< Time from a crash to its next life.
   bool mDown = false;                    ///< It crashed and isn't back.
+  bool mKeepsId = false;                 ///< Its next lives have its id, and tell their birth.
   int mLives = 1;                        ///< Lives so far; all but the first have ids of their own.
+  std::int64_t mBorn = 0;                ///< Unix ms of its last rebirth under its id; 0 if none.
   std::string mName;                     ///< Id of its first life.
   std::set<tcp::socket*> mSockets;       ///< Open connections.
 };
@@ -161,7 +164,7 @@
       co_await HoldRead();
     }
     if (path == "/log-newest") {
-      ++mWholeReads;
+      ++(name == "keyed.dunehook-quarantine" ? mQuarantineReads : mWholeReads);
       if (mStoreMode == "lose_whole") {
         mStoreMode.clear();
         co_await Sleep(std::chrono::seconds(60));
@@ -216,13 +219,13 @@
   {
     const std::size_t from = std::stoul("0" + aExchange->Query("from"));
     const int wait = std::stoi("0" + aExchange->Query("wait-ms"));
-    const instant until = steady_clock_source{}.Now() + std::chrono::milliseconds(wait);
+    const instant until = boot_clock_source{}.Now() + std::chrono::milliseconds(wait);
     const bool waits = aTopic.mRecords.size() <= from && wait > 0;
     const std::uint64_t era = mEra;
     // A deaf store doesn't notice what a read waits for before its time is over.
     const auto there = [&] { return aTopic.mRecords.size() > from && mStoreMode != "deaf"; };
-    while (!there() && era == mEra && steady_clock_source{}.Now() < until) {
-      co_await mChanged.Wait(until - steady_clock_source{}.Now());
+    while (!there() && era == mEra && boot_clock_source{}.Now() < until) {
+      co_await mChanged.Wait(until - boot_clock_source{}.Now());
     }
     if (waits && mStoreMode == "slow") {
       co_await Sleep(mSlowStore); // What a read waited for is late as any other answer.
@@ -281,17 +284,20 @@
     } else if (aWhat == "runner") {
       answer = SetRunner(id, body);
     } else if (aWhat == "crash") {
-      Crash(mRunners.at(id));
+      Crash(mRunners.at(id), "");
     } else if (aWhat == "crashes") {
       answer["crashes"] = mCrashes;
+    } else if (aWhat == "birth") {
+      answer["born"] = mRunners.at(id)->mBorn;
     } else if (aWhat == "seen") {
       answer["seen"] = mSeen;
       answer["store_calls"] = mStoreCalls;
       answer["whole_reads"] = mWholeReads;
+      answer["quarantine_reads"] = mQuarantineReads;
       answer["held_reads"] = mHeldReads;
     } else if (aWhat == "holds") {
       for (const auto& [name, runner] : mRunners) {
-        const instant now = steady_clock_source{}.Now();
+        const instant now = boot_clock_source{}.Now();
         std::erase_if(runner->mHolds, [&](const auto& aHold) { return aHold.second <= now; });
         answer[name] = { { "holds", runner->mHolds.size() }, { "runs", runner->mOpenRuns } };
       }
@@ -323,7 +329,9 @@
                                                                "",
                                                                duration{ 0 },
                                                                false,
+                                                               false,
                                                                1,
+                                                               0,
                                                                aId,
                                                                {} });
       found = mRunners.emplace(aId, runner).first;
@@ -336,6 +344,7 @@
     runner.mFree = aBody.value("free", runner.mFree);
     runner.mLeaves = aBody.value("leaves", false);
     runner.mRetryAfter = aBody.value("retry_after", "");
+    runner.mKeepsId = aBody.value("keeps_id", runner.mKeepsId);
     runner.mCrashesOn = aBody.value("crashes_on", runner.mCrashesOn);
     runner.mDownFor =
       std::chrono::milliseconds(aBody.value("down_ms", runner.mDownFor.count() / 1000));
@@ -359,15 +368,16 @@
   }
 
   /** Ends a runner's life: its connections are reset, and its port refuses until the next one. */
-  void Crash(std::shared_ptr<fake_runner> aRunner)
+  void Crash(std::shared_ptr<fake_runner> aRunner, const std::string& aBy)
   {
     if (aRunner->mDown) {
       return;
     }
     aRunner->mDown = true;
     aRunner->mHolds.clear();
-    mCrashes.push_back(
-      { { "runner", aRunner->mId }, { "at_ms", steady_clock_source{}.Now().count() / 1000 } });
+    mCrashes.push_back({ { "runner", aRunner->mId },
+                         { "by", aBy },
+                         { "at_ms", boot_clock_source{}.Now().count() / 1000 } });
     const endpoint at = AddressOf(aRunner->mAcceptor);
     boost::system::error_code ignored; // The socket may be closed already.
     aRunner->mAcceptor.close(ignored);
@@ -378,30 +388,50 @@
     Spawn(mIo, Revive(aRunner, at));
   }
 
-  /** Begins a runner's next life at its address, under an id of its own. */
+  /** @return an entry that tells of a birth; empty if it isn't one. */
+  static std::string WithBirth(const std::string& aEntry, std::int64_t aBorn)
+  {
+    json entry = json::parse(aEntry, nullptr, false);
+    if (!entry.is_object()) {
+      return {};
+    }
+    entry["born"] = aBorn;
+    return entry.dump();
+  }
+
+  /** Begins a runner's next life at its address. */
   asio::awaitable<void> Revive(std::shared_ptr<fake_runner> aRunner, endpoint aAt)
   {
     co_await Sleep(aRunner->mDownFor);
     auto acceptor = OpenAcceptor(mIo, aAt);
     aRunner->mAcceptor = std::move(acceptor.value());
     const std::string former = aRunner->mId;
-    aRunner->mId = Join(aRunner->mName, ".", ++aRunner->mLives);
     topic& listed = mTopics["keyed.servers"];
-    const std::string entry = listed.Last(former);
-    listed.Append(former, "");
-    listed.Append(aRunner->mId, entry);
+    std::string entry = listed.Last(former);
+    ++aRunner->mLives;
+    if (aRunner->mKeepsId) {
+      const auto now = std::chrono::system_clock::now().time_since_epoch();
+      aRunner->mBorn = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+      entry = WithBirth(entry, aRunner->mBorn);
+    } else {
+      aRunner->mId = Join(aRunner->mName, ".", aRunner->mLives);
+      listed.Append(former, "");
+    }
+    if (!entry.empty()) { // It may have left for good meanwhile.
+      listed.Append(aRunner->mId, entry);
+    }
     mChanged.Notify();
     aRunner->mDown = false;
     Spawn(mIo, Accept(aRunner));
   }
 
   /** Crashes a runner a moment after a run has begun. */
-  asio::awaitable<void> CrashSoon(std::shared_ptr<fake_runner> aRunner)
+  asio::awaitable<void> CrashSoon(std::shared_ptr<fake_runner> aRunner, std::string aBy)
   {
     const int life = aRunner->mLives;
     co_await Sleep(kCrashAfter);
     if (life == aRunner->mLives) {
-      Crash(aRunner);
+      Crash(aRunner, aBy);
     }
   }
 
@@ -469,7 +499,7 @@
                       { "headers", headers },
                       { "body", aRequest.body() },
                       { "run", false },
-                      { "at_ms", steady_clock_source{}.Now().count() / 1000 } });
+                      { "at_ms", boot_clock_source{}.Now().count() / 1000 } });
     return mSeen.size() - 1;
   }
 
@@ -531,7 +561,7 @@
     const bool crashes = aRequest.body().find(aRunner.mCrashesOn) != std::string::npos ||
                          target.find(aRunner.mCrashesOn) != std::string::npos;
     if (!aRunner.mCrashesOn.empty() && crashes) {
-      Spawn(mIo, CrashSoon(aOwner));
+      Spawn(mIo, CrashSoon(aOwner, aRequest.body()));
     }
     if (aRunner.mRole == "decode") {
       co_return co_await Generate(aRunner, aStream, aRequest, own, mode);
@@ -619,7 +649,7 @@
       }
       const std::string hold = Join("hold-", ++mHolds);
       const std::chrono::milliseconds life(body.value("ttl_ms", 1000));
-      aRunner.mHolds[hold] = steady_clock_source{}.Now() + life;
+      aRunner.mHolds[hold] = boot_clock_source{}.Now() + life;
       return Whole(200, LeaveHeader(aRunner), json{ { "hold", hold } }.dump());
     }
     if (aTarget.substr(0, 11) == "/hold-drop/") {
@@ -642,9 +672,10 @@
   std::uint64_t mStoreCalls = 0;                                ///< Calls to the store.
   int mHeldReads = 0;                                           ///< Reads that are held.
   std::uint64_t mEra = 1;                                       ///< Rises as the store goes back.
-  std::uint64_t mWholeReads = 0;                                ///< Reads of a whole topic.
-  std::uint64_t mHolds = 0;                                     ///< Reservations granted.
-  json mCrashes = json::array();                                ///< Lives that crashed, and when.
+  std::uint64_t mWholeReads = 0;      ///< Reads of a whole topic, but for quarantines.
+  std::uint64_t mQuarantineReads = 0; ///< Reads of all quarantines.
+  std::uint64_t mHolds = 0;           ///< Reservations granted.
+  json mCrashes = json::array();      ///< Lives that crashed, and when.
 };
 
 } // namespace
--- a/tests/platform/crash_test.cpp
+++ b/tests/platform/crash_test.cpp
@@ -311,3 +311,13 @@
   Wait(kKnownWithinMs);
   CheckKept();
 }
+
+TEST(crashes, QuarantinesAreReadFromTheStoreOnceAndByNoDaemonThatOthersCanTell)
+{
+  constexpr int kReadWithinMs = 2000;
+  StartFleet(1);
+  CHECK_TRUE(Eventually([&] { return mBed.QuarantineReads() == 1; }, kReadWithinMs));
+  mBed.StartDaemon();
+  Wait(kReadWithinMs);
+  LONGS_EQUAL(1, mBed.QuarantineReads());
+}
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -536,6 +536,14 @@
   Control("crash?id=" + aId, "{}");
 }
 
+void
+fleet_bed::TakeBirth(const std::string& aId)
+{
+  const auto born = Control("birth?id=" + aId, "").at("born").get<std::uint64_t>();
+  json& entry = mEntries.at(aId);
+  entry["born"] = std::max(born, entry.value("born", std::uint64_t{ 0 }));
+}
+
 std::vector<json>
 fleet_bed::Crashes() const
 {
@@ -571,7 +579,7 @@
 void
 fleet_bed::SendToRuns(const run_message& aMessage, std::size_t aDaemon) const
 {
-  SendBytes(Encode(aMessage, steady_clock_source{}.Now()), 1, aDaemon);
+  SendBytes(Encode(aMessage, boot_clock_source{}.Now()), 1, aDaemon);
 }
 
 void
@@ -603,6 +611,12 @@
   return Control("seen", "").at("whole_reads").get<std::uint64_t>();
 }
 
+std::uint64_t
+fleet_bed::QuarantineReads() const
+{
+  return Control("seen", "").at("quarantine_reads").get<std::uint64_t>();
+}
+
 std::uint64_t
 fleet_bed::Terms() const
 {
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -121,7 +121,9 @@
   /** Ends a runner's life. Its next one begins at its address under another id, after the time that
    * "down_ms" among its faults sets. */
   void CrashRunner(const std::string& aId) const;
-  /** @return lives of runners that crashed: "runner" and "at_ms" each. */
+  /** Takes over a runner's birth as it's listed now, after a crash under the id that it keeps. */
+  void TakeBirth(const std::string& aId);
+  /** @return lives of runners that crashed: "runner", "at_ms" and "by", the body that did it. */
   std::vector<json> Crashes() const;
   /** @return the runner's reservations and open requests. */
   json Holds(const std::string& aId) const;
@@ -132,8 +134,10 @@
   void SendToRuns(const run_message& aMessage, std::size_t aDaemon = 0) const;
   /** @return calls to the store so far. */
   std::uint64_t StoreCalls() const;
-  /** @return reads of a whole topic of the store so far. */
+  /** @return reads of a whole topic of the store so far, but for quarantines. */
   std::uint64_t WholeReads() const;
+  /** @return reads of all quarantines in the store so far. */
+  std::uint64_t QuarantineReads() const;
   /** @return reads of the runners that the store holds, see SetStore(). */
   int HeldReads() const;
   /** @return records in the topic of terms. */
