Codechange: [Forward] rooms of their own for routing, runners, placement, messages, state and membership

Moves only: files, their include paths and head lines; no change of behaviour. src/forward keeps callers and sends.

--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -5,7 +5,7 @@
  */
 #include "control/message_func.h"
 #include "decide/placement_core.h"
-#include "members/member_base.h"
+#include "membership/member_base.h"
 #include "peer/rpc_dispatcher.h"
 #include "resources/fold_base.h"
 
--- a/src/cli/store_view.h
+++ b/src/cli/store_view.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "cli/cli_func.h"
-#include "forward/wire_type.h"
+#include "messages/wire_type.h"
 
 #include <absl/strings/str_format.h>
 #include <nlohmann/json.hpp>
--- a/src/control/peer_directory.h
+++ b/src/control/peer_directory.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "members/member_base.h"
+#include "membership/member_base.h"
 #include "peer/peer_link.h"
 
 #include <map>
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "core/clock_type.h"
-#include "forward/config_type.h"
+#include "routing/config_type.h"
 #include "net/http_client.h"
 
 #include <functional>
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -6,10 +6,10 @@
 #pragma once
 
 #include "forward/generation_call.h"
-#include "forward/placer_link.h"
+#include "membership/placer_link.h"
 #include "forward/plain_call.h"
-#include "forward/quarantine_keeper.h"
-#include "forward/store_follower.h"
+#include "membership/quarantine_store.h"
+#include "membership/store_follower.h"
 #include "net/http_server.h"
 #include "roles/role_keeper.h"
 
--- a/src/forward/upstream_send.h
+++ b/src/forward/upstream_send.h
@@ -7,8 +7,8 @@
 
 #include "core/log_func.h"
 #include "core/text_func.h"
-#include "forward/forward_state.h"
-#include "forward/wire_type.h"
+#include "state/forward_state.h"
+#include "messages/wire_type.h"
 #include "quarantine/request_fingerprint.h"
 
 namespace dunehook {
--- a/src/forward/config_follower.h
+++ b/src/membership/config_follower.h
@@ -5,9 +5,9 @@
  */
 #pragma once
 
-#include "forward/config_source.h"
-#include "forward/store_contact.h"
-#include "forward/wire_type.h"
+#include "membership/config_source.h"
+#include "membership/store_contact.h"
+#include "messages/wire_type.h"
 
 namespace dunehook {
 
--- a/src/forward/config_source.h
+++ b/src/membership/config_source.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "forward/daemon_link.h"
+#include "membership/daemon_link.h"
 #include "net/http_server.h"
 
 #include <absl/strings/numbers.h>
--- a/src/forward/daemon_link.cpp
+++ b/src/membership/daemon_link.cpp
@@ -2,9 +2,9 @@
  * @file daemon_link.cpp
  * Sending and taking of datagrams between daemons.
  */
-#include "forward/daemon_link.h"
+#include "membership/daemon_link.h"
 
-#include "roles/role_timing.h"
+#include "runners/role_timing.h"
 
 namespace dunehook {
 
--- a/src/forward/daemon_link.h
+++ b/src/membership/daemon_link.h
@@ -5,8 +5,8 @@
  */
 #pragma once
 
-#include "forward/forward_state.h"
-#include "members/member_base.h"
+#include "state/forward_state.h"
+#include "membership/member_base.h"
 
 namespace dunehook {
 
--- a/src/members/member.cpp
+++ b/src/membership/member.cpp
@@ -2,7 +2,7 @@
  * @file member.cpp
  * Heartbeats, failure detection and ownership.
  */
-#include "members/member_base.h"
+#include "membership/member_base.h"
 
 #include "core/hash_func.h"
 
--- a/src/forward/placer_link.cpp
+++ b/src/membership/placer_link.cpp
@@ -2,7 +2,7 @@
  * @file placer_link.cpp
  * Questions for a place, and digests of runs, by datagrams.
  */
-#include "forward/placer_link.h"
+#include "membership/placer_link.h"
 
 namespace dunehook {
 
--- a/src/forward/placer_link.h
+++ b/src/membership/placer_link.h
@@ -6,8 +6,8 @@
  */
 #pragma once
 
-#include "forward/daemon_link.h"
-#include "forward/placing_message.h"
+#include "membership/daemon_link.h"
+#include "messages/place_message.h"
 
 namespace dunehook {
 
--- a/src/forward/quarantine_link.h
+++ b/src/membership/quarantine_link.h
@@ -7,7 +7,7 @@
  */
 #pragma once
 
-#include "forward/daemon_link.h"
+#include "membership/daemon_link.h"
 
 #include <deque>
 #include <map>
--- a/src/forward/quarantine_keeper.h
+++ b/src/membership/quarantine_store.h
@@ -1,12 +1,12 @@
 /**
- * @file quarantine_keeper.h
+ * @file quarantine_store.h
  * Keeps quarantines in the store, for the case that all daemons end: a daemon that starts asks the
  * others first, and reads the store where none of them knows.
  */
 #pragma once
 
-#include "forward/quarantine_link.h"
-#include "forward/wire_type.h"
+#include "membership/quarantine_link.h"
+#include "messages/wire_type.h"
 
 namespace dunehook {
 
--- a/src/forward/store_contact.h
+++ b/src/membership/store_contact.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "core/log_func.h"
-#include "forward/daemon_link.h"
+#include "membership/daemon_link.h"
 
 #include <deque>
 
--- a/src/forward/store_follower.h
+++ b/src/membership/store_follower.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "forward/config_follower.h"
+#include "membership/config_follower.h"
 
 namespace dunehook {
 
--- a/src/forward/placing_message.cpp
+++ b/src/messages/place_message.cpp
@@ -1,11 +1,11 @@
 /**
- * @file placing_message.cpp
+ * @file place_message.cpp
  * Questions for a place and their answers as CBOR arrays; the first item tells which it is. Spans
  * are in microseconds.
  */
-#include "forward/placing_message.h"
+#include "messages/place_message.h"
 
-#include "forward/id_list_func.h"
+#include "runners/id_list_func.h"
 
 namespace dunehook {
 
--- a/src/forward/placing_message.h
+++ b/src/messages/place_message.h
@@ -1,10 +1,10 @@
 /**
- * @file placing_message.h
+ * @file place_message.h
  * Datagrams of questions for a place and of their answers.
  */
 #pragma once
 
-#include "forward/placing_type.h"
+#include "placement/place_type.h"
 
 #include <string>
 #include <string_view>
--- a/src/forward/run_message.cpp
+++ b/src/messages/run_message.cpp
@@ -5,9 +5,9 @@
  * [ended...], [ordered...], [refused...], store, runner changes, whether the store is silent,
  * [finished...], [reads...], [outcomes...], [full...], [leaving...], quarantine].
  */
-#include "forward/run_message.h"
+#include "messages/run_message.h"
 
-#include "forward/id_list_func.h"
+#include "runners/id_list_func.h"
 
 namespace dunehook {
 
--- a/src/forward/wire_type.h
+++ b/src/messages/wire_type.h
@@ -5,8 +5,8 @@
  */
 #pragma once
 
-#include "forward/config_type.h"
-#include "forward/generation_type.h"
+#include "routing/config_type.h"
+#include "runners/send_type.h"
 #include "net/http_client.h"
 #include "quarantine/quarantine_type.h"
 
--- a/src/forward/memory_forecast.cpp
+++ b/src/placement/memory_forecast.cpp
@@ -2,7 +2,7 @@
  * @file memory_forecast.cpp
  * Survival of runs, and sums over them.
  */
-#include "forward/memory_forecast.h"
+#include "placement/memory_forecast.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/forward/placing_type.h
+++ b/src/placement/place_type.h
@@ -1,11 +1,11 @@
 /**
- * @file placing_type.h
+ * @file place_type.h
  * What a daemon asks the daemon that places generations for all, and what it's answered.
  */
 #pragma once
 
-#include "forward/placement_type.h"
-#include "forward/return_plan.h"
+#include "placement/placement_type.h"
+#include "placement/return_plan.h"
 
 namespace dunehook {
 
--- a/src/forward/placement.cpp
+++ b/src/placement/placement.cpp
@@ -2,7 +2,7 @@
  * @file placement.cpp
  * The forecast of memory and the choice of engines.
  */
-#include "forward/placement.h"
+#include "placement/placement.h"
 
 #include <algorithm>
 #include <array>
--- a/src/forward/placement.h
+++ b/src/placement/placement.h
@@ -9,13 +9,13 @@
  */
 #pragma once
 
-#include "forward/learned_mean.h"
-#include "forward/memory_forecast.h"
-#include "forward/placement_type.h"
-#include "forward/prompt_queue.h"
-#include "forward/reading_pauses.h"
-#include "forward/runner_table.h"
-#include "forward/size_balance.h"
+#include "placement/learned_mean.h"
+#include "placement/memory_forecast.h"
+#include "placement/placement_type.h"
+#include "placement/prompt_queue.h"
+#include "placement/reading_pauses.h"
+#include "runners/runner_table.h"
+#include "placement/size_balance.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/forward/placing_desk.cpp
+++ b/src/placement/placement_queue.cpp
@@ -1,8 +1,8 @@
 /**
- * @file placing_desk.cpp
+ * @file placement_queue.cpp
  * Questions, their order, and what is told of a place.
  */
-#include "forward/placing_desk.h"
+#include "placement/placement_queue.h"
 
 #include <algorithm>
 
--- a/src/forward/placing_desk.h
+++ b/src/placement/placement_queue.h
@@ -1,5 +1,5 @@
 /**
- * @file placing_desk.h
+ * @file placement_queue.h
  * Places generations for all daemons. One daemon that knows every run decides one after the other,
  * so that no two decisions take the same room; what finds no room waits here: the most urgent
  * first, then new callers, then those that have come back, and the longest waiting of each. The
@@ -8,10 +8,10 @@
  */
 #pragma once
 
-#include "forward/event_rate.h"
-#include "forward/placement.h"
-#include "forward/placing_type.h"
-#include "forward/refused_table.h"
+#include "placement/event_rate.h"
+#include "placement/placement.h"
+#include "placement/place_type.h"
+#include "placement/refused_table.h"
 
 #include <functional>
 
--- a/src/forward/placement_type.h
+++ b/src/placement/placement_type.h
@@ -4,8 +4,8 @@
  */
 #pragma once
 
-#include "forward/prompt_queue.h"
-#include "forward/runner_type.h"
+#include "placement/prompt_queue.h"
+#include "runners/runner_type.h"
 
 #include <map>
 #include <optional>
--- a/src/forward/prompt_queue.cpp
+++ b/src/placement/prompt_queue.cpp
@@ -2,7 +2,7 @@
  * @file prompt_queue.cpp
  * What is left of an engine's reads, and its speed.
  */
-#include "forward/prompt_queue.h"
+#include "placement/prompt_queue.h"
 
 #include <algorithm>
 
--- a/src/forward/prompt_queue.h
+++ b/src/placement/prompt_queue.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "forward/runner_type.h"
+#include "runners/runner_type.h"
 
 #include <vector>
 
--- a/src/forward/reading_pauses.cpp
+++ b/src/placement/reading_pauses.cpp
@@ -2,7 +2,7 @@
  * @file reading_pauses.cpp
  * Mean and deviation of the pauses.
  */
-#include "forward/reading_pauses.h"
+#include "placement/reading_pauses.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/quarantine/quarantine_type.h
+++ b/src/quarantine/quarantine_type.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "core/clock_type.h"
-#include "forward/runner_type.h"
+#include "runners/runner_type.h"
 #include "quarantine/request_fingerprint.h"
 
 #include <optional>
--- a/src/roles/role_keeper.h
+++ b/src/roles/role_keeper.h
@@ -6,10 +6,10 @@
 #pragma once
 
 #include "core/log_func.h"
-#include "forward/forward_state.h"
-#include "forward/wire_type.h"
+#include "state/forward_state.h"
+#include "messages/wire_type.h"
 #include "roles/role_plan.h"
-#include "roles/role_timing.h"
+#include "runners/role_timing.h"
 
 namespace dunehook {
 
--- a/src/roles/role_plan.h
+++ b/src/roles/role_plan.h
@@ -4,8 +4,8 @@
  */
 #pragma once
 
-#include "forward/placement_type.h"
-#include "forward/runner_table.h"
+#include "placement/placement_type.h"
+#include "runners/runner_table.h"
 #include "roles/role_work.h"
 
 #include <functional>
--- a/src/roles/role_work.h
+++ b/src/roles/role_work.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "forward/placement_type.h"
+#include "placement/placement_type.h"
 
 #include <cstdint>
 
--- a/src/forward/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -2,7 +2,7 @@
  * @file route_table.cpp
  * Matching of routes.
  */
-#include "forward/route_table.h"
+#include "routing/route_table.h"
 
 #include <absl/strings/ascii.h>
 
--- a/src/forward/route_table.h
+++ b/src/routing/route_table.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "forward/config_type.h"
+#include "routing/config_type.h"
 
 #include <string_view>
 #include <unordered_map>
--- a/src/forward/id_list_func.h
+++ b/src/runners/id_list_func.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "forward/runner_type.h"
+#include "runners/runner_type.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/forward/runner_table.cpp
+++ b/src/runners/runner_table.cpp
@@ -2,7 +2,7 @@
  * @file runner_table.cpp
  * Listings, outcomes and the choice of a runner.
  */
-#include "forward/runner_table.h"
+#include "runners/runner_table.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/forward/runner_table.h
+++ b/src/runners/runner_table.h
@@ -5,10 +5,10 @@
  */
 #pragma once
 
-#include "forward/config_type.h"
-#include "forward/generation_type.h"
-#include "forward/placement_type.h"
-#include "forward/run_message.h"
+#include "routing/config_type.h"
+#include "runners/send_type.h"
+#include "placement/placement_type.h"
+#include "messages/run_message.h"
 
 #include <set>
 #include <unordered_map>
--- a/src/forward/generation_type.h
+++ b/src/runners/send_type.h
@@ -1,5 +1,5 @@
 /**
- * @file generation_type.h
+ * @file send_type.h
  * What forwarding knows of a request and of an answer, decoded from their heads once.
  */
 #pragma once
@@ -7,7 +7,7 @@
 #include "core/clock_type.h"
 #include "core/hash_func.h"
 #include "core/text_func.h"
-#include "forward/runner_type.h"
+#include "runners/runner_type.h"
 
 #include <optional>
 #include <string>
--- a/src/forward/upstream_connection.cpp
+++ b/src/runners/upstream_connection.cpp
@@ -2,7 +2,7 @@
  * @file upstream_connection.cpp
  * Pass-through connections to runners, and their pool.
  */
-#include "forward/upstream_connection.h"
+#include "runners/upstream_connection.h"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
--- a/src/forward/forward_state.h
+++ b/src/state/forward_state.h
@@ -6,13 +6,13 @@
 #pragma once
 
 #include "forward/caller_session.h"
-#include "forward/gateway_metrics.h"
-#include "forward/gateway_settings.h"
-#include "forward/placing_desk.h"
-#include "forward/refused_table.h"
-#include "forward/route_table.h"
-#include "forward/run_message.h"
-#include "forward/upstream_connection.h"
+#include "state/gateway_metrics.h"
+#include "state/gateway_settings.h"
+#include "placement/placement_queue.h"
+#include "placement/refused_table.h"
+#include "routing/route_table.h"
+#include "messages/run_message.h"
+#include "runners/upstream_connection.h"
 
 #include "core/log_func.h"
 #include "quarantine/crash_ledger.h"
--- a/src/forward/gateway_metrics.cpp
+++ b/src/state/gateway_metrics.cpp
@@ -2,7 +2,7 @@
  * @file gateway_metrics.cpp
  * The families of metrics and their text.
  */
-#include "forward/gateway_metrics.h"
+#include "state/gateway_metrics.h"
 
 #include <prometheus/text_serializer.h>
 
--- a/src/forward/gateway_settings.h
+++ b/src/state/gateway_settings.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "core/finding_type.h"
-#include "forward/placement_type.h"
-#include "forward/retry_budget.h"
+#include "placement/placement_type.h"
+#include "placement/retry_budget.h"
 #include "net/net_type.h"
 
 namespace dunehook {
--- a/tests/integration/order_test.cpp
+++ b/tests/integration/order_test.cpp
@@ -4,7 +4,7 @@
  * test: a listener for calls between daemons, and a member table that builds its heartbeat.
  */
 #include "control/message_func.h"
-#include "members/member_base.h"
+#include "membership/member_base.h"
 #include "tests/support/testbed.h"
 
 #include <CppUTest/TestHarness.h>
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "forward/run_message.h"
+#include "messages/run_message.h"
 #include "tests/support/testbed.h"
 
 namespace dunehook::test {
--- a/tests/support/load_engines.h
+++ b/tests/support/load_engines.h
@@ -6,7 +6,7 @@
  */
 #pragma once
 
-#include "forward/placement.h"
+#include "placement/placement.h"
 
 #include <cmath>
 #include <random>
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -3,12 +3,12 @@
  * What forwarding decides without I/O: routes, runners, budgets, events and messages.
  */
 #include "forward/event_splitter.h"
-#include "forward/placing_message.h"
-#include "forward/retry_budget.h"
-#include "forward/route_table.h"
-#include "forward/run_message.h"
-#include "forward/runner_table.h"
-#include "forward/upstream_connection.h"
+#include "messages/place_message.h"
+#include "placement/retry_budget.h"
+#include "routing/route_table.h"
+#include "messages/run_message.h"
+#include "runners/runner_table.h"
+#include "runners/upstream_connection.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/unit/member_test.cpp
+++ b/tests/unit/member_test.cpp
@@ -2,7 +2,7 @@
  * @file member_test.cpp
  * Members: heartbeats spread news, silence ends a member, and a key has one owner.
  */
-#include "members/member_base.h"
+#include "membership/member_base.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -2,7 +2,7 @@
  * @file metrics_test.cpp
  * Metrics of a forwarding daemon as text.
  */
-#include "forward/gateway_metrics.h"
+#include "state/gateway_metrics.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -3,7 +3,7 @@
  * Placement of generations and the plan of roles, in virtual time.
  */
 #include "core/text_func.h"
-#include "forward/placement.h"
+#include "placement/placement.h"
 #include "roles/role_plan.h"
 
 #include <CppUTest/TestHarness.h>
--- a/tests/unit/placing_load_test.cpp
+++ b/tests/unit/placing_load_test.cpp
@@ -5,7 +5,7 @@
  * one desk that decides for all. Engines hold what runs really take, refuse reservations that don't
  * fit, and put back the newest run when their memory is full, as the users' engines do.
  */
-#include "forward/placing_desk.h"
+#include "placement/placement_queue.h"
 #include "tests/support/load_engines.h"
 
 #include <CppUTest/TestHarness.h>
--- a/tests/unit/placing_return_test.cpp
+++ b/tests/unit/placing_return_test.cpp
@@ -4,8 +4,8 @@
  * back once, as the users' clients do, and counts what callers get in the end: an answer in time, a
  * late one, or none. In virtual time, through the desk and its queue.
  */
-#include "forward/placing_desk.h"
-#include "forward/return_plan.h"
+#include "placement/placement_queue.h"
+#include "placement/return_plan.h"
 #include "tests/support/load_engines.h"
 
 #include <CppUTest/TestHarness.h>
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -2,8 +2,8 @@
  * @file placing_test.cpp
  * The desk that places generations for all daemons, and the datagrams that it's asked by.
  */
-#include "forward/placing_desk.h"
-#include "forward/placing_message.h"
+#include "placement/placement_queue.h"
+#include "messages/place_message.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -2,7 +2,7 @@
  * @file quarantine_test.cpp
  * Which requests are blamed for crashes of runners.
  */
-#include "forward/run_message.h"
+#include "messages/run_message.h"
 #include "quarantine/crash_ledger.h"
 
 #include <CppUTest/TestHarness.h>
--- a/tests/unit/reading_test.cpp
+++ b/tests/unit/reading_test.cpp
@@ -3,8 +3,8 @@
  * What is learned of engines that read prompts: how quickly they read, and what the runs beside a
  * read suffer.
  */
-#include "forward/prompt_queue.h"
-#include "forward/reading_pauses.h"
+#include "placement/prompt_queue.h"
+#include "placement/reading_pauses.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/unit/suspension_test.cpp
+++ b/tests/unit/suspension_test.cpp
@@ -2,9 +2,9 @@
  * @file suspension_test.cpp
  * Time in which the machine is suspended counts for leases, budgets and time limits.
  */
-#include "forward/retry_budget.h"
-#include "forward/upstream_connection.h"
-#include "members/member_base.h"
+#include "placement/retry_budget.h"
+#include "runners/upstream_connection.h"
+#include "membership/member_base.h"
 #include "platform/store_client.h"
 #include "platform/wire.h"
 #include "roles/role_keeper.h"
