--- a/scripts/check_soak_mutants.sh
+++ b/scripts/check_soak_mutants.sh
@@ -50,7 +50,7 @@
 check_off 'planned work cuts nothing' src/forward/gateway.h 'if (mListener->Shared().mBusy == 0) {' 'if (true) {'
 check_off 'nothing is held for nobody' src/forward/upstream_send.h \
   'aExchange.OnGone([connection] { connection->Abort(); });' '' runner
-check_off 'all is served again' src/membership/config_follower.h \
+check_off 'all is served again' src/links/config_follower.h \
   'if (mState.mRoutes && config.mVersion <=' 'if (mState.mRoutes && 0 <='
 check_off 'no process ends by itself' src/daemon/gateway_main.cpp 'if (!aError) {
       daemon.Drain();' 'if (!aError) {
--- a/src/callers/completion_session.cpp
+++ b/src/callers/completion_session.cpp
@@ -369,8 +369,7 @@
 std::string
 completion_session::TokenEvent(const token& aToken) const
 {
-  // Put together from parts: with a tree of JSON for each, 400,000 tokens took 5.3 s of processor
-  // time in place of 2.0 s (docs/MEASUREMENTS.md).
+  // Put together from parts: a tree of JSON for each token costs most of a stream's processor time.
   std::string event = mEventHead;
   event += std::to_string(aToken.mIndex);
   event += R"(,"choices":[{"index":0,"finish_reason":null,"text":)";
--- a/src/control/cell_owner.cpp
+++ b/src/control/cell_owner.cpp
@@ -27,9 +27,8 @@
 static_assert(kLongestWatchRest + kEngineLimit < kFailedTime);
 constexpr duration kOrderLimit = 300ms; ///< Time limit of an order to a front.
 /** An owner that has just started hears of a front some ms after the front has heard it and has
- * sent its first events: 4 ms in a rolling restart under load. Orders wait for the front's
- * heartbeat so long, over six times between heartbeats; a dropped one leaves its call without an
- * answer. */
+ * sent its first events. Orders wait for the front's heartbeat so long, several times between
+ * heartbeats; a dropped one leaves its call without an answer. */
 constexpr duration kFrontHeardWithin = 1s;
 constexpr duration kFrontUnheardRest = 20ms; ///< Time between looks for it.
 constexpr duration kStrangerGrace = 1s;      ///< A hold unknown here may be news under way.
@@ -318,9 +317,7 @@
 /**
  * Does something at an engine, once at a time and for all cells that have the engine, until none
  * has it. A look begun by a timer beside one that hasn't ended loads an engine the more the slower
- * it is: of an engine that answers after 2 s, 8 looks were open at once and 24 begun in 6 s, and
- * with a rest between looks 3 and 7 (counted at a stand-in). An answer after 400 ms was one of 4
- * open at once, and is the only one.
+ * it is.
  */
 asio::awaitable<void>
 cell_owner::Repeat(engine_id aEngine, engine_step aStep, std::set<engine_id>& aRepeated)
--- a/src/control/log_follower.cpp
+++ b/src/control/log_follower.cpp
@@ -25,8 +25,7 @@
  * written meanwhile is in force within 2 s. */
 constexpr duration kLongestRelayRest = 1s;
 /** The snapshot of a daemon must come within this. Doubled after each that is late, up to the
- * longest: one that takes 7 s is thrown away once and in force after 12.6 s, where with one limit
- * of 5 s it never came (a stand-in of a daemon on loopback). */
+ * longest: with one limit a slow one would never come. */
 constexpr duration kFirstSnapshotLimit = 5s;
 constexpr duration kLongestSnapshotLimit = 40s;
 constexpr duration kAmbiguousWait = 400ms; ///< Wait for a record whose answer was lost.
@@ -125,8 +124,8 @@
       mLogReachable = false;
       NoteProgress();
     }
-    // A log that holds its answers paces the reads. One that answers nothing new at once was read
-    // 93,052 times in 3 s without a rest and 7 times with it (a stand-in on loopback).
+    // A log that holds its answers paces the reads. One that answers nothing new at once is left
+    // alone for a rest.
     const bool held = batch && clock.Now() - began >= kLongestReadRest;
     if (held || loaded || (batch && mFold.Next() > before)) {
       rest = kFirstReadRest;
--- a/src/control/model_keeper.cpp
+++ b/src/control/model_keeper.cpp
@@ -19,8 +19,7 @@
 constexpr duration kStateLimit = 500ms;
 constexpr duration kLoadLimit = 10s;
 /** Rest after a runner's failed load, doubled up to the longest: it may still be loading, and what
- * it reads from the weight store others wait for. A load that fails at once was ordered 14 times in
- * 7 s without it (counted at a stand-in). */
+ * it reads from the weight store others wait for. */
 constexpr duration kFirstLoadRest = 1s;
 constexpr duration kLongestLoadRest = 30s;
 
--- a/src/control/peer_directory.h
+++ b/src/control/peer_directory.h
@@ -32,9 +32,7 @@
 
   /**
    * Calls a method over a connection of its own that ends with the call: for an answer so large
-   * that other calls would wait behind it, and that mustn't come on after the limit. Beside an
-   * answer that takes 3 s, a call with a limit of 300 ms over the common connection is answered in
-   * time (a stand-in of a daemon on loopback).
+   * that other calls would wait behind it, and that mustn't come on after the limit.
    */
   asio::awaitable<result<nlohmann::json>> CallApart(member_info aMember,
                                                     std::string aMethod,
--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -89,7 +89,7 @@
   , mHosts(aIo, aSettings.mHostList, aSettings.mHostListEvery)
   , mOwner(aIo, mLog, mHosts, mMembers, mPeers, mEngines, mAttempts)
   , mOwners(aIo, mMembers, mPeers, mOwner, mAttempts)
-  , mKeeper(aIo, mLog, mHosts, mMembers, mEngines)
+  , mRoles(aIo, mLog, mHosts, mMembers, mEngines)
   , mFront{ aIo,      mLog,      mHosts, mMembers, mPeers,  mOwners,
             mEngines, mAttempts, mKeys,  mQuotas,  mMetrics }
   , mOperators(aIo, mLog, mHosts, mMembers, std::move(aOperatorToken))
@@ -151,7 +151,7 @@
   mHosts.Start();
   mOwner.Start();
   mOwners.Start();
-  mKeeper.Start();
+  mRoles.Start();
   Spawn(mIo, ReceiveLoop());
   Spawn(mIo, HeartbeatLoop());
 }
--- a/src/daemon/router_base.h
+++ b/src/daemon/router_base.h
@@ -71,7 +71,7 @@
   key_registry mKeys;                               ///< Idempotency keys.
   cell_owner mOwner;                                ///< Cells owned.
   owner_router mOwners;                             ///< Owners of cells.
-  model_keeper mKeeper;                             ///< Orders to load models.
+  model_keeper mRoles;                              ///< Orders to load models.
   team_quotas mQuotas;                              ///< Quotas.
   front_metrics mMetrics;                           ///< Metrics.
   front_context mFront;                             ///< What fronts use of the above.
--- a/src/forward/caller_session.cpp
+++ b/src/forward/caller_session.cpp
@@ -123,21 +123,6 @@
 
 } // namespace
 
-void
-SpawnGuarded(asio::io_context& aIo, asio::awaitable<void> aTask)
-{
-  asio::co_spawn(aIo, std::move(aTask), [](const std::exception_ptr& aError) {
-    if (!aError) {
-      return;
-    }
-    try {
-      std::rethrow_exception(aError);
-    } catch (const std::exception& error) {
-      LogEvent(log_level::eError, "request_task_failed", { { "what", error.what() } });
-    }
-  });
-}
-
 std::string
 caller_exchange::HeadText(unsigned aStatus, const http::fields& aHead) const
 {
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -6,8 +6,8 @@
 #pragma once
 
 #include "core/clock_type.h"
-#include "routing/config_type.h"
 #include "net/http_client.h"
+#include "routing/config_type.h"
 
 #include <functional>
 #include <optional>
@@ -138,8 +138,4 @@
   session_shared mShared;  ///< Outlives the sessions.
 };
 
-/** Starts a coroutine that nobody waits for; an exception that leaves it is logged and ends it. */
-void
-SpawnGuarded(asio::io_context& aIo, asio::awaitable<void> aTask);
-
 } // namespace dunehook
--- a/src/forward/engine_calls.h
+++ b/src/forward/engine_calls.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "core/log_func.h"
-#include "state/forward_state.h"
 #include "messages/wire_type.h"
+#include "state/forward_state.h"
 
 namespace dunehook {
 
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -6,12 +6,12 @@
 #pragma once
 
 #include "forward/generation_call.h"
-#include "membership/placer_link.h"
 #include "forward/plain_call.h"
-#include "membership/quarantine_store.h"
-#include "membership/store_follower.h"
+#include "links/placer_link.h"
+#include "links/quarantine_store.h"
+#include "links/store_follower.h"
 #include "net/http_server.h"
-#include "roles/role_keeper.h"
+#include "roles/role_controller.h"
 
 namespace dunehook {
 
@@ -53,7 +53,7 @@
   gateway(asio::io_context& aIo, const gateway_settings& aSettings)
     : mState(aIo, aSettings)
     , mStore(aSettings.mStore)
-    , mKeeper(mState, mStore)
+    , mRoles(mState, mStore)
     , mLink(mState)
     , mPlacers(mState, mLink)
     , mQuarantines(mState, mStore, mLink)
@@ -323,7 +323,7 @@
           peers.mFirst = false;
         }
       }
-      co_await mKeeper.Tick(std::move(peers));
+      co_await mRoles.Tick(std::move(peers));
     }
   }
 
@@ -361,8 +361,8 @@
     mState.mIo.stop();
   }
 
-  /** A request waits so long for the first configuration, which comes some 15 ms after the start of
-   * a daemon whose store is well: less than a quarter of the shortest latency target seen. */
+  /** A request waits so long for the first configuration: a refusal that comes later is no use to
+   * the caller. */
   static constexpr duration kStartWait = std::chrono::milliseconds(25);
   /** Time between looks for the first configuration. */
   static constexpr duration kLookAtStart = std::chrono::milliseconds(5);
@@ -374,10 +374,10 @@
 
   forward_state mState;                            ///< Shared by all parts.
   Store mStore;                                    ///< Configuration, runners and terms.
-  role_keeper<Wire, Store> mKeeper;                ///< Gives engines their roles.
+  role_controller<Wire, Store> mRoles;             ///< Gives engines their roles.
   daemon_link mLink;                               ///< The other daemons.
   placer_link mPlacers;                            ///< Those that place generations.
-  quarantine_keeper<Store> mQuarantines;           ///< Keeps requests that crash runners off them.
+  quarantine_store<Store> mQuarantines;            ///< Keeps requests that crash runners off them.
   store_follower<Store> mFollower;                 ///< Follows the store.
   std::unique_ptr<caller_listener> mListener;      ///< For callers.
   std::unique_ptr<http_listener> mMetricsListener; ///< For the operators' metrics.
--- a/src/forward/upstream_send.h
+++ b/src/forward/upstream_send.h
@@ -7,9 +7,10 @@
 
 #include "core/log_func.h"
 #include "core/text_func.h"
-#include "state/forward_state.h"
+#include "forward/caller_session.h"
 #include "messages/wire_type.h"
 #include "quarantine/request_fingerprint.h"
+#include "state/forward_state.h"
 
 namespace dunehook {
 
--- a/src/membership/config_follower.h
+++ b/src/links/config_follower.h
@@ -5,16 +5,15 @@
  */
 #pragma once
 
-#include "membership/config_source.h"
-#include "membership/store_contact.h"
+#include "links/config_source.h"
+#include "links/store_contact.h"
 #include "messages/wire_type.h"
 
 namespace dunehook {
 
 /** How long the store may hold the answer while the configuration doesn't change. Shorter than 2 s,
  * the shortest time in which a change must be in force: a store may not notice what a read waits
- * for until that is over. With 3 s a version was in force 3 s after it was written (lines of a
- * day). */
+ * for until that is over. */
 inline constexpr duration kConfigWait = std::chrono::milliseconds(1200);
 /** A wait is ended after this if another daemon has a newer configuration: it comes by itself
  * mostly. */
@@ -24,10 +23,9 @@
 inline constexpr duration kLongestFruitlessRest = std::chrono::milliseconds(1000);
 /** The answer to a whole read must begin within this: a lost one is asked for again, early enough
  * for 2 s, the shortest time in which a change must be in force. Doubled up to the longest while a
- * store that answers other reads takes longer to begin, as one may that hands 1 MB to 300 daemons
- * at 80 MB a second. One that says nothing gets no longer time: it may come back while the answer
- * to that read is lost for good. With 0.7, 1.4, 2.8 and 5.6 s whatever the cause, a configuration
- * was in force 5.2 s after a silence of 7 s (two daemons on loopback). */
+ * store that answers other reads takes longer to begin, as one may that hands a large one to
+ * hundreds of daemons. One that says nothing gets no longer time: it may come back while the answer
+ * to that read is lost for good. */
 inline constexpr duration kFirstReadLimit = std::chrono::milliseconds(700);
 inline constexpr duration kLongestReadLimit = std::chrono::milliseconds(6000);
 
@@ -115,9 +113,7 @@
 private:
   /**
    * One call after the other: reads that overlap share the daemon's link, so that each makes the
-   * others longer and all but one are thrown away. On a link of 10 Mbit/s, 4,248 routes (1 MB) were
-   * in force up to 26 s after they were written while a read was begun every 250 ms, and some 1 s
-   * after one by one (two daemons and a proxy of that rate on loopback).
+   * others longer and all but one are thrown away.
    */
   asio::awaitable<void> Step()
   {
--- a/src/membership/config_source.h
+++ b/src/links/config_source.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "membership/daemon_link.h"
+#include "links/daemon_link.h"
 #include "net/http_server.h"
 
 #include <absl/strings/numbers.h>
@@ -17,8 +17,8 @@
 inline constexpr std::string_view kConfigPath = "/config";
 inline constexpr std::string_view kAfterParameter = "after";
 inline constexpr std::string_view kNextHeader = "Config-Next";
-/** A daemon hands out so many configurations at once for each 12 Mbit/s of its link: one of 1 MB,
- * the largest seen, is through in 0.7 s, the time in which the store's answer must begin. */
+/** A daemon hands out one configuration at a time for each so many Mbit/s of its link, so that a
+ * large one is through in the time in which the store's answer must begin. */
 inline constexpr double kMegabitsOfOne = 12.0;
 /** A question waits so long for a turn, or for a version that is on its way: the asker has as long
  * left for the store. */
--- a/src/membership/daemon_link.cpp
+++ b/src/links/daemon_link.cpp
@@ -2,7 +2,7 @@
  * @file daemon_link.cpp
  * Sending and taking of datagrams between daemons.
  */
-#include "membership/daemon_link.h"
+#include "links/daemon_link.h"
 
 #include "runners/role_timing.h"
 
@@ -16,9 +16,8 @@
 constexpr duration kDaemonSilence = std::chrono::milliseconds(1800);
 /** Bytes a second that a daemon spends on heartbeats; beyond some 15 daemons news is passed on. */
 constexpr double kHeartbeatBytes = 4096.0;
-/** A daemon asks others for all members for so long after its start, with each heartbeat. By
- * heartbeats alone, 295 daemons that start together knew 181 of the others after 14 s and 290 after
- * 30 s (their own lines, replay of a calm day). */
+/** A daemon asks others for all members for so long after its start, with each heartbeat: in a
+ * large group heartbeats alone take many times as long to tell of everybody. */
 constexpr duration kAsksFor = std::chrono::seconds(5);
 /** Largest datagram of runs, and of a heartbeat. */
 constexpr std::size_t kRunBytes = 65536;
@@ -262,7 +261,7 @@
   ApplyReports(aMessage, aNow);
   for (const run_id run : aMessage.mEnded) {
     mState.mPlacement.End(run);
-    mState.mDesk.Withdraw(run);
+    mState.mPlaceQueue.Withdraw(run);
   }
   for (const refused_prompt& prompt : aMessage.mRefused) {
     mState.mRefused.Note(prompt.mKey, aNow);
--- a/src/membership/daemon_link.h
+++ b/src/links/daemon_link.h
@@ -5,8 +5,8 @@
  */
 #pragma once
 
-#include "state/forward_state.h"
 #include "membership/member_base.h"
+#include "state/forward_state.h"
 
 namespace dunehook {
 
--- a/src/membership/placer_link.cpp
+++ b/src/links/placer_link.cpp
@@ -2,7 +2,7 @@
  * @file placer_link.cpp
  * Questions for a place, and digests of runs, by datagrams.
  */
-#include "membership/placer_link.h"
+#include "links/placer_link.h"
 
 namespace dunehook {
 
@@ -47,7 +47,7 @@
 {
   mReady = std::move(aReady);
   SpawnGuarded(mState.mIo, TakeMessages());
-  SpawnGuarded(mState.mIo, TickDesk());
+  SpawnGuarded(mState.mIo, TickQueue());
   SpawnGuarded(mState.mIo, SendDigests());
 }
 
@@ -170,7 +170,7 @@
 void
 placer_link::Withdraw(run_id aRun)
 {
-  mState.mDesk.Withdraw(aRun);
+  mState.mPlaceQueue.Withdraw(aRun);
   mState.mPlacement.End(aRun);
   run_message left;
   left.mEnded.push_back(aRun);
@@ -187,7 +187,7 @@
     reply.mRound = aQuestion.mRound;
     return reply;
   }
-  return mState.mDesk.Take(aQuestion, aDaemon, aFrom, now);
+  return mState.mPlaceQueue.Take(aQuestion, aDaemon, aFrom, now);
 }
 
 bool
@@ -229,14 +229,14 @@
 }
 
 asio::awaitable<void>
-placer_link::TickDesk()
+placer_link::TickQueue()
 {
   for (;;) {
-    co_await Sleep(kDeskTick);
-    if (mState.mDesk.Waiting() == 0) {
+    co_await Sleep(kQueueTick);
+    if (mState.mPlaceQueue.Waiting() == 0) {
       continue;
     }
-    for (const placed_reply& one : mState.mDesk.Tick(mState.Now())) {
+    for (const placed_reply& one : mState.mPlaceQueue.Tick(mState.Now())) {
       if (one.mTo != endpoint{}) {
         SendUdp(mSocket, Encode(one.mReply), one.mTo);
       } else if (!Deliver(one.mReply)) {
--- a/src/membership/placer_link.h
+++ b/src/links/placer_link.h
@@ -6,13 +6,13 @@
  */
 #pragma once
 
-#include "membership/daemon_link.h"
+#include "links/daemon_link.h"
 #include "messages/place_message.h"
 
 namespace dunehook {
 
 /** A placing daemon answers at once, if only that the question waits. One that has used up its part
- * of a core answers up to 50 ms later. */
+ * of a core answers some tens of milliseconds later. */
 inline constexpr duration kPlacerAnswers = std::chrono::milliseconds(60);
 /** A placing daemon that didn't answer isn't asked for so long. */
 inline constexpr duration kPlacerRest = std::chrono::milliseconds(1500);
@@ -22,7 +22,7 @@
 /** Daemons that are told of all runs: the one that places, and the next, which takes over. */
 inline constexpr std::size_t kPlacers = 2;
 /** Time between tries for questions that wait. */
-inline constexpr duration kDeskTick = std::chrono::milliseconds(15);
+inline constexpr duration kQueueTick = std::chrono::milliseconds(15);
 
 /** The link. */
 class placer_link
@@ -75,7 +75,7 @@
   };
 
   asio::awaitable<void> TakeMessages();
-  asio::awaitable<void> TickDesk();
+  asio::awaitable<void> TickQueue();
   asio::awaitable<void> SendDigests();
   /** Asks one daemon, and waits for the last answer. */
   asio::awaitable<std::optional<place_reply>> AskOne(const placer& aPlacer,
--- a/src/membership/quarantine_link.cpp
+++ b/src/links/quarantine_link.cpp
@@ -2,7 +2,7 @@
  * @file quarantine_link.cpp
  * Telling and comparing of quarantines.
  */
-#include "membership/quarantine_link.h"
+#include "links/quarantine_link.h"
 
 namespace dunehook {
 
--- a/src/membership/quarantine_link.h
+++ b/src/links/quarantine_link.h
@@ -7,7 +7,7 @@
  */
 #pragma once
 
-#include "membership/daemon_link.h"
+#include "links/daemon_link.h"
 
 #include <deque>
 #include <map>
--- a/src/membership/quarantine_store.h
+++ b/src/links/quarantine_store.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "membership/quarantine_link.h"
+#include "links/quarantine_link.h"
 #include "messages/wire_type.h"
 
 namespace dunehook {
@@ -15,16 +15,16 @@
 /** Daemons that start together read the store spread over this. */
 inline constexpr duration kReadSpread = std::chrono::milliseconds(500);
 /** Rest after a call to the store that failed. */
-inline constexpr duration kKeeperRest = std::chrono::milliseconds(700);
+inline constexpr duration kStoreCallRest = std::chrono::milliseconds(700);
 /** Quarantines that wait to be written, at most. */
 inline constexpr std::size_t kMostUnwritten = 64;
 
-/** The keeper. */
+/** The part of quarantines that goes through the store. */
 template<control_store Store>
-class quarantine_keeper
+class quarantine_store
 {
 public:
-  quarantine_keeper(forward_state& aState, Store& aStore, daemon_link& aLink)
+  quarantine_store(forward_state& aState, Store& aStore, daemon_link& aLink)
     : mState(aState)
     , mStore(aStore)
     , mLink(aState, aLink)
@@ -69,7 +69,7 @@
         TakeRead(read.value());
         co_return;
       }
-      co_await Sleep(kKeeperRest);
+      co_await Sleep(kStoreCallRest);
     }
   }
 
@@ -103,7 +103,7 @@
       const quarantine_record record = mUnwritten.front();
       const result<void> written = co_await mStore.WriteQuarantine(record);
       if (!written) { // It may have been written: once more does no harm.
-        co_await Sleep(kKeeperRest);
+        co_await Sleep(kStoreCallRest);
         continue;
       }
       mUnwritten.pop_front();
--- a/src/membership/store_contact.h
+++ b/src/links/store_contact.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "core/log_func.h"
-#include "membership/daemon_link.h"
+#include "links/daemon_link.h"
 
 #include <deque>
 
@@ -16,10 +16,9 @@
  * told lately stands for a read of one's own: a reader that is silent is passed over within the
  * time in which a leaving runner is still served. */
 inline constexpr duration kToldFor = std::chrono::milliseconds(1200);
-/** Daemons of a hall that ask the store when nobody tells how far it is, one step after the other:
- * with a third of all daemons turned away by the store, the three of a hall are in one case of 27.
- * With 295 daemons that all asked, 8 s without the store and a rolling restart cost 32,765 calls
- * (replay of such a day). */
+/** Daemons of a hall that ask the store when nobody tells how far it is, one step after the other.
+ * Several, since the store may turn some away; not all, since a store that is away would be called
+ * by every daemon. */
 inline constexpr std::size_t kAskers = 3;
 /** Time between the steps; all together stay below half of the shortest time in which a leaving
  * runner must get no more work. */
@@ -32,8 +31,7 @@
 inline constexpr duration kRunnersBehindFor = std::chrono::milliseconds(150);
 /** Changes of runners are told for so long: three datagrams have each. */
 inline constexpr duration kChangesToldFor = std::chrono::milliseconds(2800);
-/** Most entries in one datagram; with more, each daemon reads them itself. 60 entries make some 10
- * KB. */
+/** Most entries in one datagram; with more, each daemon reads them itself. */
 inline constexpr std::size_t kMostChangesTold = 60;
 /** The store counts as away until it has answered for this long: lapsed entries are back by then.
  */
@@ -126,8 +124,7 @@
     mState.mToldStore.mRunners = std::min(mState.mToldStore.mRunners, mState.mRunners.End());
     if (aFrom != mChangesTo) {
       // Another daemon told what lies between: it isn't among the changes kept here, and who
-      // applied these would pass it over. 27 of 295 daemons learned of a leave 3.1 s late so (lines
-      // of a day).
+      // applied these would pass it over.
       mChanges.clear();
     }
     mChangesTo = mState.mRunners.End();
--- a/src/membership/store_follower.h
+++ b/src/links/store_follower.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "membership/config_follower.h"
+#include "links/config_follower.h"
 
 namespace dunehook {
 
@@ -98,8 +98,7 @@
       co_await Sleep(mContact.Asks() ? kRunnersEvery : kLookAtTold);
       co_return;
     }
-    // The first entries, or the first configuration, are still to be written. Rests from 150 ms on
-    // would be four reads in the first 1.5 s (worked out) in place of two or three.
+    // The first entries, or the first configuration, are still to be written.
     co_await Sleep(kLongestStoreRest);
   }
 
--- a/src/membership/member_base.h
+++ b/src/membership/member_base.h
@@ -109,7 +109,7 @@
   member_changes Sweep(instant aNow);
   /**
    * @return silence after which a member is gone. In a group to which heartbeats don't go directly,
-   * news takes longer: the limit grows with the group, as measured in docs/CAPACITY.md.
+   * news takes longer: the limit grows with the group, see docs/CAPACITY.md.
    */
   duration AllowedSilence() const;
   /** Notes that a connection to a member failed: it's passed over until it's heard again. */
--- a/src/messages/wire_type.h
+++ b/src/messages/wire_type.h
@@ -5,10 +5,10 @@
  */
 #pragma once
 
-#include "routing/config_type.h"
-#include "runners/send_type.h"
 #include "net/http_client.h"
 #include "quarantine/quarantine_type.h"
+#include "routing/config_type.h"
+#include "runners/send_type.h"
 
 #include <concepts>
 #include <memory>
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -116,8 +116,8 @@
   void NoteEnd(const endpoint& aTo, const std::error_code& aError);
   /**
    * Sends a request that may be repeated: a stale kept connection is replaced once. After a call
-   * that ended by its time limit the next one has a fresh connection: of 4 kept connections that
-   * fell silent, one costs a deadline instead of each (a server on loopback).
+   * that ended by its time limit the next one has a fresh connection: kept ones may all have
+   * fallen silent.
    */
   asio::awaitable<result<http_answer>> Call(const endpoint& aTo,
                                             const http_call& aCall,
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -118,6 +118,21 @@
   });
 }
 
+void
+SpawnGuarded(asio::io_context& aIo, asio::awaitable<void> aTask)
+{
+  asio::co_spawn(aIo, std::move(aTask), [](const std::exception_ptr& aError) {
+    if (!aError) {
+      return;
+    }
+    try {
+      std::rethrow_exception(aError);
+    } catch (const std::exception& error) {
+      LogEvent(log_level::eError, "request_task_failed", { { "what", error.what() } });
+    }
+  });
+}
+
 void
 wake_list::Notify()
 {
--- a/src/net/net_type.h
+++ b/src/net/net_type.h
@@ -81,6 +81,10 @@
 void
 Spawn(asio::io_context& aIo, asio::awaitable<void> aTask);
 
+/** Starts a coroutine that nobody waits for; an exception that leaves it is logged and ends it. */
+void
+SpawnGuarded(asio::io_context& aIo, asio::awaitable<void> aTask);
+
 /**
  * A list of waiting coroutines that are woken together.
  * Invariant: a waiter is woken by the first Notify() after its Wait(), or by its time limit. The
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -4,6 +4,8 @@
  */
 #include "placement/placement.h"
 
+#include "placement/placement_func.h"
+
 #include <algorithm>
 #include <array>
 
@@ -11,9 +13,6 @@
 
 namespace {
 
-/** A run has most likely ended at this many times its guess, or of what it has made. */
-constexpr double kLikelyEnd = 2.5;
-constexpr double kOverrun = 1.3;
 /** Waits that are looked at for a demand that doesn't fit now. */
 constexpr std::array<duration, 7> kWaits{ duration{ 0 },      duration{ 50000 },
                                           duration{ 120000 }, duration{ 250000 },
@@ -35,8 +34,6 @@
 constexpr double kPausePart = 0.85;
 /** Weight of a run where engines are chosen by the number of runs. */
 constexpr double kRunWeight = 0.05;
-/** Runs of others are dropped this long after their expected end if nobody said that they ended. */
-constexpr duration kForgetAfter = std::chrono::milliseconds(2500);
 /** Time from the end of a read to the first token: one call, and the memory's move. */
 constexpr duration kHandoffTime = std::chrono::milliseconds(15);
 /** Moves between halls take longer and are charged more: worth this much waiting. */
@@ -52,14 +49,6 @@
 /** Decode engines that are looked at closely for one demand, the emptiest ones: an asker doesn't
  * wait for a comparison of thousands. */
 constexpr std::size_t kMostLooks = 96;
-/** Weight of the newest measurement of a pace. */
-constexpr double kPaceWeight = 0.1;
-
-double
-Micros(duration aSpan)
-{
-  return static_cast<double>(aSpan.count());
-}
 
 /** @return the demand as a run that starts now. */
 growing_run
@@ -72,14 +61,6 @@
   return newcomer;
 }
 
-/** @return what a run takes of memory over its time, in tokens squared. */
-double
-SizeOf(std::uint32_t aPrompt, std::uint32_t aAnswer)
-{
-  const double answer = aAnswer;
-  return answer * (aPrompt + answer / 2.0);
-}
-
 /** @return what an engine's failures weigh, as waiting. */
 double
 FailureMicros(const runner_state& aEngine, const generation_demand& aDemand)
@@ -109,19 +90,6 @@
          (sameHall ? 0.0 : kOtherHallCallMicros);
 }
 
-/** @return what a run holds at its end, if its answer is as long as guessed. */
-std::uint64_t
-PromisedTokens(const run_record& aRun)
-{
-  return std::uint64_t{ aRun.mPromptTokens } + aRun.mAnswerTokens;
-}
-
-duration
-FromMicros(double aMicros)
-{
-  return duration(static_cast<std::int64_t>(aMicros));
-}
-
 } // namespace
 
 run_record
@@ -156,52 +124,6 @@
   return "unknown";
 }
 
-double
-placement_table::MicrosPerToken(service_runner_id aDecode) const
-{
-  const auto found = mDecodes.find(aDecode);
-  return found == mDecodes.end() ? decode_state{}.mMicrosPerToken : found->second.mMicrosPerToken;
-}
-
-instant
-placement_table::EndOf(const run_record& aRun) const
-{
-  const double likely = std::max(kLikelyEnd * aRun.mAnswerTokens, kOverrun * aRun.mMadeTokens);
-  const double most = aRun.mMostTokens > 0 ? aRun.mMostTokens : likely;
-  const double remaining = std::max(0.0, std::min(most, likely) - aRun.mMadeTokens);
-  return aRun.mSeen + FromMicros(remaining * MicrosPerToken(aRun.mDecode));
-}
-
-std::vector<const run_record*>
-placement_table::RunsOn(service_runner_id aDecode) const
-{
-  std::vector<const run_record*> runs;
-  const auto found = mByEngine.find(aDecode);
-  if (found == mByEngine.end()) {
-    return runs;
-  }
-  for (const run_id run : found->second.mRuns) {
-    runs.push_back(&mRuns.at(run));
-  }
-  return runs;
-}
-
-void
-placement_table::Erase(run_id aRun)
-{
-  const auto found = mRuns.find(aRun);
-  if (found == mRuns.end()) {
-    return;
-  }
-  const auto place = mByEngine.find(found->second.mDecode);
-  place->second.mRuns.erase(aRun);
-  place->second.mPromised -= PromisedTokens(found->second);
-  if (place->second.mRuns.empty()) {
-    mByEngine.erase(place);
-  }
-  mRuns.erase(found);
-}
-
 memory_forecast
 placement_table::ForecastOf(service_runner_id aDecode, instant aFrom) const
 {
@@ -462,179 +384,4 @@
   return answer;
 }
 
-void
-placement_table::Begin(const run_record& aRun, instant aNow)
-{
-  const bool fresh = mRuns.count(aRun.mRun) == 0;
-  Erase(aRun.mRun);
-  mRuns.emplace(aRun.mRun, aRun);
-  engine_runs& engine = mByEngine[aRun.mDecode];
-  engine.mRuns.insert(aRun.mRun);
-  engine.mPromised += PromisedTokens(aRun);
-  if (fresh) {
-    mSizes.Note(SizeOf(aRun.mPromptTokens, aRun.mAnswerTokens), true);
-  }
-  if (fresh) {
-    NoteWork(aRun, aNow);
-  }
-}
-
-void
-placement_table::NoteWork(const run_record& aRun, instant aNow)
-{
-  const double answer = mGuesses.MeanOf(aRun.mAnswerTokens);
-  mAsked[aRun.mDecode].mHeldTokens += answer * (aRun.mPromptTokens + answer / 2.0);
-  const service_runner_id reader = aRun.mPrefill ? aRun.mPrefill : aRun.mDecode;
-  mAsked[reader].mReadTokens += aRun.mPromptTokens;
-  if (aRun.mPrefill) {
-    QueueOf(aRun.mPrefill).Add(aRun.mRun, aRun.mPromptTokens, aNow);
-  } else {
-    mDecodes[aRun.mDecode].mReadsUntil = aNow + OwnReadTime(aRun.mPromptTokens);
-  }
-}
-
-void
-placement_table::NoteRefused(std::uint32_t aPromptTokens, std::uint32_t aAnswerTokens)
-{
-  mSizes.Note(SizeOf(aPromptTokens, aAnswerTokens), false);
-}
-
-void
-placement_table::Progress(run_id aRun, std::uint32_t aMadeTokens, instant aNow)
-{
-  const auto found = mRuns.find(aRun);
-  if (found != mRuns.end()) {
-    found->second.mMadeTokens = aMadeTokens;
-    found->second.mSeen = aNow;
-  }
-}
-
-void
-placement_table::End(run_id aRun)
-{
-  const auto found = mRuns.find(aRun);
-  if (found != mRuns.end()) {
-    DropRead(found->second);
-    Erase(aRun);
-  }
-}
-
-void
-placement_table::NoteRead(run_id aRun, service_runner_id aPrefill, duration aTook, instant aNow)
-{
-  prompt_queue& queue = QueueOf(aPrefill);
-  queue.NoteRead(aRun, aTook, aNow);
-  mReadSpeed.Learn(queue.TokensPerMicro());
-}
-
-void
-placement_table::DropRead(const run_record& aRun)
-{
-  const auto found = mPrefills.find(aRun.mPrefill);
-  if (found != mPrefills.end()) {
-    found->second.Drop(aRun.mRun);
-  }
-}
-
-void
-placement_table::NoteFinished(const finished_run& aRun, instant aNow)
-{
-  const auto found = mRuns.find(aRun.mRun);
-  if (found == mRuns.end()) {
-    return;
-  }
-  const run_record& run = found->second;
-  mGuesses.Learn(run.mAnswerTokens, aRun.mTokens);
-  if (aRun.mPaced == 0) {
-    return;
-  }
-  const double pace = Micros(aRun.mTook) / aRun.mPaced;
-  decode_state& state = mDecodes[run.mDecode];
-  state.mMicrosPerToken += kPaceWeight * (pace - state.mMicrosPerToken);
-  mPace.Learn(pace);
-  const bool readBeside = run.mPrefill && state.mReadsUntil > aNow - aRun.mTook;
-  if (readBeside) {
-    mPauses.Learn(aRun.mLongestGap, aNow);
-  }
-}
-
-void
-placement_table::NoteFull(service_runner_id aDecode, instant aNow)
-{
-  decode_state& state = mDecodes[aDecode];
-  if (aNow < state.mFullUntil) {
-    return;
-  }
-  state.mFullRest = std::clamp(state.mFullRest * 2, kFullRest, kLongestFullRest);
-  state.mFullUntil = aNow + state.mFullRest;
-}
-
-void
-placement_table::NoteRoom(service_runner_id aDecode)
-{
-  mDecodes[aDecode].mFullRest = duration{ 0 };
-}
-
-void
-placement_table::ReplaceRuns(std::uint64_t aDaemon,
-                             const std::vector<run_record>& aRuns,
-                             instant aNow)
-{
-  EraseIf([&](const run_record& aKnown) {
-    return aKnown.mDaemon == aDaemon &&
-           std::none_of(aRuns.begin(), aRuns.end(), [&](const run_record& aRun) {
-             return aRun.mRun == aKnown.mRun;
-           });
-  });
-  for (const run_record& run : aRuns) {
-    Begin(run, aNow);
-  }
-}
-
-void
-placement_table::Prune(const runner_table& aRunners, instant aNow)
-{
-  EraseIf([&](const run_record& aRun) {
-    const bool overdue = aRun.mDaemon != 0 && EndOf(aRun) + kForgetAfter < aNow;
-    return overdue || (aRun.mDaemon != 0 && aRunners.Find(aRun.mDecode) == nullptr);
-  });
-  std::erase_if(mDecodes, [&](const auto& aRow) { return aRunners.Find(aRow.first) == nullptr; });
-  std::erase_if(mPrefills, [&](const auto& aRow) { return aRunners.Find(aRow.first) == nullptr; });
-  std::erase_if(mAsked, [&](const auto& aRow) { return aRunners.Find(aRow.first) == nullptr; });
-}
-
-std::vector<run_record>
-placement_table::OwnRuns() const
-{
-  std::vector<run_record> runs;
-  for (const auto& [id, run] : mRuns) {
-    if (run.mDaemon == 0) {
-      runs.push_back(run);
-    }
-  }
-  return runs;
-}
-
-engine_work
-placement_table::Work() const
-{
-  engine_work work;
-  for (const auto& [id, engine] : mByEngine) {
-    work.mLoads[id].mRuns = engine.mRuns.size();
-  }
-  for (const auto& [id, asked] : mAsked) {
-    work.mLoads[id].mReadTokens = asked.mReadTokens;
-    work.mLoads[id].mHeldTokens = asked.mHeldTokens;
-  }
-  work.mSpeeds = { mReadSpeed.Or(0.0), mPace.Or(0.0) };
-  return work;
-}
-
-std::uint32_t
-placement_table::ReservedTokens(const generation_demand& aDemand) const
-{
-  const double answer = mTuning.mReservedShare * aDemand.mAnswerTokens;
-  return aDemand.mPromptTokens + static_cast<std::uint32_t>(answer) + 64U;
-}
-
 } // namespace dunehook
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -14,8 +14,8 @@
 #include "placement/placement_type.h"
 #include "placement/prompt_queue.h"
 #include "placement/reading_pauses.h"
-#include "runners/runner_table.h"
 #include "placement/size_balance.h"
+#include "runners/runner_table.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/placement/placement_queue.cpp
+++ b/src/placement/placement_queue.cpp
@@ -9,10 +9,10 @@
 namespace dunehook {
 
 place_reply
-placing_desk::Take(const place_question& aQuestion,
-                   std::uint64_t aDaemon,
-                   const endpoint& aFrom,
-                   instant aNow)
+placement_queue::Take(const place_question& aQuestion,
+                      std::uint64_t aDaemon,
+                      const endpoint& aFrom,
+                      instant aNow)
 {
   Withdraw(aQuestion.mDemand.mRun);
   waiting_question question{ aQuestion, aDaemon, aFrom, aNow };
@@ -34,7 +34,7 @@
 }
 
 bool
-placing_desk::WillBeServed(const waiting_question& aQuestion, duration aWait, instant aNow) const
+placement_queue::WillBeServed(const waiting_question& aQuestion, duration aWait, instant aNow) const
 {
   const auto last = std::upper_bound(mWaiting.begin(), mWaiting.end(), aQuestion, GoesBefore);
   const auto ahead = static_cast<double>(last - mWaiting.begin());
@@ -43,7 +43,7 @@
 }
 
 bool
-placing_desk::GoesBefore(const waiting_question& aOne, const waiting_question& aTwo)
+placement_queue::GoesBefore(const waiting_question& aOne, const waiting_question& aTwo)
 {
   if (aOne.mQuestion.mRank != aTwo.mQuestion.mRank) {
     return aOne.mQuestion.mRank < aTwo.mQuestion.mRank;
@@ -52,7 +52,7 @@
 }
 
 std::vector<placed_reply>
-placing_desk::Tick(instant aNow)
+placement_queue::Tick(instant aNow)
 {
   std::vector<placed_reply> replies;
   std::vector<waiting_question> left;
@@ -76,14 +76,14 @@
 }
 
 void
-placing_desk::Withdraw(run_id aRun)
+placement_queue::Withdraw(run_id aRun)
 {
   std::erase_if(mWaiting,
                 [&](const waiting_question& aOne) { return aOne.mQuestion.mDemand.mRun == aRun; });
 }
 
 place_reply
-placing_desk::Try(const waiting_question& aWaiting, instant aNow, bool aLast)
+placement_queue::Try(const waiting_question& aWaiting, instant aNow, bool aLast)
 {
   const place_question& question = aWaiting.mQuestion;
   generation_demand demand = question.mDemand;
@@ -110,7 +110,7 @@
   mPlaced.Note(aNow);
   reply.mChoice = *answer.mChoice;
   mPlacement.Begin(RunOf(demand, *answer.mChoice, aWaiting.mDaemon, aNow), aNow);
-  mRunners.NoteTrials(*answer.mChoice, aNow);
+  mRunners.NoteTrials(answer.mChoice->Engines(), aNow);
   return reply;
 }
 
--- a/src/placement/placement_queue.h
+++ b/src/placement/placement_queue.h
@@ -9,8 +9,8 @@
 #pragma once
 
 #include "placement/event_rate.h"
-#include "placement/placement.h"
 #include "placement/place_type.h"
+#include "placement/placement.h"
 #include "placement/refused_table.h"
 
 #include <functional>
@@ -35,17 +35,17 @@
   place_reply mReply; ///< The answer.
 };
 
-/** The desk. */
-class placing_desk
+/** The queue. */
+class placement_queue
 {
 public:
   /** @return the traits of a service's engines, or nothing if it's not known. */
   using traits_lookup = std::function<std::optional<engine_traits>(const std::string& aService)>;
 
-  placing_desk(placement_table& aPlacement,
-               runner_table& aRunners,
-               const refused_table& aRefused,
-               traits_lookup aTraits)
+  placement_queue(placement_table& aPlacement,
+                  runner_table& aRunners,
+                  const refused_table& aRefused,
+                  traits_lookup aTraits)
     : mPlacement(aPlacement)
     , mRunners(aRunners)
     , mRefused(aRefused)
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -79,6 +79,13 @@
   duration mUntilRead{ 0 };                  ///< Expected time until the prompt is read.
   duration mUntilEvent{ 0 };                 ///< Expected time to the first event.
   double mPeakShare = 0.0;                   ///< Expected peak of the decode engine's memory.
+
+  /** @return all engines that the generation needs. */
+  std::vector<service_runner_id> Engines() const
+  {
+    return mPrefill ? std::vector<service_runner_id>{ mDecode, *mPrefill }
+                    : std::vector<service_runner_id>{ mDecode };
+  }
 };
 
 /** Why a generation has no place. */
--- a/src/placement/refused_table.h
+++ b/src/placement/refused_table.h
@@ -36,7 +36,7 @@
   }
 
 private:
-  /** Callers come back within a third of the time that they have left, 14 s at most today. */
+  /** Callers come back within a third of the time that they have left. */
   static constexpr duration kKeep = std::chrono::seconds(8);
 
   std::unordered_map<std::uint64_t, instant> mRefused; ///< When, by key.
--- a/src/quarantine/quarantine_type.h
+++ b/src/quarantine/quarantine_type.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "core/clock_type.h"
-#include "runners/runner_type.h"
 #include "quarantine/request_fingerprint.h"
+#include "runners/runner_type.h"
 
 #include <optional>
 #include <vector>
--- a/src/roles/role_keeper.h
+++ b/src/roles/role_controller.h
@@ -1,15 +1,15 @@
 /**
- * @file role_keeper.h
+ * @file role_controller.h
  * Gives the engines their roles. Orders come from one daemon at a time: the holder of a term in the
  * store, whose number is the orders' fence. Nothing on a request's path waits for this.
  */
 #pragma once
 
 #include "core/log_func.h"
-#include "state/forward_state.h"
 #include "messages/wire_type.h"
 #include "roles/role_plan.h"
 #include "runners/role_timing.h"
+#include "state/forward_state.h"
 
 namespace dunehook {
 
@@ -26,19 +26,19 @@
 /** Longest wait for an engine's answer to an order. */
 inline constexpr duration kOrderTime = std::chrono::milliseconds(500);
 
-/** What the keeper needs to know of the other daemons. */
+/** What the controller needs to know of the other daemons. */
 struct role_peers
 {
   bool mFirst = false;             ///< This daemon comes first among those that are heard.
   std::vector<std::string> mAlive; ///< Names of daemons that are heard, without this one.
 };
 
-/** The keeper. */
+/** The controller. */
 template<wire_format Wire, control_store Store>
-class role_keeper
+class role_controller
 {
 public:
-  role_keeper(forward_state& aState, Store& aStore)
+  role_controller(forward_state& aState, Store& aStore)
     : mState(aState)
     , mStore(aStore)
     , mPlanner(aState.mSettings.mPlacement.mPrefillShare)
--- a/src/roles/role_plan.h
+++ b/src/roles/role_plan.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "placement/placement_type.h"
-#include "runners/runner_table.h"
 #include "roles/role_work.h"
+#include "runners/runner_table.h"
 
 #include <functional>
 #include <map>
--- a/src/runners/runner_table.h
+++ b/src/runners/runner_table.h
@@ -6,9 +6,8 @@
 #pragma once
 
 #include "routing/config_type.h"
+#include "runners/runner_type.h"
 #include "runners/send_type.h"
-#include "placement/placement_type.h"
-#include "messages/run_message.h"
 
 #include <set>
 #include <unordered_map>
@@ -104,7 +103,7 @@
 
   /** Notes engines that a generation was given: of one that wasn't reached lately this is a trial,
    * and others are kept off it until the trial's outcome is known. */
-  void NoteTrials(const placement_choice& aChoice, instant aNow);
+  void NoteTrials(const std::vector<service_runner_id>& aEngines, instant aNow);
   /** Notes that an engine was reached: a trial is over. */
   void NoteReached(service_runner_id aId);
 
--- a/src/runners/runner_type.h
+++ b/src/runners/runner_type.h
@@ -8,6 +8,8 @@
 #include "net/net_type.h"
 
 #include <map>
+#include <string>
+#include <vector>
 
 namespace dunehook {
 
@@ -106,4 +108,17 @@
   bool mSame = false; ///< Nothing changed since the reader's last read; mRunners is left empty.
 };
 
+/** What changed in the list of runners between two positions of the store. Applied to a list that
+ * is anywhere between them, it makes the list of the second. */
+struct runner_changes
+{
+  store_mark mFrom;                  ///< First position that it may be applied to.
+  store_mark mTo;                    ///< Position of the list that it makes.
+  std::vector<runner_entry> mListed; ///< Entries that changed, or are new.
+  std::vector<std::string> mDropped; ///< Ids of runners that have no entry any more.
+  bool mAway = false; ///< The store was away for the reader lately: entries may have lapsed.
+
+  bool operator==(const runner_changes&) const = default;
+};
+
 } // namespace dunehook
--- a/src/state/forward_state.h
+++ b/src/state/forward_state.h
@@ -5,14 +5,13 @@
  */
 #pragma once
 
-#include "forward/caller_session.h"
-#include "state/gateway_metrics.h"
-#include "state/gateway_settings.h"
+#include "messages/run_message.h"
 #include "placement/placement_queue.h"
 #include "placement/refused_table.h"
 #include "routing/route_table.h"
-#include "messages/run_message.h"
 #include "runners/upstream_connection.h"
+#include "state/gateway_metrics.h"
+#include "state/gateway_settings.h"
 
 #include "core/log_func.h"
 #include "quarantine/crash_ledger.h"
@@ -34,10 +33,10 @@
     : mIo(aIo)
     , mSettings(std::move(aSettings))
     , mPlacement(mSettings.mPlacement)
-    , mDesk(mPlacement,
-            mRunners,
-            mRefused,
-            [this](const std::string& aService) { return TraitsOf(aService); })
+    , mPlaceQueue(mPlacement,
+                  mRunners,
+                  mRefused,
+                  [this](const std::string& aService) { return TraitsOf(aService); })
     , mRandom(std::random_device{}())
   {
   }
@@ -196,7 +195,7 @@
   runner_table mRunners;                         ///< All runners.
   refused_table mRefused;                        ///< Prompts refused by any daemon.
   placement_table mPlacement;                    ///< All generations.
-  placing_desk mDesk;                            ///< Places for all daemons, if this one is asked.
+  placement_queue mPlaceQueue;                   ///< Places for all daemons, if this one is asked.
   crash_ledger mCrashes;                         ///< Requests that crash runners.
   gateway_metrics mMetrics;                      ///< Counters and histograms.
   instant mListedAt{ 0 };                        ///< When the runners were last read, or told.
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -4,9 +4,9 @@
  */
 #include "forward/event_splitter.h"
 #include "messages/place_message.h"
+#include "messages/run_message.h"
 #include "placement/retry_budget.h"
 #include "routing/route_table.h"
-#include "messages/run_message.h"
 #include "runners/runner_table.h"
 #include "runners/upstream_connection.h"
 
--- a/tests/unit/placing_load_test.cpp
+++ b/tests/unit/placing_load_test.cpp
@@ -56,7 +56,7 @@
 public:
   explicit load_player(bool aDesk)
     : mByDesk(aDesk)
-    , mDesk(mTable, mRunners, mRefused, [this](const std::string&) {
+    , mPlaceQueue(mTable, mRunners, mRefused, [this](const std::string&) {
       return std::optional(mTraits);
     })
   {
@@ -98,7 +98,7 @@
       const generation_demand& demand = request.mQuestion.mDemand;
       placement_answer answer;
       if (mByDesk) {
-        const place_reply reply = mDesk.Take(request.mQuestion, 1, {}, aNow);
+        const place_reply reply = mPlaceQueue.Take(request.mQuestion, 1, {}, aNow);
         if (reply.mState == place_state::ePlaced) {
           answer.mChoice = reply.mChoice;
         }
@@ -163,7 +163,7 @@
   runner_table mRunners;                              ///< The engines.
   placement_table mTable;                             ///< What the deciders know.
   refused_table mRefused;                             ///< Not used here.
-  placing_desk mDesk;                                 ///< Decides for all, if mByDesk.
+  placement_queue mPlaceQueue;                        ///< Decides for all, if mByDesk.
   load_outcome mOutcome;                              ///< So far.
   load_draw mDraw;                                    ///< The same load for both.
   load_engines mEngines;                              ///< What engines hold.
@@ -226,7 +226,7 @@
   placement_table table;
   refused_table refused;
   const engine_traits traits = load_engines::Traits();
-  placing_desk desk(
+  placement_queue desk(
     table, runners, refused, [&](const std::string&) { return std::optional(traits); });
   const runner_listing listing = load_engines::List(aEngines - aEngines / 5, aEngines / 5);
   std::uint64_t runs = 0;
--- a/tests/unit/placing_return_test.cpp
+++ b/tests/unit/placing_return_test.cpp
@@ -69,7 +69,7 @@
     : mShape(aShape)
     , mFormer(aFormer)
     , mTable(aFormer ? FormerTuning() : placement_tuning{})
-    , mDesk(mTable, mRunners, mRefused, [](const std::string&) {
+    , mPlaceQueue(mTable, mRunners, mRefused, [](const std::string&) {
       return std::optional(load_engines::Traits());
     })
   {
@@ -82,7 +82,7 @@
       Arrive(now);
       ComeBack(now);
       if (now % kDeskEvery == duration{ 0 }) {
-        for (const placed_reply& reply : mDesk.Tick(now)) {
+        for (const placed_reply& reply : mPlaceQueue.Tick(now)) {
           Take(reply.mReply, now);
         }
       }
@@ -139,7 +139,7 @@
       aCaller.mQuestion.mWait.mReturned = kFormerWait;
     }
     aCaller.mAsked = aNow;
-    const place_reply reply = mDesk.Take(aCaller.mQuestion, 1, {}, aNow);
+    const place_reply reply = mPlaceQueue.Take(aCaller.mQuestion, 1, {}, aNow);
     mAsking[reply.mRun] = aCaller;
     Take(reply, aNow);
   }
@@ -204,7 +204,7 @@
   runner_table mRunners;                           ///< The engines' entries.
   placement_table mTable;                          ///< All runs.
   refused_table mRefused;                          ///< Refused prompts.
-  placing_desk mDesk;                              ///< Under test.
+  placement_queue mPlaceQueue;                     ///< Under test.
   load_engines mEngines;                           ///< The engines.
   load_draw mDraw;                                 ///< The callers.
   return_outcome mOutcome;                         ///< So far.
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -2,8 +2,8 @@
  * @file placing_test.cpp
  * The desk that places generations for all daemons, and the datagrams that it's asked by.
  */
-#include "placement/placement_queue.h"
 #include "messages/place_message.h"
+#include "placement/placement_queue.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -77,16 +77,16 @@
 
   place_reply Ask(const place_question& aQuestion, instant aNow = kNow)
   {
-    return mDesk.Take(aQuestion, aQuestion.mDaemon, kAsker, aNow);
+    return mPlaceQueue.Take(aQuestion, aQuestion.mDaemon, kAsker, aNow);
   }
 
   runner_table mRunners;      ///< One engine that reads, and one that generates.
   placement_table mPlacement; ///< All runs.
   refused_table mRefused;     ///< Refusals.
   /** The desk; the engine has room for one run. */
-  placing_desk mDesk{ mPlacement, mRunners, mRefused, [](const std::string& aService) {
-                       return aService == "tutor" ? std::optional(Traits()) : std::nullopt;
-                     } };
+  placement_queue mPlaceQueue{ mPlacement, mRunners, mRefused, [](const std::string& aService) {
+                                return aService == "tutor" ? std::optional(Traits()) : std::nullopt;
+                              } };
 };
 
 TEST(placing, APlaceIsTakenAsItIsGiven)
@@ -94,22 +94,22 @@
   CHECK(Ask(Question(1)).mState == place_state::ePlaced);
   LONGS_EQUAL(1, mPlacement.RunCount());
   CHECK(Ask(Question(2)).mState == place_state::eQueued);
-  LONGS_EQUAL(1, mDesk.Waiting());
+  LONGS_EQUAL(1, mPlaceQueue.Waiting());
 }
 
 TEST(placing, WhoeverWaitsIsPlacedOnceThereIsRoom)
 {
   Ask(Question(1));
   Ask(Question(2));
-  LONGS_EQUAL(0, mDesk.Tick(kNow + 20ms).size());
+  LONGS_EQUAL(0, mPlaceQueue.Tick(kNow + 20ms).size());
   mPlacement.End({ 1 });
-  const std::vector<placed_reply> replies = mDesk.Tick(kNow + 40ms);
+  const std::vector<placed_reply> replies = mPlaceQueue.Tick(kNow + 40ms);
   LONGS_EQUAL(1, replies.size());
   CHECK(replies[0].mTo == kAsker);
   CHECK(replies[0].mReply.mState == place_state::ePlaced);
   CHECK(replies[0].mReply.mRun == run_id{ 2 });
   LONGS_EQUAL(3, replies[0].mReply.mRound);
-  LONGS_EQUAL(0, mDesk.Waiting());
+  LONGS_EQUAL(0, mPlaceQueue.Waiting());
 }
 
 TEST(placing, TheMostUrgentIsPlacedFirstAndThenTheOneThatWaitsLongest)
@@ -119,11 +119,11 @@
   Ask(Question(3, 1));
   Ask(Question(4, 0));
   mPlacement.End({ 1 });
-  const std::vector<placed_reply> first = mDesk.Tick(kNow + 20ms);
+  const std::vector<placed_reply> first = mPlaceQueue.Tick(kNow + 20ms);
   LONGS_EQUAL(1, first.size());
   CHECK(first[0].mReply.mRun == run_id{ 4 });
   mPlacement.End({ 4 });
-  const std::vector<placed_reply> second = mDesk.Tick(kNow + 40ms);
+  const std::vector<placed_reply> second = mPlaceQueue.Tick(kNow + 40ms);
   LONGS_EQUAL(1, second.size());
   CHECK(second[0].mReply.mRun == run_id{ 2 });
 }
@@ -140,11 +140,11 @@
   CHECK(queued.mWaitsFor == 3s);
   Ask(Question(3), kNow + 10ms);
   mPlacement.End({ 1 });
-  const std::vector<placed_reply> first = mDesk.Tick(kNow + 20ms);
+  const std::vector<placed_reply> first = mPlaceQueue.Tick(kNow + 20ms);
   LONGS_EQUAL(1, first.size());
   CHECK(first[0].mReply.mRun == run_id{ 3 });
   mPlacement.End({ 3 });
-  const std::vector<placed_reply> second = mDesk.Tick(kNow + 2900ms);
+  const std::vector<placed_reply> second = mPlaceQueue.Tick(kNow + 2900ms);
   LONGS_EQUAL(1, second.size());
   CHECK(second[0].mReply.mRun == run_id{ 2 });
   CHECK(second[0].mReply.mState == place_state::ePlaced);
@@ -160,7 +160,7 @@
   urgent.mWait.mReturned = 150ms;
   Ask(urgent);
   mPlacement.End({ 1 });
-  const std::vector<placed_reply> first = mDesk.Tick(kNow + 149ms);
+  const std::vector<placed_reply> first = mPlaceQueue.Tick(kNow + 149ms);
   LONGS_EQUAL(1, first.size());
   CHECK(first[0].mReply.mRun == run_id{ 3 });
 }
@@ -203,13 +203,13 @@
 {
   Ask(Question(1));
   Ask(Question(2));
-  LONGS_EQUAL(0, mDesk.Tick(kNow + 170ms).size());
-  const std::vector<placed_reply> replies = mDesk.Tick(kNow + 180ms);
+  LONGS_EQUAL(0, mPlaceQueue.Tick(kNow + 170ms).size());
+  const std::vector<placed_reply> replies = mPlaceQueue.Tick(kNow + 180ms);
   LONGS_EQUAL(1, replies.size());
   CHECK(replies[0].mReply.mState == place_state::eNone);
   CHECK(replies[0].mReply.mReason == no_place::eNoMemory);
   CHECK(replies[0].mReply.mFreeIn > duration{ 0 });
-  LONGS_EQUAL(0, mDesk.Waiting());
+  LONGS_EQUAL(0, mPlaceQueue.Waiting());
 }
 
 TEST(placing, WhoeverMayNotWaitIsToldAtOnce)
@@ -218,16 +218,16 @@
   place_question hasty = Question(2);
   hasty.mWait.mNew = 0ms;
   CHECK(Ask(hasty).mState == place_state::eNone);
-  LONGS_EQUAL(0, mDesk.Waiting());
+  LONGS_EQUAL(0, mPlaceQueue.Waiting());
 }
 
 TEST(placing, ACallerThatLeavesLeavesTheQueue)
 {
   Ask(Question(1));
   Ask(Question(2));
-  mDesk.Withdraw({ 2 });
+  mPlaceQueue.Withdraw({ 2 });
   mPlacement.End({ 1 });
-  LONGS_EQUAL(0, mDesk.Tick(kNow + 20ms).size());
+  LONGS_EQUAL(0, mPlaceQueue.Tick(kNow + 20ms).size());
   LONGS_EQUAL(0, mPlacement.RunCount());
 }
 
@@ -236,7 +236,7 @@
   Ask(Question(1));
   Ask(Question(2));
   Ask(Question(2), kNow + 50ms);
-  LONGS_EQUAL(1, mDesk.Waiting());
+  LONGS_EQUAL(1, mPlaceQueue.Waiting());
 }
 
 TEST(placing, ARefusalByAnotherDaemonIsKnown)
@@ -269,7 +269,7 @@
   Ask(late);
   mPlacement.End({ 1 });
   // A read of 5,000 tokens takes 100 ms: there's no time left for it.
-  LONGS_EQUAL(0, mDesk.Tick(kNow + 150ms).size());
+  LONGS_EQUAL(0, mPlaceQueue.Tick(kNow + 150ms).size());
 }
 
 // While an engine that wasn't reached is tried again, one caller finds out for all: 3 are sent
--- a/tests/unit/suspension_test.cpp
+++ b/tests/unit/suspension_test.cpp
@@ -2,12 +2,12 @@
  * @file suspension_test.cpp
  * Time in which the machine is suspended counts for leases, budgets and time limits.
  */
-#include "placement/retry_budget.h"
-#include "runners/upstream_connection.h"
 #include "membership/member_base.h"
+#include "placement/retry_budget.h"
 #include "platform/store_client.h"
 #include "platform/wire.h"
-#include "roles/role_keeper.h"
+#include "roles/role_controller.h"
+#include "runners/upstream_connection.h"
 #include "tests/support/fake_boot_time.h"
 
 #include <CppUTest/TestHarness.h>
@@ -173,7 +173,7 @@
   }
   state.mRunners.Apply({ entries, { 1, 1 }, false }, state.Now(), false);
   suspending_store store;
-  role_keeper<suspending_wire, suspending_store> keeper(state, store);
+  role_controller<suspending_wire, suspending_store> keeper(state, store);
   std::size_t orders = 0;
   const auto count = [&]() -> asio::awaitable<void> {
     for (;;) {
