Fix: [Forward] a prompt that crashes the engines that read it is kept from further ones too

Callers would see the same as with requests that crash generating engines: only runs were counted, so a prompt that ends each engine that reads it went on without end. Found by reading for the same cause elsewhere. A read whose connection broke, and whose repeat gave nothing either, counts as a crash of the reader. crashes.APromptThatCrashedThreeReadersReachesNoFurtherOne failed without the change (three further readers' tries) and passes.

--- a/scripts/check_soak_mutants.sh
+++ b/scripts/check_soak_mutants.sh
@@ -46,10 +46,12 @@
   'mExchange->Tear();
       co_return false;' 'co_await mExchange->EndBody();
       co_return false;' runner
-check_off 'leaving runner' src/runners/runner_table.cpp 'return !aRunner.mDraining && ' 'return '
+check_off 'leaving runner' src/runners/runner_choice.cpp 'return !aRunner.mDraining && ' 'return '
 check_off 'planned work cuts nothing' src/forward/gateway.h 'if (mListener->Shared().mBusy == 0) {' 'if (true) {'
 check_off 'nothing is held for nobody' src/forward/upstream_send.h \
   'aExchange.OnGone([connection] { connection->Abort(); });' '' runner
+check_off 'crashes end' src/quarantine/crash_ledger.h 'kCrashesAllowed = 3;' 'kCrashesAllowed = 3000;' poison
+check_off 'callers beside a crash' src/quarantine/crash_ledger.cpp 'return EvidenceOf(aOther) > own;' 'return false;' poison
 check_off 'all is served again' src/links/config_follower.h \
   'if (mState.mRoutes && config.mVersion <=' 'if (mState.mRoutes && 0 <='
 check_off 'no process ends by itself' src/daemon/gateway_main.cpp 'if (!aError) {
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -173,6 +173,9 @@
       co_return false;
     }
     mPrefillFailed = end != read_end::eRead;
+    if (end == read_end::eBroke) {
+      mWatch.NoteBroken(*mPlace.Choice().mPrefill, false);
+    }
     if (mPrefillFailed) {
       mDemand.mFailed.push_back(*mPlace.Choice().mPrefill);
       // The service sees one call too many, unless nothing reached it.
--- a/src/forward/prompt_read.h
+++ b/src/forward/prompt_read.h
@@ -23,6 +23,7 @@
   eRead,    ///< The result lies at the engine.
   eNotSent, ///< Nothing reached the engine.
   eFailed,  ///< It reached the engine, and there's no result.
+  eBroke,   ///< The same, and the connection to the engine ended.
 };
 
 /** The read of one request's prompt. */
@@ -65,15 +66,20 @@
     const duration limit = std::min(aPlan.mTimeLeft, aChoice.mUntilRead + kReadSlack);
     std::string body;
     upstream_answer answer = co_await Send(aPlan, limit, body);
+    bool broke = answer.mBroke;
     const bool lost = answer.mEnd == send_end::eUnknown && !answer.mTimedOut && !mExchange.Gone();
     const duration spent = mState.Now() - began;
     if (lost && spent < limit && aTakeRepeat()) {
       LogRepeat();
       aPlan.mTimeLeft -= spent; // The engine is told what is left, not what there was.
       answer = co_await Send(aPlan, limit - spent, body);
+      broke = broke || answer.mBroke;
     }
     if (answer.mEnd != send_end::eAnswered || answer.mFacts.mStatus != 200) {
       NoteFailure(id, answer);
+      if (broke && !mExchange.Gone()) {
+        co_return read_end::eBroke;
+      }
       co_return answer.mEnd == send_end::eNotSent ? read_end::eNotSent : read_end::eFailed;
     }
     const result<prefill_result> read = Wire::ReadPrefill(body);
@@ -135,6 +141,7 @@
       GiveBack(mState, mExchange, mEngineAt, answer.mConnection);
       if (!read) {
         answer.mEnd = send_end::eUnknown;
+        answer.mBroke = read.error() == errc::eConnectionLost;
       }
     }
     co_return answer;
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -29,8 +29,8 @@
 inline constexpr duration kReportsIn = std::chrono::milliseconds(250);
 /** Crashes so close together may have one cause. */
 inline constexpr duration kOneFailure = std::chrono::milliseconds(1000);
-/** Runners that failed together with one that a request was at, from which on their failure
- * explains the crash. */
+/** Crashes are put down to a common failure where, for each runner that the request was at, at
+ * least so many others crashed at the same time. */
 inline constexpr std::uint32_t kFailedTogether = 2;
 
 /** Most requests and lives remembered. */
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -119,6 +119,7 @@
   bool mLeaves = false;                  ///< It says in all its answers that it leaves.
   std::string mRetryAfter;               ///< Seconds that it adds to a 503; empty for none.
   std::string mCrashesOn;                ///< Requests with this in path or body crash it; or empty.
+  bool mCrashesReading = false;          ///< It crashes on them also where it only reads them.
   duration mDownFor{ 0 };                ///< Time from a crash to its next life.
   bool mDown = false;                    ///< It crashed and isn't back.
   bool mKeepsId = false;                 ///< Its next lives have its id, and tell their birth.
@@ -327,6 +328,7 @@
                                                                false,
                                                                "",
                                                                "",
+                                                               false,
                                                                duration{ 0 },
                                                                false,
                                                                false,
@@ -344,6 +346,7 @@
     runner.mFree = aBody.value("free", runner.mFree);
     runner.mLeaves = aBody.value("leaves", false);
     runner.mRetryAfter = aBody.value("retry_after", "");
+    runner.mCrashesReading = aBody.value("crashes_reading", runner.mCrashesReading);
     runner.mKeepsId = aBody.value("keeps_id", runner.mKeepsId);
     runner.mCrashesOn = aBody.value("crashes_on", runner.mCrashesOn);
     runner.mDownFor =
@@ -552,17 +555,21 @@
         Whole(503, Join("X-Not-Executed: 1\r\n", LeaveHeader(aRunner), RetryHeader(aRunner)), "");
       co_return co_await Write(aStream, text);
     }
+    const bool crashes = aRequest.body().find(aRunner.mCrashesOn) != std::string::npos ||
+                         target.find(aRunner.mCrashesOn) != std::string::npos;
+    const bool runs = aRequest["X-Stage"] != "prefill" || aRunner.mCrashesReading;
+    if (!aRunner.mCrashesOn.empty() && crashes && runs) {
+      Spawn(mIo, CrashSoon(aOwner, aRequest.body()));
+    }
     if (aRequest["X-Stage"] == "prefill") {
+      if (aRunner.mCrashesReading && crashes) {
+        co_await Sleep(2 * kCrashAfter);
+      }
       const std::string body =
         json{ { "kv-handle", "h-" + id }, { "tokens", 1 }, { "version", 1 } }.dump();
       const std::string text = Whole(200, own, body);
       co_return co_await Write(aStream, text);
     }
-    const bool crashes = aRequest.body().find(aRunner.mCrashesOn) != std::string::npos ||
-                         target.find(aRunner.mCrashesOn) != std::string::npos;
-    if (!aRunner.mCrashesOn.empty() && crashes) {
-      Spawn(mIo, CrashSoon(aOwner, aRequest.body()));
-    }
     if (aRunner.mRole == "decode") {
       co_return co_await Generate(aRunner, aStream, aRequest, own, mode);
     }
--- a/tests/platform/crash_test.cpp
+++ b/tests/platform/crash_test.cpp
@@ -321,3 +321,24 @@
   Wait(kReadWithinMs);
   LONGS_EQUAL(1, mBed.QuarantineReads());
 }
+
+TEST(crashes, APromptThatCrashedThreeReadersReachesNoFurtherOne)
+{
+  const json faults{ { "crashes_on", kPoison },
+                     { "crashes_reading", true },
+                     { "down_ms", kDownMs } };
+  for (int i = 1; i <= 4; ++i) {
+    mBed.AddRunner("prefill-" + std::to_string(i), { "tutor", "prefill", "ready", faults });
+  }
+  mBed.AddRunner("decode-1", { "tutor", "decode" });
+  mBed.PutConfig(1);
+  mBed.StartDaemons(std::vector<platform_daemon_options>(3));
+  for (int i = 0; i < 8 && CrashCount() < kAllowed; ++i) {
+    Generate(kPoison, static_cast<std::size_t>(i) % 3);
+  }
+  CHECK_TRUE(CrashCount() >= kAllowed);
+  Wait(kKnownWithinMs);
+  const std::size_t crashes = CrashCount();
+  CheckKept();
+  LONGS_EQUAL(crashes, CrashCount());
+}
