Fix: [Core] the lint knows that a clock's names are the standard's

clang-tidy refused boot_clock's now and is_steady, which std::chrono asks for; each file that includes it failed.

--- a/src/core/clock_type.h
+++ b/src/core/clock_type.h
@@ -33,9 +33,9 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<boot_clock>;
-  static constexpr bool is_steady = true;
-
-  static time_point now() noexcept
+  // std::chrono asks for these names of a clock.
+  static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
+  static time_point now() noexcept        // NOLINT(readability-identifier-naming)
   {
     timespec read{};
     ::clock_gettime(CLOCK_BOOTTIME, &read); // Fails for clocks that don't exist only.
