--- a/tests/platform/crash_test.cpp
+++ b/tests/platform/crash_test.cpp
@@ -165,6 +165,7 @@
 {
   StartFleet(3);
   std::vector<std::thread> callers;
+  callers.reserve(9);
   for (int i = 0; i < 9; ++i) {
     callers.emplace_back([this, i] {
       const std::string id = "many" + std::to_string(i);
@@ -218,6 +219,7 @@
 {
   StartFleet(3);
   std::vector<std::thread> callers;
+  callers.reserve(12);
   for (int i = 0; i < 12; ++i) {
     callers.emplace_back([this, i] {
       const std::string id = "beside" + std::to_string(i);
@@ -243,6 +245,7 @@
   StartFleet(3);
   for (int failure = 0; failure < 3; ++failure) {
     std::vector<std::thread> callers;
+    callers.reserve(12);
     for (int i = 0; i < 12; ++i) {
       callers.emplace_back([this, i, failure] {
         const std::string id = "all" + std::to_string(failure) + "-" + std::to_string(i);
