--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -371,7 +371,7 @@
   }
 
   /** Ends a runner's life: its connections are reset, and its port refuses until the next one. */
-  void Crash(std::shared_ptr<fake_runner> aRunner, const std::string& aBy)
+  void Crash(const std::shared_ptr<fake_runner>& aRunner, const std::string& aBy)
   {
     if (aRunner->mDown) {
       return;
