Codechange: [Net] one connect, and one cause of failure, for calls and for runners

ConnectStream and stream_limit::Cause serve both. A request in quarantine gives its place and its read back in one place. No change of behaviour.

--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -130,8 +130,6 @@
       co_return false;
     }
     if (mWatch.Quarantined()) { // Other tries of it may have crashed engines meanwhile.
-      mPlace.Release();
-      mRead.ThrowAway("quarantined");
       co_await GiveUpQuarantined();
       co_return false;
     }
@@ -206,8 +204,6 @@
   asio::awaitable<bool> Generate()
   {
     if (mWatch.Quarantined()) {
-      mPlace.Release();
-      mRead.ThrowAway("quarantined");
       co_await GiveUpQuarantined();
       co_return false;
     }
@@ -425,6 +421,8 @@
   /** Gives the final answer of a request that may be sent to no engine any more. */
   asio::awaitable<void> GiveUpQuarantined()
   {
+    mPlace.Release();
+    mRead.ThrowAway("quarantined");
     if (mStarted) {
       mExchange->Tear();
     } else if (mUnknown) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -45,20 +45,7 @@
 asio::awaitable<result<http_connection_ptr>>
 http_connection::Connect(const endpoint& aTo, duration aLimit)
 {
-  boost::system::error_code error;
-  const auto address = asio::ip::make_address(aTo.mAddress, error);
-  if (error) {
-    co_return make_error_code(errc::eConnectFailed);
-  }
-  beast::tcp_stream stream(co_await asio::this_coro::executor);
-  stream.expires_after(aLimit);
-  const tcp::endpoint target(address, aTo.mPort);
-  co_await stream.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
-  stream.expires_never(); // From here on stream_limit holds.
-  if (error) {
-    co_return make_error_code(errc::eConnectFailed);
-  }
-  stream.socket().set_option(tcp::no_delay(true), error);
+  BOOST_OUTCOME_CO_TRY(beast::tcp_stream stream, co_await ConnectStream(aTo, aLimit));
   co_return std::make_shared<http_connection>(std::move(stream));
 }
 
@@ -71,7 +58,7 @@
   mLimit.Set(aLimit);
   co_await http::async_write(mStream, request, asio::redirect_error(asio::use_awaitable, error));
   if (error) {
-    co_return LostBy();
+    co_return mLimit.Cause();
   }
   mParser.emplace();
   mParser->body_limit(kMaxAnswerBytes);
@@ -79,7 +66,7 @@
     mStream, mBuffer, *mParser, asio::redirect_error(asio::use_awaitable, error));
   mLimit.Clear();
   if (error) {
-    co_return LostBy();
+    co_return mLimit.Cause();
   }
   co_return mParser->get().result_int();
 }
@@ -101,7 +88,7 @@
     mStream, mBuffer, *mParser, asio::redirect_error(asio::use_awaitable, error));
   mLimit.Clear();
   if (error && error != http::error::need_buffer) {
-    co_return LostBy();
+    co_return mLimit.Cause();
   }
   aOut.append(bytes.data(), bytes.size() - body.size);
   if (mParser->is_done()) {
--- a/src/net/stream_limit.cpp
+++ b/src/net/stream_limit.cpp
@@ -6,6 +6,27 @@
 
 namespace dunehook {
 
+asio::awaitable<result<beast::tcp_stream>>
+ConnectStream(endpoint aTo, duration aLimit)
+{
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(aTo.mAddress, error);
+  if (error) {
+    co_return make_error_code(errc::eConnectFailed);
+  }
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(aLimit);
+  const tcp::endpoint target(address, aTo.mPort);
+  co_await stream.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
+  stream.expires_never(); // From here on stream_limit holds.
+  if (error) {
+    co_return make_error_code(errc::eConnectFailed);
+  }
+  boost::system::error_code ignored; // Without it small writes only wait longer.
+  stream.socket().set_option(tcp::no_delay(true), ignored);
+  co_return std::move(stream);
+}
+
 stream_limit::stream_limit(beast::tcp_stream& aStream)
   : mState(std::make_shared<limit_state>(aStream))
 {
--- a/src/net/stream_limit.h
+++ b/src/net/stream_limit.h
@@ -9,6 +9,10 @@
 
 namespace dunehook {
 
+/** Connects within a time. @return a stream without a limit, or eConnectFailed. */
+asio::awaitable<result<beast::tcp_stream>>
+ConnectStream(endpoint aTo, duration aLimit);
+
 /** The limit of one stream, which must outlive it. Closes the stream once the time is over. */
 class stream_limit
 {
@@ -22,8 +26,11 @@
   void Set(duration aLimit);
   /** Takes the limit away. */
   void Clear();
-  /** @return whether the stream was closed by its limit. */
-  bool Passed() const { return mState->mPassed; }
+  /** @return why an operation on the stream failed: eDeadlinePassed or eConnectionLost. */
+  std::error_code Cause() const
+  {
+    return make_error_code(mState->mPassed ? errc::eDeadlinePassed : errc::eConnectionLost);
+  }
 
 private:
   /** Shared with the timer's handlers, which may run after the limit's end. */
--- a/src/runners/upstream_connection.cpp
+++ b/src/runners/upstream_connection.cpp
@@ -45,21 +45,7 @@
 asio::awaitable<result<upstream_ptr>>
 upstream_connection::Connect(const endpoint& aTo, duration aLimit)
 {
-  boost::system::error_code error;
-  const auto address = asio::ip::make_address(aTo.mAddress, error);
-  if (error) {
-    co_return make_error_code(errc::eConnectFailed);
-  }
-  beast::tcp_stream stream(co_await asio::this_coro::executor);
-  stream.expires_after(aLimit);
-  const tcp::endpoint target(address, aTo.mPort);
-  co_await stream.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
-  stream.expires_never(); // From here on stream_limit holds.
-  if (error) {
-    co_return make_error_code(errc::eConnectFailed);
-  }
-  boost::system::error_code ignored; // Without it small writes only wait longer.
-  stream.socket().set_option(tcp::no_delay(true), ignored);
+  BOOST_OUTCOME_CO_TRY(beast::tcp_stream stream, co_await ConnectStream(aTo, aLimit));
   WatchPeer(stream.socket());
   co_return std::make_shared<upstream_connection>(std::move(stream));
 }
@@ -94,7 +80,7 @@
     mStream, mBuffer, *mParser, asio::redirect_error(asio::use_awaitable, error));
   mLimit.Clear();
   if (error) {
-    co_return LostBy();
+    co_return mLimit.Cause();
   }
   co_return &mParser->get();
 }
@@ -116,7 +102,7 @@
     mStream, mBuffer, *mParser, asio::redirect_error(asio::use_awaitable, error));
   mLimit.Clear();
   if (error && error != http::error::need_buffer) {
-    co_return LostBy();
+    co_return mLimit.Cause();
   }
   aOut.append(bytes.data(), bytes.size() - body.size);
   mWhole = mParser->is_done();
--- a/src/runners/upstream_connection.h
+++ b/src/runners/upstream_connection.h
@@ -74,12 +74,6 @@
     bool mDone = false;                       ///< All bytes were taken.
   };
 
-  /** @return why an operation failed. */
-  std::error_code LostBy() const
-  {
-    return make_error_code(mLimit.Passed() ? errc::eDeadlinePassed : errc::eConnectionLost);
-  }
-
   beast::tcp_stream mStream;              ///< The socket.
   stream_limit mLimit;                    ///< Time for what is under way.
   beast::flat_buffer mBuffer;             ///< Bytes read and not parsed yet.
