--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -191,7 +191,7 @@
     values["log_lines_dropped"] = static_cast<double>(mLogTotals.mDropped);
     values["log_bytes"] = static_cast<double>(mLogTotals.mBytes);
     values["requests_quarantined"] =
-      static_cast<double>(mState.mCrashes.Quarantined(now, kMostNotices).size());
+      static_cast<double>(mState.mCrashes.Quarantined(now, kMostRequests).size());
     values["runners_taking_work"] = 0.0;
     values["runners_resting"] = 0.0;
     values["runners_leaving"] = 0.0;
