Codechange: [Net] one loop for datagrams, one read of a body's piece, one line on a failed task

Found by reading the change once more: four loops took datagrams, two classes read pieces of bodies alike, two spawns caught alike. TakeDatagrams, ReadPiece and LogFailure serve them. A run message's sender is put into text only where a quarantine is told, not for each datagram, of which a placing daemon takes hundreds a second. The product's own loop now ends with its socket, as the others do.

--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -152,7 +152,11 @@
   mOwner.Start();
   mOwners.Start();
   mRoles.Start();
-  Spawn(mIo, ReceiveLoop());
+  Spawn(mIo,
+        TakeDatagrams(
+          mDatagrams, kMaxDatagram, [this](std::string_view aData, const udp::endpoint& /*aFrom*/) {
+            TakeChanges(mMembers.Receive(aData, Now()));
+          }));
   Spawn(mIo, HeartbeatLoop());
 }
 
@@ -213,21 +217,6 @@
   }
 }
 
-asio::awaitable<void>
-router::ReceiveLoop()
-{
-  std::vector<char> buffer(kMaxDatagram);
-  for (;;) {
-    udp::endpoint from;
-    boost::system::error_code error;
-    const std::size_t size = co_await mDatagrams.async_receive_from(
-      asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, error));
-    if (!error) {
-      TakeChanges(mMembers.Receive({ buffer.data(), size }, Now()));
-    }
-  }
-}
-
 void
 router::TakeChanges(const member_changes& aChanges)
 {
--- a/src/daemon/router_base.h
+++ b/src/daemon/router_base.h
@@ -43,7 +43,6 @@
   result<void> OpenSockets();
   void AddPeerMethods();
   asio::awaitable<void> HeartbeatLoop();
-  asio::awaitable<void> ReceiveLoop();
   asio::awaitable<void> DrainLoop();
   void TakeChanges(const member_changes& aChanges);
   bool IsServing() const;
--- a/src/links/daemon_link.cpp
+++ b/src/links/daemon_link.cpp
@@ -86,8 +86,20 @@
 {
   mReady = std::move(aReady);
   SpawnGuarded(mState.mIo, SendHeartbeats());
-  SpawnGuarded(mState.mIo, TakeHeartbeats());
-  SpawnGuarded(mState.mIo, TakeRuns());
+  SpawnGuarded(mState.mIo,
+               TakeDatagrams(mHeartbeats,
+                             kHeartbeatMost,
+                             [this](std::string_view aData, const udp::endpoint& /*aFrom*/) {
+                               TakeHeartbeat(aData, mState.Now());
+                             }));
+  SpawnGuarded(
+    mState.mIo,
+    TakeDatagrams(mRuns, kRunBytes, [this](std::string_view aData, const udp::endpoint& aFrom) {
+      const instant now = mState.Now();
+      if (const auto message = DecodeRunMessage(aData, now)) {
+        Apply(*message, aFrom, now);
+      }
+    }));
 }
 
 void
@@ -158,25 +170,6 @@
   }
 }
 
-asio::awaitable<void>
-daemon_link::TakeHeartbeats()
-{
-  std::string data(kHeartbeatMost, '\0');
-  for (;;) {
-    udp::endpoint from;
-    boost::system::error_code error;
-    const std::size_t got = co_await mHeartbeats.async_receive_from(
-      asio::buffer(data), from, asio::redirect_error(asio::use_awaitable, error));
-    if (error == asio::error::operation_aborted) {
-      co_return;
-    }
-    if (error) {
-      continue; // An earlier datagram couldn't be delivered; the member table notices by silence.
-    }
-    TakeHeartbeat({ data.data(), got }, mState.Now());
-  }
-}
-
 void
 daemon_link::TakeHeartbeat(std::string_view aData, instant aNow)
 {
@@ -195,26 +188,6 @@
   }
 }
 
-asio::awaitable<void>
-daemon_link::TakeRuns()
-{
-  std::string data(kRunBytes, '\0');
-  for (;;) {
-    udp::endpoint from;
-    boost::system::error_code error;
-    const std::size_t got = co_await mRuns.async_receive_from(
-      asio::buffer(data), from, asio::redirect_error(asio::use_awaitable, error));
-    if (error == asio::error::operation_aborted) {
-      co_return;
-    }
-    const instant now = mState.Now();
-    const auto message = error ? std::nullopt : DecodeRunMessage({ data.data(), got }, now);
-    if (message) {
-      Apply(*message, { from.address().to_string(), from.port() }, now);
-    }
-  }
-}
-
 void
 daemon_link::NoteTold(const run_message& aMessage, instant aNow)
 {
@@ -239,10 +212,10 @@
 }
 
 void
-daemon_link::Apply(const run_message& aMessage, const endpoint& aFrom, instant aNow)
+daemon_link::Apply(const run_message& aMessage, const udp::endpoint& aFrom, instant aNow)
 {
   if (aMessage.mQuarantine && mTakeQuarantine) {
-    mTakeQuarantine(*aMessage.mQuarantine, aFrom);
+    mTakeQuarantine(*aMessage.mQuarantine, EndpointOf(aFrom));
   }
   if (aMessage.mStore) {
     NoteTold(aMessage, aNow);
--- a/src/links/daemon_link.h
+++ b/src/links/daemon_link.h
@@ -57,9 +57,7 @@
   /** Asks another daemon for all members, in the first seconds of this one. */
   void AskForMembers();
   void TakeHeartbeat(std::string_view aData, instant aNow);
-  asio::awaitable<void> TakeHeartbeats();
-  asio::awaitable<void> TakeRuns();
-  void Apply(const run_message& aMessage, const endpoint& aFrom, instant aNow);
+  void Apply(const run_message& aMessage, const udp::endpoint& aFrom, instant aNow);
   /** Notes how far the store is as another daemon tells it. */
   void NoteTold(const run_message& aMessage, instant aNow);
   /** Applies what a message tells of engines and of finished runs. */
--- a/src/links/placer_link.cpp
+++ b/src/links/placer_link.cpp
@@ -46,7 +46,12 @@
 placer_link::Start(std::function<bool()> aReady)
 {
   mReady = std::move(aReady);
-  SpawnGuarded(mState.mIo, TakeMessages());
+  SpawnGuarded(mState.mIo,
+               TakeDatagrams(mSocket,
+                             kQuestionBytes,
+                             [this](std::string_view aData, const udp::endpoint& aFrom) {
+                               Take(aData, aFrom);
+                             }));
   SpawnGuarded(mState.mIo, TickQueue());
   SpawnGuarded(mState.mIo, SendDigests());
 }
@@ -202,29 +207,16 @@
   return true;
 }
 
-asio::awaitable<void>
-placer_link::TakeMessages()
+void
+placer_link::Take(std::string_view aData, const udp::endpoint& aFrom)
 {
-  std::string data(kQuestionBytes, '\0');
-  for (;;) {
-    udp::endpoint from;
-    boost::system::error_code error;
-    const std::size_t got = co_await mSocket.async_receive_from(
-      asio::buffer(data), from, asio::redirect_error(asio::use_awaitable, error));
-    if (error == asio::error::operation_aborted) {
-      co_return;
-    }
-    if (error) {
-      continue; // An earlier datagram couldn't be delivered; the asker notices by silence.
-    }
-    const placing_message message = DecodePlacing({ data.data(), got });
-    if (const auto* const reply = std::get_if<place_reply>(&message)) {
-      Deliver(*reply);
-    }
-    if (const auto* const question = std::get_if<place_question>(&message)) {
-      const endpoint asker{ from.address().to_string(), from.port() };
-      SendUdp(mSocket, Encode(Answer(*question, question->mDaemon, asker)), asker);
-    }
+  const placing_message message = DecodePlacing(aData);
+  if (const auto* const reply = std::get_if<place_reply>(&message)) {
+    Deliver(*reply);
+  }
+  if (const auto* const question = std::get_if<place_question>(&message)) {
+    const endpoint asker = EndpointOf(aFrom);
+    SendUdp(mSocket, Encode(Answer(*question, question->mDaemon, asker)), asker);
   }
 }
 
--- a/src/links/placer_link.h
+++ b/src/links/placer_link.h
@@ -74,7 +74,8 @@
     bool mSelf = false;          ///< It's this daemon.
   };
 
-  asio::awaitable<void> TakeMessages();
+  /** Takes a question or an answer. */
+  void Take(std::string_view aData, const udp::endpoint& aFrom);
   asio::awaitable<void> TickQueue();
   asio::awaitable<void> SendDigests();
   /** Asks one daemon, and waits for the last answer. */
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -74,28 +74,12 @@
 asio::awaitable<result<bool>>
 http_connection::ReadSome(std::string& aOut, duration aLimit)
 {
-  if (mParser->is_done()) {
+  result<bool> more =
+    co_await ReadPiece<kReadBytes>(mStream, mLimit, mBuffer, *mParser, aOut, aLimit);
+  if (more && !more.value()) {
     mReusable = mParser->keep_alive();
-    co_return false;
   }
-  std::array<char, kReadBytes> bytes;
-  auto& body = mParser->get().body();
-  body.data = bytes.data();
-  body.size = bytes.size();
-  boost::system::error_code error;
-  mLimit.Set(aLimit);
-  co_await http::async_read_some(
-    mStream, mBuffer, *mParser, asio::redirect_error(asio::use_awaitable, error));
-  mLimit.Clear();
-  if (error && error != http::error::need_buffer) {
-    co_return mLimit.Cause();
-  }
-  aOut.append(bytes.data(), bytes.size() - body.size);
-  if (mParser->is_done()) {
-    mReusable = mParser->keep_alive();
-    co_return false;
-  }
-  co_return true;
+  co_return more;
 }
 
 asio::awaitable<result<http_answer>>
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -85,7 +85,7 @@
   std::string Header(std::string_view aName) const;
 
 private:
-  using response_parser = http::response_parser<http::buffer_body>;
+  using response_parser = piece_parser;
 
   beast::tcp_stream mStream;              ///< The socket.
   stream_limit mLimit;                    ///< Time for what is under way.
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -16,6 +16,17 @@
 
 constexpr int kBacklog = 1024; ///< Connections that wait to be accepted.
 
+/** Writes a line on an exception that a task has ended with. */
+void
+LogFailure(std::string_view aEvent, const std::exception_ptr& aError)
+{
+  try {
+    std::rethrow_exception(aError);
+  } catch (const std::exception& error) {
+    LogEvent(log_level::eError, aEvent, { { "what", error.what() } });
+  }
+}
+
 } // namespace
 
 result<tcp::acceptor>
@@ -106,15 +117,10 @@
 Spawn(asio::io_context& aIo, asio::awaitable<void> aTask)
 {
   asio::co_spawn(aIo, std::move(aTask), [](const std::exception_ptr& aError) {
-    if (!aError) {
-      return;
-    }
-    try {
-      std::rethrow_exception(aError);
-    } catch (const std::exception& error) {
-      LogEvent(log_level::eError, "task_failed", { { "what", error.what() } });
+    if (aError) {
+      LogFailure("task_failed", aError);
+      std::abort();
     }
-    std::abort();
   });
 }
 
@@ -122,17 +128,30 @@
 SpawnGuarded(asio::io_context& aIo, asio::awaitable<void> aTask)
 {
   asio::co_spawn(aIo, std::move(aTask), [](const std::exception_ptr& aError) {
-    if (!aError) {
-      return;
-    }
-    try {
-      std::rethrow_exception(aError);
-    } catch (const std::exception& error) {
-      LogEvent(log_level::eError, "request_task_failed", { { "what", error.what() } });
+    if (aError) {
+      LogFailure("request_task_failed", aError);
     }
   });
 }
 
+asio::awaitable<void>
+TakeDatagrams(asio::ip::udp::socket& aSocket, std::size_t aMost, datagram_handler aTake)
+{
+  std::string data(aMost, '\0');
+  for (;;) {
+    asio::ip::udp::endpoint from;
+    boost::system::error_code error;
+    const std::size_t got = co_await aSocket.async_receive_from(
+      asio::buffer(data), from, asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (!error) { // Else an earlier datagram couldn't be delivered; silence shows it.
+      aTake({ data.data(), got }, from);
+    }
+  }
+}
+
 void
 wake_list::Notify()
 {
--- a/src/net/net_type.h
+++ b/src/net/net_type.h
@@ -73,6 +73,20 @@
 void
 SendUdp(asio::ip::udp::socket& aSocket, const std::string& aData, const endpoint& aTo);
 
+/** Takes a datagram; the second argument is where it came from. */
+using datagram_handler = std::function<void(std::string_view, const asio::ip::udp::endpoint&)>;
+
+/** @return an endpoint of Asio's in our form. */
+inline endpoint
+EndpointOf(const asio::ip::udp::endpoint& aEndpoint)
+{
+  return { aEndpoint.address().to_string(), aEndpoint.port() };
+}
+
+/** Hands on all datagrams that come to a socket until it's closed. @param aMost bytes of one. */
+asio::awaitable<void>
+TakeDatagrams(asio::ip::udp::socket& aSocket, std::size_t aMost, datagram_handler aTake);
+
 /** Suspends the calling coroutine for @p aSpan. */
 asio::awaitable<void>
 Sleep(duration aSpan);
--- a/src/net/stream_limit.h
+++ b/src/net/stream_limit.h
@@ -7,6 +7,8 @@
 
 #include "net/net_type.h"
 
+#include <array>
+
 namespace dunehook {
 
 /** Connects within a time. @return a stream without a limit, or eConnectFailed. */
@@ -51,4 +53,43 @@
   std::shared_ptr<limit_state> mState; ///< Never null.
 };
 
+/** Reads answers piece by piece. */
+using piece_parser = http::response_parser<http::buffer_body>;
+
+/**
+ * Reads some of an answer's body.
+ * @tparam kMost bytes read at once; they're held while the read waits.
+ * @param aOut text that the bytes are appended to.
+ * @param aTime longest wait for the next bytes.
+ * @return whether the body goes on, or why the stream ended.
+ * @pre the parser has the head.
+ */
+template<std::size_t kMost>
+asio::awaitable<result<bool>>
+ReadPiece(beast::tcp_stream& aStream,
+          stream_limit& aLimit,
+          beast::flat_buffer& aBuffer,
+          piece_parser& aParser,
+          std::string& aOut,
+          duration aTime)
+{
+  if (aParser.is_done()) {
+    co_return false;
+  }
+  std::array<char, kMost> bytes;
+  auto& body = aParser.get().body();
+  body.data = bytes.data();
+  body.size = bytes.size();
+  boost::system::error_code error;
+  aLimit.Set(aTime);
+  co_await http::async_read_some(
+    aStream, aBuffer, aParser, asio::redirect_error(asio::use_awaitable, error));
+  aLimit.Clear();
+  if (error && error != http::error::need_buffer) {
+    co_return aLimit.Cause();
+  }
+  aOut.append(bytes.data(), bytes.size() - body.size);
+  co_return !aParser.is_done();
+}
+
 } // namespace dunehook
--- a/src/runners/upstream_connection.cpp
+++ b/src/runners/upstream_connection.cpp
@@ -88,25 +88,10 @@
 asio::awaitable<result<bool>>
 upstream_connection::ReadSome(std::string& aOut, duration aLimit)
 {
-  if (mParser->is_done()) {
-    mWhole = true;
-    co_return false;
-  }
-  std::array<char, kReadBytes> bytes;
-  auto& body = mParser->get().body();
-  body.data = bytes.data();
-  body.size = bytes.size();
-  boost::system::error_code error;
-  mLimit.Set(aLimit);
-  co_await http::async_read_some(
-    mStream, mBuffer, *mParser, asio::redirect_error(asio::use_awaitable, error));
-  mLimit.Clear();
-  if (error && error != http::error::need_buffer) {
-    co_return mLimit.Cause();
-  }
-  aOut.append(bytes.data(), bytes.size() - body.size);
-  mWhole = mParser->is_done();
-  co_return !mWhole;
+  result<bool> more =
+    co_await ReadPiece<kReadBytes>(mStream, mLimit, mBuffer, *mParser, aOut, aLimit);
+  mWhole = more && !more.value();
+  co_return more;
 }
 
 void
