--- a/src/net/stream_limit.h
+++ b/src/net/stream_limit.h
@@ -58,13 +58,13 @@
 
 /**
  * Reads some of an answer's body.
- * @tparam kMost bytes read at once; they're held while the read waits.
+ * @tparam Most bytes read at once; they're held while the read waits.
  * @param aOut text that the bytes are appended to.
  * @param aTime longest wait for the next bytes.
  * @return whether the body goes on, or why the stream ended.
  * @pre the parser has the head.
  */
-template<std::size_t kMost>
+template<std::size_t Most>
 asio::awaitable<result<bool>>
 ReadPiece(beast::tcp_stream& aStream,
           stream_limit& aLimit,
@@ -76,7 +76,7 @@
   if (aParser.is_done()) {
     co_return false;
   }
-  std::array<char, kMost> bytes;
+  std::array<char, Most> bytes;
   auto& body = aParser.get().body();
   body.data = bytes.data();
   body.size = bytes.size();
