Fix: [Test] the port of a runner that is down stays its own

Seen: 3 of 16 loops of crashes.*, eight at once, ended with "control call failed: seen/crashes". The stand-in had ended: while a runner was down its port was free, another process was given it, and the listen of the runner's next life failed. Ruled out: a fault of the daemons, whose lines go on. Change: a bound socket that doesn't listen holds the port for the down time; connections are refused as before.

--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -384,11 +384,15 @@
     const endpoint at = AddressOf(aRunner->mAcceptor);
     boost::system::error_code ignored; // The socket may be closed already.
     aRunner->mAcceptor.close(ignored);
+    // Holds the port without listening: connections are refused, and nobody else is given it.
+    tcp::socket held(mIo, tcp::v4());
+    held.set_option(asio::socket_base::reuse_address(true), ignored);
+    held.bind(tcp::endpoint(asio::ip::make_address(at.mAddress), at.mPort), ignored);
     for (tcp::socket* const socket : aRunner->mSockets) {
       socket->set_option(asio::socket_base::linger(true, 0), ignored);
       socket->close(ignored);
     }
-    Spawn(mIo, Revive(aRunner, at));
+    Spawn(mIo, Revive(aRunner, at, std::move(held)));
   }
 
   /** @return an entry that tells of a birth; empty if it isn't one. */
@@ -403,9 +407,12 @@
   }
 
   /** Begins a runner's next life at its address. */
-  asio::awaitable<void> Revive(std::shared_ptr<fake_runner> aRunner, endpoint aAt)
+  asio::awaitable<void> Revive(std::shared_ptr<fake_runner> aRunner,
+                               endpoint aAt,
+                               tcp::socket aHeld)
   {
     co_await Sleep(aRunner->mDownFor);
+    aHeld.close();
     auto acceptor = OpenAcceptor(mIo, aAt);
     aRunner->mAcceptor = std::move(acceptor.value());
     const std::string former = aRunner->mId;
