Fix: [Quarantine] a daemon that starts asks others before it reads the store

Seen: one of 16 loops of crashes.QuarantinesAreReadFromTheStoreOnceAndByNoDaemonThatOthersCanTell, eight at once, counted two reads of the store in place of one. Callers saw nothing: the read is a call to the store too many, which counts where hundreds of daemons start together. Cause: comparisons went out every 250 to 750 ms from the start on, and the store was read after 500 ms at the latest, so that beside load nobody had been asked, or had answered, by then. Ruled out: an answer that was lost (the second daemon's lines show its comparison after its read). Change: until it has been told, a daemon compares each 50 to 150 ms; it waits a second, not half of one, for an answer. What it doesn't know meanwhile others still refuse on their part: a crash that it reports is judged with theirs. After it: 16 of 16 loops, eight at once.

--- a/src/links/quarantine_link.cpp
+++ b/src/links/quarantine_link.cpp
@@ -119,7 +119,8 @@
       mLink.TellOne(std::move(message), *other);
     }
     const double spread = 0.5 + mState.Draw();
-    co_await Sleep(FromSeconds(ToSeconds(kCompareEvery) * spread));
+    const duration every = mKnows ? kCompareEvery : kCompareAtStart;
+    co_await Sleep(FromSeconds(ToSeconds(every) * spread));
   }
 }
 
--- a/src/links/quarantine_link.h
+++ b/src/links/quarantine_link.h
@@ -16,6 +16,8 @@
 
 /** Time between comparisons with another daemon. */
 inline constexpr duration kCompareEvery = std::chrono::milliseconds(500);
+/** The same for a daemon that has just started, until another one has told it. */
+inline constexpr duration kCompareAtStart = std::chrono::milliseconds(100);
 /** Time between passes over what is to be judged and told. */
 inline constexpr duration kQuarantineTick = std::chrono::milliseconds(100);
 /** A crash is told again each second for this long: a datagram may be lost, and those that place
--- a/src/links/quarantine_store.h
+++ b/src/links/quarantine_store.h
@@ -11,7 +11,7 @@
 namespace dunehook {
 
 /** A daemon that starts waits so long for an answer of another one before it reads the store. */
-inline constexpr duration kAsksOthersFor = std::chrono::milliseconds(500);
+inline constexpr duration kAsksOthersFor = std::chrono::milliseconds(1000);
 /** Daemons that start together read the store spread over this. */
 inline constexpr duration kReadSpread = std::chrono::milliseconds(500);
 /** Rest after a call to the store that failed. */
