--- a/tests/platform/crash_test.cpp
+++ b/tests/platform/crash_test.cpp
@@ -7,6 +7,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <functional>
 #include <set>
 #include <thread>
 
@@ -54,6 +55,23 @@
     mBed.StartDaemons(std::vector<platform_daemon_options>(aDaemons));
   }
 
+  /** Starts callers that do something at the same time. @return their threads. */
+  static std::vector<std::thread> StartCallers(int aCount, const std::function<void(int)>& aWhat)
+  {
+    std::vector<std::thread> callers;
+    callers.reserve(static_cast<std::size_t>(aCount));
+    for (int i = 0; i < aCount; ++i) {
+      callers.emplace_back(aWhat, i);
+    }
+    return callers;
+  }
+  static void Join(std::vector<std::thread> aCallers)
+  {
+    for (std::thread& caller : aCallers) {
+      caller.join();
+    }
+  }
+
   std::string NextId()
   {
     return "r" + std::to_string(++mRequest);
@@ -164,21 +182,15 @@
 TEST(crashes, ManyTriesAtOnceAtAllDaemonsReachNoEngineOnceThreeHaveCrashed)
 {
   StartFleet(3);
-  std::vector<std::thread> callers;
-  callers.reserve(9);
-  for (int i = 0; i < 9; ++i) {
-    callers.emplace_back([this, i] {
-      const std::string id = "many" + std::to_string(i);
-      Call(mBed.Callers(static_cast<std::size_t>(i) % 3),
-           "POST",
-           "/turns/a",
-           kPoison,
-           GenerationHeaders(id, kPrompt, kEvents));
-    });
-  }
-  for (std::thread& caller : callers) {
-    caller.join();
-  }
+  std::vector<std::thread> callers = StartCallers(9, [this](int aNumber) {
+    const std::string id = "many" + std::to_string(aNumber);
+    Call(mBed.Callers(static_cast<std::size_t>(aNumber) % 3),
+         "POST",
+         "/turns/a",
+         kPoison,
+         GenerationHeaders(id, kPrompt, kEvents));
+  });
+  Join(std::move(callers));
   CHECK_TRUE(CrashCount() > 0);
   for (int i = 0; i < 3; ++i) {
     Generate(kPoison, static_cast<std::size_t>(i));
@@ -218,23 +230,17 @@
 TEST(crashes, CallersWhoseRunsBrokeBesideItAreServedAfterwards)
 {
   StartFleet(3);
-  std::vector<std::thread> callers;
-  callers.reserve(12);
-  for (int i = 0; i < 12; ++i) {
-    callers.emplace_back([this, i] {
-      const std::string id = "beside" + std::to_string(i);
-      Call(mBed.Callers(static_cast<std::size_t>(i) % 3),
-           "POST",
-           "/resumed/a",
-           "other " + std::to_string(i),
-           GenerationHeaders(id, kPrompt, 100));
-    });
-  }
+  std::vector<std::thread> callers = StartCallers(12, [this](int aNumber) {
+    const std::string id = "beside" + std::to_string(aNumber);
+    Call(mBed.Callers(static_cast<std::size_t>(aNumber) % 3),
+         "POST",
+         "/resumed/a",
+         "other " + std::to_string(aNumber),
+         GenerationHeaders(id, kPrompt, 100));
+  });
   Wait(200);
   CrashThree();
-  for (std::thread& caller : callers) {
-    caller.join();
-  }
+  Join(std::move(callers));
   Wait(kDownMs * 2);
   LONGS_EQUAL(12, CountServed(12));
   CheckKept();
@@ -244,25 +250,19 @@
 {
   StartFleet(3);
   for (int failure = 0; failure < 3; ++failure) {
-    std::vector<std::thread> callers;
-    callers.reserve(12);
-    for (int i = 0; i < 12; ++i) {
-      callers.emplace_back([this, i, failure] {
-        const std::string id = "all" + std::to_string(failure) + "-" + std::to_string(i);
-        Call(mBed.Callers(static_cast<std::size_t>(i) % 3),
-             "POST",
-             "/turns/a",
-             "other " + std::to_string(i),
-             GenerationHeaders(id, kPrompt, 100));
-      });
-    }
+    std::vector<std::thread> callers = StartCallers(12, [this, failure](int aNumber) {
+      const std::string id = "all" + std::to_string(failure) + "-" + std::to_string(aNumber);
+      Call(mBed.Callers(static_cast<std::size_t>(aNumber) % 3),
+           "POST",
+           "/turns/a",
+           "other " + std::to_string(aNumber),
+           GenerationHeaders(id, kPrompt, 100));
+    });
     Wait(300);
     for (int i = 1; i <= 6; ++i) {
       mBed.CrashRunner("decode-" + std::to_string(i));
     }
-    for (std::thread& caller : callers) {
-      caller.join();
-    }
+    Join(std::move(callers));
     Wait(kDownMs * 3);
   }
   LONGS_EQUAL(18, CrashCount());
