Add: [Test] what daemons tell each other of crashes, over their links and among hundreds

The promise that daemons in contact know of a third crash in time was shown with three real daemons only. Two links on loopback now show: told at once, crashes of two daemons counted together, told after a cut, a lost notice made good by the next comparison, a request that was served is clear again.

--- /dev/null
+++ b/tests/unit/quarantine_link_test.cpp
@@ -0,0 +1,194 @@
+/**
+ * @file quarantine_link_test.cpp
+ * What daemons tell each other of requests that crash runners: two daemons' links on loopback, and
+ * the same telling and comparing among hundreds of ledgers in virtual time.
+ */
+#include "links/quarantine_link.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <unistd.h>
+
+using namespace dunehook;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr request_fingerprint kPoison{ 1001 };
+/** Time in which daemons that are in contact must know of a third crash. */
+constexpr duration kContact = milliseconds(3000);
+/** Ports of the daemons; each process of tests has its own. */
+constexpr int kFirstPort = 42000;
+constexpr int kPorts = 2000;
+constexpr int kPortsOfOne = 4;
+
+std::uint16_t
+PortOfProcess()
+{
+  return static_cast<std::uint16_t>(kFirstPort + (::getpid() * kPortsOfOne) % kPorts);
+}
+
+/** One daemon, without callers. */
+struct node
+{
+  node(asio::io_context& aIo, int aNumber)
+    : mState(aIo, SettingsOf(aNumber))
+    , mLink(mState)
+    , mQuarantines(mState, mLink)
+  {
+    mState.mTell = [this](run_message aMessage) { mLink.Tell(std::move(aMessage)); };
+    mState.mTellPlacers = mState.mTell;
+    CHECK_TRUE(mLink.Open().has_value());
+    mLink.Start([] { return true; });
+    mQuarantines.Start();
+  }
+
+  static std::string AddressOf(int aNumber) { return "127.0.7." + std::to_string(aNumber); }
+  static gateway_settings SettingsOf(int aNumber)
+  {
+    gateway_settings settings;
+    settings.mName = "entry-" + std::to_string(aNumber);
+    settings.mHall = "hall-a";
+    settings.mPeers = { AddressOf(aNumber), PortOfProcess() };
+    return settings;
+  }
+  /** Lets this daemon hear another, and be heard by it. */
+  void Meet(int aOther)
+  {
+    mState.mSettings.mSeeds = { AddressOf(aOther) };
+    mLink.AddSeeds();
+  }
+  bool Kept() const
+  {
+    return mState.mCrashes.StandingOf(kPoison, mState.Now()) == request_standing::eQuarantined;
+  }
+
+  forward_state mState;         ///< Its tables.
+  daemon_link mLink;            ///< To the other.
+  quarantine_link mQuarantines; ///< Under test.
+};
+
+} // namespace
+
+TEST_GROUP(quarantine_link)
+{
+  asio::io_context mIo{ 1 }; ///< Runs all daemons.
+
+  /** Runs until something is so. @return whether it was in time. */
+  bool RunUntil(const std::function<bool()>& aSo, duration aWithin)
+  {
+    const instant until = boot_clock_source{}.Now() + aWithin;
+    while (!aSo() && boot_clock_source{}.Now() < until) {
+      mIo.run_for(milliseconds(10));
+    }
+    return aSo();
+  }
+  static void CrashThree(node & aNode)
+  {
+    for (std::uint64_t life = 1; life <= kCrashesAllowed; ++life) {
+      aNode.mQuarantines.NoteCrash({ kPoison, { life }, false });
+    }
+  }
+};
+
+TEST(quarantine_link, AThirdCrashIsToldToADaemonThatIsHeard)
+{
+  node one(mIo, 1);
+  node two(mIo, 2);
+  one.Meet(2);
+  CHECK_TRUE(RunUntil([&] { return two.mLink.Members().Others().size() == 1; }, kContact));
+  CrashThree(one);
+  CHECK_TRUE(RunUntil([&] { return two.Kept(); }, kContact));
+}
+
+TEST(quarantine_link, CrashesThatTwoDaemonsSawAreCountedTogether)
+{
+  node one(mIo, 1);
+  node two(mIo, 2);
+  one.Meet(2);
+  CHECK_TRUE(RunUntil([&] { return two.mLink.Members().Others().size() == 1; }, kContact));
+  one.mQuarantines.NoteCrash({ kPoison, { 1 }, false });
+  two.mQuarantines.NoteCrash({ kPoison, { 2 }, false });
+  one.mQuarantines.NoteCrash({ kPoison, { 3 }, false });
+  CHECK_TRUE(RunUntil([&] { return one.Kept() && two.Kept(); }, kContact));
+}
+
+TEST(quarantine_link, ADaemonThatWasCutOffIsToldOnceItIsHeardAgain)
+{
+  node one(mIo, 1);
+  node two(mIo, 2);
+  CrashThree(one);
+  CHECK_TRUE(RunUntil([&] { return one.Kept(); }, kContact));
+  CHECK_FALSE(two.Kept());
+  two.Meet(1);
+  CHECK_TRUE(RunUntil([&] { return two.Kept(); }, kContact));
+}
+
+TEST(quarantine_link, ANoticeThatWasLostIsMadeGoodByTheNextComparison)
+{
+  node one(mIo, 1);
+  node two(mIo, 2);
+  one.Meet(2);
+  CHECK_TRUE(RunUntil([&] { return two.mLink.Members().Others().size() == 1; }, kContact));
+  const quarantine_notice untold{ kPoison, request_standing::eQuarantined, duration{ 0 } };
+  one.mState.mCrashes.Take(untold, one.mState.Now());
+  CHECK_TRUE(RunUntil([&] { return two.Kept(); }, kContact));
+}
+
+TEST(quarantine_link, ARequestThatWasServedElsewhereIsClearWhereCrashesAreCounted)
+{
+  node one(mIo, 1);
+  node two(mIo, 2);
+  one.Meet(2);
+  CHECK_TRUE(RunUntil([&] { return two.mLink.Members().Others().size() == 1; }, kContact));
+  one.mQuarantines.NoteCrash({ kPoison, { 1 }, false });
+  one.mQuarantines.NoteCrash({ kPoison, { 2 }, false });
+  CHECK_TRUE(RunUntil([&] { return two.mState.mCrashes.CrashesUnder(kPoison) == 2; }, kContact));
+  two.mQuarantines.NoteServed(kPoison);
+  CHECK_TRUE(RunUntil([&] { return one.mState.mCrashes.Empty(); }, kContact));
+}
+
+TEST(quarantine_link, HundredsOfDaemonsKnowInTimeAlsoThoseThatWereCutOff)
+{
+  constexpr std::size_t kDaemons = 300;
+  constexpr std::size_t kCutOff = 100;
+  constexpr double kLost = 0.1;
+  constexpr int kRuns = 20;
+  std::mt19937 random(11);
+  const auto draw = [&] { return std::uniform_real_distribution<double>(0.0, 1.0)(random); };
+  for (int run = 0; run < kRuns; ++run) {
+    std::vector<crash_ledger> daemons(kDaemons);
+    std::vector<instant> compares;
+    const instant began = seconds(100);
+    const quarantine_notice told{ kPoison, request_standing::eQuarantined, duration{ 0 } };
+    daemons[0].Take(told, began);
+    for (std::size_t i = 0; i < kDaemons; ++i) {
+      const bool reached = i < kDaemons - kCutOff && draw() >= kLost;
+      if (reached) {
+        daemons[i].Take(told, began);
+      }
+      compares.push_back(began + FromSeconds(ToSeconds(kCompareEvery) * 1.5 * draw()));
+    }
+    // All are in contact from here on. Each compares with one other, drawn from all.
+    for (instant now = began; now < began + kContact; now += milliseconds(10)) {
+      for (std::size_t i = 0; i < kDaemons; ++i) {
+        if (now < compares[i]) {
+          continue;
+        }
+        compares[i] = now + FromSeconds(ToSeconds(kCompareEvery) * (0.5 + draw()));
+        const auto other = static_cast<std::size_t>(draw() * kDaemons);
+        const bool arrives = draw() >= kLost && draw() >= kLost;
+        if (arrives && daemons[i].Digest(now) != daemons[other].Digest(now)) {
+          for (const quarantine_notice& notice : daemons[other].Quarantined(now, kMostNotices)) {
+            daemons[i].Take(notice, now);
+          }
+        }
+      }
+    }
+    for (const crash_ledger& daemon : daemons) {
+      CHECK_TRUE(daemon.StandingOf(kPoison, began + kContact) == request_standing::eQuarantined);
+    }
+  }
+}
