--- /dev/null
+++ b/src/membership/member_rank.cpp
@@ -0,0 +1,98 @@
+/**
+ * @file member_rank.cpp
+ * What the table of daemons says of them together: ownership, ranks, positions in the log.
+ */
+#include "membership/member_base.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+
+namespace dunehook {
+
+bool
+GoesBefore(const member_info& aOne, const member_info& aTwo)
+{
+  return std::tie(aTwo.mWeight, aOne.mName, aOne.mIncarnation) <
+         std::tie(aOne.mWeight, aTwo.mName, aTwo.mIncarnation);
+}
+
+const member_info&
+member_table::OwnerOf(std::string_view aKey) const
+{
+  const member_info* owner = &mSelf;
+  std::uint64_t best =
+    mSelf.mServing ? RendezvousRank(aKey, mSelf.mIncarnation.mValue) : std::uint64_t{ 0 };
+  for (const auto& [incarnation, entry] : mOthers) {
+    if (!entry.mInfo.mServing || entry.mSuspected != instant{ 0 }) {
+      continue;
+    }
+    const std::uint64_t rank = RendezvousRank(aKey, incarnation.mValue);
+    if (rank > best) {
+      best = rank;
+      owner = &entry.mInfo;
+    }
+  }
+  return *owner;
+}
+
+std::size_t
+member_table::CountServing() const
+{
+  std::size_t count = mSelf.mServing ? 1 : 0;
+  for (const auto& [incarnation, entry] : mOthers) {
+    count += entry.mInfo.mServing ? 1 : 0;
+  }
+  return std::max<std::size_t>(1, count);
+}
+
+std::vector<const member_info*>
+member_table::Ranked(std::optional<std::string_view> aHall) const
+{
+  std::vector<const member_info*> ranked;
+  if (mSelf.mServing && (!aHall || mSelf.mHall == *aHall)) {
+    ranked.push_back(&mSelf);
+  }
+  for (const auto& [incarnation, entry] : mOthers) {
+    const bool wanted = !aHall || entry.mInfo.mHall == *aHall;
+    if (wanted && entry.mInfo.mServing && entry.mSuspected == instant{ 0 }) {
+      ranked.push_back(&entry.mInfo);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const member_info* aOne, const member_info* aTwo) {
+    return GoesBefore(*aOne, *aTwo);
+  });
+  return ranked;
+}
+
+std::size_t
+member_table::RankInHall() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mOthers.begin(), mOthers.end(), [&](const auto& aRow) {
+      const member_info& other = aRow.second.mInfo;
+      return other.mServing && other.mHall == mSelf.mHall && GoesBefore(other, mSelf);
+    }));
+}
+
+std::size_t
+member_table::CountInForce(std::uint64_t aOffset) const
+{
+  std::size_t count = mSelf.mNext > aOffset ? 1 : 0;
+  for (const auto& [incarnation, entry] : mOthers) {
+    count += entry.mInfo.mNext > aOffset ? 1 : 0;
+  }
+  return count;
+}
+
+std::uint64_t
+member_table::HighestNext() const
+{
+  std::uint64_t highest = 1;
+  for (const auto& [incarnation, entry] : mOthers) {
+    highest = std::max(highest, entry.mInfo.mNext);
+  }
+  return highest;
+}
+
+} // namespace dunehook
