--- a/src/control/model_keeper.cpp
+++ b/src/control/model_controller.cpp
@@ -1,8 +1,8 @@
 /**
- * @file model_keeper.cpp
+ * @file model_controller.cpp
  * Orders to load model versions.
  */
-#include "control/model_keeper.h"
+#include "control/model_controller.h"
 
 #include "core/log_func.h"
 
@@ -15,7 +15,7 @@
 using json = nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr duration kKeepEvery = 500ms;
+constexpr duration kLookEvery = 500ms;
 constexpr duration kStateLimit = 500ms;
 constexpr duration kLoadLimit = 10s;
 /** Rest after a runner's failed load, doubled up to the longest: it may still be loading, and what
@@ -27,7 +27,7 @@
 
 /** @return whether a runner isn't to be ordered yet. Another version doesn't wait for the rest. */
 bool
-model_keeper::Rests(const load_key& aKey, std::uint64_t aFence) const
+model_controller::Rests(const load_key& aKey, std::uint64_t aFence) const
 {
   const auto found = mRests.find(aKey);
   return found != mRests.end() && found->second.mFence == aFence &&
@@ -35,7 +35,7 @@
 }
 
 void
-model_keeper::NoteLoad(const load_key& aKey, std::uint64_t aFence, bool aLoaded)
+model_controller::NoteLoad(const load_key& aKey, std::uint64_t aFence, bool aLoaded)
 {
   if (aLoaded) {
     mRests.erase(aKey);
@@ -49,10 +49,10 @@
 }
 
 asio::awaitable<void>
-model_keeper::KeepLoop()
+model_controller::LoadLoop()
 {
   for (;;) {
-    co_await Sleep(kKeepEvery);
+    co_await Sleep(kLookEvery);
     const instant now = boot_clock_source().Now();
     std::erase_if(mRests, [now](const auto& aRow) { // Of runners that are gone, most of all.
       return now - aRow.second.mUntil > kLongestLoadRest;
@@ -66,13 +66,13 @@
       }
     }
     for (const resource& one : wanted) {
-      co_await KeepPool(one);
+      co_await LoadPool(one);
     }
   }
 }
 
 asio::awaitable<void>
-model_keeper::KeepPool(resource aResource)
+model_controller::LoadPool(resource aResource)
 {
   const auto& spec = std::get<model_version_spec>(aResource.mSpec);
   std::vector<host> hosts;
@@ -80,14 +80,14 @@
     hosts.push_back(*one);
   }
   for (const host& one : hosts) {
-    if (co_await KeepRunner(one, aResource)) {
+    if (co_await LoadRunner(one, aResource)) {
       co_return; // One load at a time; the rest follow at the next look.
     }
   }
 }
 
 asio::awaitable<bool>
-model_keeper::KeepRunner(host aHost, resource aResource)
+model_controller::LoadRunner(host aHost, resource aResource)
 {
   const load_key key{ aHost.mName, aResource.mKey };
   if (Rests(key, aResource.mVersion)) {
--- a/src/control/model_keeper.h
+++ b/src/control/model_controller.h
@@ -1,5 +1,5 @@
 /**
- * @file model_keeper.h
+ * @file model_controller.h
  * Orders runners to load the model versions that the configuration names. The fence of an order
  * is the offset of the resource that it follows from, so a daemon that is behind can't undo a
  * newer order at runners that check. One runner of a pool loads at a time: the weight store's
@@ -15,15 +15,15 @@
 
 namespace dunehook {
 
-/** Keeper of the pools that this daemon owns by rank. */
-class model_keeper
+/** Controller of the models of the pools that this daemon owns by rank. */
+class model_controller
 {
 public:
-  model_keeper(asio::io_context& aIo,
-               const log_follower& aLog,
-               const host_directory& aHosts,
-               const member_table& aMembers,
-               engine_client& aEngines)
+  model_controller(asio::io_context& aIo,
+                   const log_follower& aLog,
+                   const host_directory& aHosts,
+                   const member_table& aMembers,
+                   engine_client& aEngines)
     : mIo(aIo)
     , mLog(aLog)
     , mHosts(aHosts)
@@ -32,8 +32,8 @@
   {
   }
 
-  /** Starts keeping. */
-  void Start() { Spawn(mIo, KeepLoop()); }
+  /** Starts the loop that gives orders. */
+  void Start() { Spawn(mIo, LoadLoop()); }
 
 private:
   /** Rest after a load that failed. */
@@ -49,9 +49,9 @@
 
   bool Rests(const load_key& aKey, std::uint64_t aFence) const;
   void NoteLoad(const load_key& aKey, std::uint64_t aFence, bool aLoaded);
-  asio::awaitable<void> KeepLoop();
-  asio::awaitable<void> KeepPool(resource aResource);
-  asio::awaitable<bool> KeepRunner(host aHost, resource aResource);
+  asio::awaitable<void> LoadLoop();
+  asio::awaitable<void> LoadPool(resource aResource);
+  asio::awaitable<bool> LoadRunner(host aHost, resource aResource);
 
   asio::io_context& mIo;                ///< Runs the loop.
   const log_follower& mLog;             ///< Configuration.
--- a/src/daemon/router_base.h
+++ b/src/daemon/router_base.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "callers/front_base.h"
-#include "control/model_keeper.h"
+#include "control/model_controller.h"
 #include "daemon/operator_api.h"
 #include "settings/settings_type.h"
 
@@ -70,7 +70,7 @@
   key_registry mKeys;                               ///< Idempotency keys.
   cell_owner mOwner;                                ///< Cells owned.
   owner_router mOwners;                             ///< Owners of cells.
-  model_keeper mRoles;                              ///< Orders to load models.
+  model_controller mRoles;                          ///< Orders to load models.
   team_quotas mQuotas;                              ///< Quotas.
   front_metrics mMetrics;                           ///< Metrics.
   front_context mFront;                             ///< What fronts use of the above.
--- a/tests/unit/suspension_test.cpp
+++ b/tests/unit/suspension_test.cpp
@@ -173,7 +173,7 @@
   }
   state.mRunners.Apply({ entries, { 1, 1 }, false }, state.Now(), false);
   suspending_store store;
-  role_controller<suspending_wire, suspending_store> keeper(state, store);
+  role_controller<suspending_wire, suspending_store> controller(state, store);
   std::size_t orders = 0;
   const auto count = [&]() -> asio::awaitable<void> {
     for (;;) {
@@ -191,7 +191,7 @@
       SuspendFor(seconds(3)); // Until changes that were wanted for a while are due.
       role_peers peers;
       peers.mFirst = true;
-      co_await keeper.Tick(std::move(peers));
+      co_await controller.Tick(std::move(peers));
     }
   };
   asio::co_spawn(mIo, count(), asio::detached);
