Fix: [Test] all tests start the programs of the build that they belong to

Seen: with DUNEHOOK_BUILD set to another folder, 2 of 54 integration tests (input.FaultySettings..., answers.TwoHundredCallers...) failed with exit code 127, twice of two runs: they named build/ themselves, which wasn't there; where it is there, they'd play an older build's program. The two copies of the function that reads DUNEHOOK_BUILD become one, in testbed.h. After it both groups pass (8 of 8).

--- a/tests/integration/answers_test.cpp
+++ b/tests/integration/answers_test.cpp
@@ -114,7 +114,7 @@
   for (int number = 1; number <= 3; ++number) {
     targets += (number > 1 ? "," : "") + bed.Daemon("entry-" + std::to_string(number)).mCallers;
   }
-  process load({ "build/standins/standin_caller",
+  process load({ BuildFolder() + "/standins/standin_caller",
                  "--daemons=" + targets,
                  "--calls=200",
                  "--rate=400",
--- a/tests/integration/input_test.cpp
+++ b/tests/integration/input_test.cpp
@@ -33,7 +33,7 @@
                       << "listen = \"127.0.0.1:0\"\ntoken_file = \"t\"\n[peers]\n"
                       << "listen = \"127.0.0.1:0\"\n[platform]\nlog = \"127.0.0.1:1\"\n"
                       << "host_list = \"127.0.0.1:1\"\n";
-  process checked({ "build/src/dunehookd", "--settings=" + path, "--check" },
+  process checked({ BuildFolder() + "/src/dunehookd", "--settings=" + path, "--check" },
                   bed.Path("check.out"));
   LONGS_EQUAL(2, checked.WaitForExit());
   const std::string printed = checked.Output();
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -30,13 +30,6 @@
 /** A whole read hands the configuration out in base64, 4 bytes for 3. */
 constexpr double kReadPerByte = 4.0 / 3.0;
 
-std::string
-BuildFolderOf()
-{
-  const char* const set = std::getenv("DUNEHOOK_BUILD");
-  return set == nullptr ? "build" : set;
-}
-
 json
 Route(const std::string& aPrefix, const std::string& aKind, const std::string& aService)
 {
@@ -131,8 +124,7 @@
   mFolder = ::mkdtemp(folder);
   mPort = kFirstPort + (::getpid() * kPortsOfDaemon) % kPortRange;
   mFleet = std::make_unique<process>(
-    std::vector<std::string>{ BuildFolderOf() + "/standins/standin_fleet" },
-    mFolder + "/fleet.out");
+    std::vector<std::string>{ BuildFolder() + "/standins/standin_fleet" }, mFolder + "/fleet.out");
   const std::string line = mFleet->WaitForLine("listening");
   if (line.empty()) {
     throw std::runtime_error("the stand-in of the platform didn't start");
@@ -193,7 +185,7 @@
 {
   standin& proxy = mProxies[aName];
   proxy.mProcess = std::make_unique<process>(
-    std::vector<std::string>{ BuildFolderOf() + "/standins/standin_proxy", "--target=" + aTarget },
+    std::vector<std::string>{ BuildFolder() + "/standins/standin_proxy", "--target=" + aTarget },
     mFolder + "/proxy-" + aName + ".out");
   const std::string line = proxy.mProcess->WaitForLine("listening");
   if (line.empty()) {
@@ -491,7 +483,7 @@
 {
   ::setenv("DUNEHOOK_BOOT", SettingsPath(aDaemon).c_str(), 1);
   return std::make_unique<process>(
-    std::vector<std::string>{ BuildFolderOf() + "/src/dunehookd",
+    std::vector<std::string>{ BuildFolder() + "/src/dunehookd",
                               "--platform",
                               "--metrics_port=" + std::to_string(mPort + 6) },
     aOutput);
@@ -559,7 +551,7 @@
 std::string
 fleet_bed::RunCli(std::vector<std::string> aWords) const
 {
-  aWords.insert(aWords.begin(), BuildFolderOf() + "/src/dunehook");
+  aWords.insert(aWords.begin(), BuildFolder() + "/src/dunehook");
   aWords.insert(aWords.end(), { "--store=" + mAddress, "--platform", "--o=json" });
   const std::string output = mFolder + "/cli.out";
   std::filesystem::remove(output);
--- a/tests/support/testbed.cpp
+++ b/tests/support/testbed.cpp
@@ -26,13 +26,6 @@
 
 constexpr const char* kOperatorToken = "operator-token-of-the-tests";
 
-std::string
-BuildFolder()
-{
-  const char* const set = std::getenv("DUNEHOOK_BUILD");
-  return set == nullptr ? "build" : set;
-}
-
 std::string
 ReadFile(const std::string& aPath)
 {
@@ -98,6 +91,13 @@
 
 } // namespace
 
+std::string
+BuildFolder()
+{
+  const char* const set = std::getenv("DUNEHOOK_BUILD");
+  return set == nullptr ? "build" : set;
+}
+
 std::string
 answer::Outcome() const
 {
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -25,6 +25,10 @@
 using json = nlohmann::json;
 using headers = std::vector<std::pair<std::string, std::string>>;
 
+/** @return the folder of the build whose programs are started: DUNEHOOK_BUILD, else "build". */
+std::string
+BuildFolder();
+
 /** A whole answer; a status of 0 means that the connection failed. */
 struct answer
 {
