--- a/soak/soak_callers.cpp
+++ b/soak/soak_callers.cpp
@@ -22,6 +22,8 @@
 constexpr int kLeaves = 8;
 constexpr int kFreshConnection = 25;
 constexpr int kPoisoned = 12;
+/** Tries of a request that broke, beyond the first. */
+constexpr int kMostRepeats = 4;
 /** Rest between two requests of a caller, in ms. */
 constexpr int kMostRest = 60;
 /** Events of a stream; the stand-in makes one each 10 ms. */
@@ -70,12 +72,34 @@
     request.set(name, value);
   }
   if (!reads) {
-    request.body() = aCall.mPoison.empty() ? "body of " + aCall.mId : aCall.mPoison;
+    const std::string& first = aCall.mSameAs.empty() ? aCall.mId : aCall.mSameAs;
+    request.body() = aCall.mPoison.empty() ? "body of " + first : aCall.mPoison;
   }
   request.prepare_payload();
   return request;
 }
 
+/** @return whether a request's answer broke off, so that its caller may send it again. */
+bool
+Broke(const call_record& aCall)
+{
+  const bool cut = aCall.mStatus == 200 && !aCall.mWhole;
+  return !aCall.mLeft && aCall.mPoison.empty() && (cut || aCall.mStatus == 502);
+}
+
+/** Makes a call another try of a request. */
+void
+Repeat(const call_record& aFormer, call_record& aCall)
+{
+  aCall.mKind = aFormer.mKind;
+  aCall.mVersion = aFormer.mVersion;
+  aCall.mEvents = aFormer.mEvents;
+  aCall.mPoison.clear();
+  aCall.mLeft = false;
+  aCall.mSameAs = aFormer.mSameAs.empty() ? aFormer.mId : aFormer.mSameAs;
+  aCall.mRepeats = aFormer.mRepeats + 1;
+}
+
 /** @return whole events of a stream's text. */
 std::uint64_t
 CountEvents(const std::string& aBody)
@@ -170,6 +194,7 @@
   connection open(mIo);
   std::uint64_t count = 0;
   std::optional<call_record> resume;
+  std::optional<call_record> repeat;
   while (!mStopping) {
     call_record call = DrawCall(aNumber, count++);
     if (resume) {
@@ -178,7 +203,14 @@
       call.mFirstEvent = resume->mFirstEvent + CountEvents(resume->mBody);
       call.mLeft = false;
     }
+    if (repeat) {
+      Repeat(*repeat, call); // A stream that may go on does so, as the same request.
+    }
     co_await Perform(open, call);
+    repeat.reset();
+    if (mWorld.mRepeats && Broke(call) && call.mRepeats < kMostRepeats) {
+      repeat = call;
+    }
     const bool broke = call.mKind == call_kind::eResumed && call.mStatus == 200 && !call.mWhole &&
                        call.mPoison.empty();
     resume.reset();
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -27,6 +27,8 @@
 
   std::atomic<int> mPoison{ 0 }; ///< Number of the body that crashes runners; 0: none.
 
+  std::atomic<bool> mRepeats{ false }; ///< Callers send again what a runner's end has broken.
+
   explicit caller_world(std::size_t aDaemons)
     : mLives(aDaemons)
   {
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -184,6 +184,7 @@
   if (!mPoisons) {
     return;
   }
+  mWorld.mRepeats = true;
   for (const std::string& runner : mRunners) {
     mBed.SetRunner(runner,
                    { { "crashes_on", kPoison }, { "down_ms", kDownMs }, { "keeps_id", true } });
