Fix: [Links] who has taken over the reading of the store reads on

Cause: the store turned the readers of all three halls away. The next daemon of each took over after 1.35 s of silence, all three in the same millisecond: each read the runners, told how far the store is, and was told so by the other two. What another tells stands for a read of one's own, so each left the store again within 20 ms, before its reader of the configuration, which looks each 100 ms, had seen that it was its turn. The next try came 1.35 s later, at 2.4 s. Change: a daemon that takes over, one of the first three of its hall, reads on for 3 s, whatever it's told; one that is turned away leaves at once, as before, so that a store that is away gets no more calls. Test: store_contact.WhoHasTakenOverReadsOnThoughAnotherTellsThePosition, which failed first.

--- a/src/links/store_contact.h
+++ b/src/links/store_contact.h
@@ -23,6 +23,9 @@
 /** Time between the steps; all together stay below half of the shortest time in which a leaving
  * runner must get no more work. */
 inline constexpr duration kAskerStep = std::chrono::milliseconds(150);
+/** A daemon that has taken over reads on for this long, whatever it's told: those that take over in
+ * other halls at the same time tell the position as well, and none would read the configuration. */
+inline constexpr duration kReadsOnFor = std::chrono::milliseconds(3000);
 /** While the askers tell that the store is silent, each other daemon asks it about once in this
  * time: the store may turn away just the askers. */
 inline constexpr duration kProbeEvery = std::chrono::milliseconds(4000);
@@ -65,16 +68,7 @@
     if (!Known()) {
       return true;
     }
-    const std::size_t rank = mLink.RankInHall();
-    const instant now = mState.Now();
-    const duration quiet = now - std::max(mState.mToldStoreAt, mKnownSince);
-    if (rank == 0 || quiet < kToldFor) {
-      return rank == 0;
-    }
-    if (rank >= kAskers && now - mState.mToldSilentAt < kToldFor) {
-      return now >= mProbeAt;
-    }
-    return quiet >= kToldFor + kAskerStep * static_cast<std::int64_t>(std::min(rank, kAskers));
+    return mLink.RankInHall() == 0 || mState.Now() < mReadsOnUntil || TakesOver();
   }
   /** @return the newest version that any daemon has told of. */
   std::uint64_t NewestTold() const
@@ -83,12 +77,15 @@
   }
   /** @return whether another daemon has a newer configuration than this one. */
   bool Behind() const { return mState.mRoutes && NewestTold() > mState.mRoutes->Config().mVersion; }
-  /** @return whether the runners must be read by this daemon itself. */
+  /** @return whether the runners must be read by this daemon itself. Call it before each read. */
   bool ReadsRunners()
   {
     const instant now = mState.Now();
     const bool behind = mState.mToldStore.mRunners > mState.mRunners.End();
     mBehindSince = !behind ? instant{ 0 } : mBehindSince == instant{ 0 } ? now : mBehindSince;
+    if (Known() && mLink.RankInHall() < kAskers && TakesOver()) {
+      mReadsOnUntil = now + kReadsOnFor;
+    }
     return mInDoubt || Asks() || (behind && now - mBehindSince >= kRunnersBehindFor);
   }
   /** @return whether the last read of the runners failed: the store is asked for nothing else. */
@@ -152,6 +149,7 @@
   void NoteNoRunners()
   {
     mRunnersFail = true;
+    mReadsOnUntil = instant{ 0 };
     const double spread = 0.5 + mState.Draw();
     mProbeAt = mState.Now() + FromSeconds(ToSeconds(kProbeEvery) * spread);
     if (Known() && mLink.RankInHall() < kAskers) {
@@ -187,6 +185,20 @@
   }
 
 private:
+  /** @return whether this daemon asks since no reader has told how far the store is. */
+  bool TakesOver() const
+  {
+    const std::size_t rank = mLink.RankInHall();
+    const instant now = mState.Now();
+    const duration quiet = now - std::max(mState.mToldStoreAt, mKnownSince);
+    if (rank == 0 || quiet < kToldFor) {
+      return false;
+    }
+    if (rank >= kAskers && now - mState.mToldSilentAt < kToldFor) {
+      return now >= mProbeAt;
+    }
+    return quiet >= kToldFor + kAskerStep * static_cast<std::int64_t>(std::min(rank, kAskers));
+  }
   /** Changes that one read brought. */
   struct read_changes
   {
@@ -229,6 +241,7 @@
   instant mRunnersAnsweredAt{ 0 };   ///< When a read of the runners was last answered.
   instant mBehindSince{ 0 };         ///< Runners changed that weren't told; zero if none.
   instant mKnownSince{ 0 };          ///< Since when a configuration and runners are known.
+  instant mReadsOnUntil{ 0 };        ///< Reads until then, having taken over.
   instant mProbeAt{ 0 };             ///< Next call while the store is told to be silent.
   std::deque<read_changes> mChanges; ///< Of the last seconds, oldest first; without a gap.
   store_mark mChangesTo;             ///< Position that mChanges lead to.
--- /dev/null
+++ b/tests/unit/store_contact_test.cpp
@@ -0,0 +1,122 @@
+/**
+ * @file store_contact_test.cpp
+ * Which daemons read the store: two daemons of a hall that hear each other on loopback.
+ */
+#include "links/store_contact.h"
+#include "tests/support/fake_boot_time.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <unistd.h>
+
+using namespace dunehook;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Time in which the two hear each other. */
+constexpr duration kHeardWithin = milliseconds(3000);
+/** Ports of the daemons; each process of tests has its own. */
+constexpr int kFirstPort = 44000;
+constexpr int kPorts = 2000;
+constexpr int kPortsOfOne = 4;
+
+std::string
+AddressOf(int aNumber)
+{
+  return "127.0.8." + std::to_string(aNumber);
+}
+
+gateway_settings
+SettingsOf(int aNumber)
+{
+  const auto port = static_cast<std::uint16_t>(kFirstPort + (::getpid() * kPortsOfOne) % kPorts);
+  gateway_settings settings;
+  settings.mName = "entry-" + std::to_string(aNumber);
+  settings.mHall = "hall-a";
+  settings.mPeers = { AddressOf(aNumber), port };
+  settings.mSeeds = { AddressOf(3 - aNumber) };
+  return settings;
+}
+
+/** One daemon that knows a configuration and a runner. */
+struct node
+{
+  node(asio::io_context& aIo, int aNumber)
+    : mState(aIo, SettingsOf(aNumber))
+    , mLink(mState)
+    , mContact(mState, mLink)
+  {
+    CHECK_TRUE(mLink.Open().has_value());
+    mLink.Start([] { return true; });
+    mLink.Members().SetSelf(1, true);
+    mState.mRoutes = std::make_shared<const route_table>();
+    runner_entry entry;
+    entry.mName = "desk-1";
+    mState.mRunners.Apply({ { entry }, { 1, 1 } }, mState.Now(), false);
+    mContact.NoteRunners({}, {});
+    mContact.Tick();
+  }
+
+  forward_state mState;   ///< Its tables.
+  daemon_link mLink;      ///< To the other.
+  store_contact mContact; ///< Under test.
+};
+
+} // namespace
+
+TEST_GROUP(store_contact)
+{
+  asio::io_context mIo{ 1 }; ///< Runs both daemons.
+
+  /** Starts both, and waits until the second leaves the store to the first. */
+  void Meet(node & aReader, node & aOther)
+  {
+    const instant until = boot_clock_source{}.Now() + kHeardWithin;
+    aOther.mState.mToldStoreAt = aOther.mState.Now();
+    while (aOther.mLink.RankInHall() != 1 && boot_clock_source{}.Now() < until) {
+      mIo.run_for(milliseconds(10));
+    }
+    LONGS_EQUAL(1, aOther.mLink.RankInHall());
+    LONGS_EQUAL(0, aReader.mLink.RankInHall());
+  }
+};
+
+TEST(store_contact, WhoIsToldLeavesTheStoreToTheReader)
+{
+  node reader(mIo, 1);
+  node other(mIo, 2);
+  Meet(reader, other);
+  other.mState.mToldStoreAt = other.mState.Now();
+  CHECK_TRUE(reader.mContact.Asks());
+  CHECK_FALSE(other.mContact.Asks());
+}
+
+// Daemons that take over in several halls at once tell each other how far the store is.
+TEST(store_contact, WhoHasTakenOverReadsOnThoughAnotherTellsThePosition)
+{
+  node reader(mIo, 1);
+  node other(mIo, 2);
+  Meet(reader, other);
+  test::SuspendFor(kToldFor + kAskerStep * 2);
+  CHECK_TRUE(other.mContact.Asks()); // Nobody has told it for so long.
+  CHECK_TRUE(other.mContact.ReadsRunners());
+  other.mState.mToldStoreAt = other.mState.Now();
+  CHECK_TRUE(other.mContact.Asks());
+  test::SuspendFor(kReadsOnFor);
+  other.mState.mToldStoreAt = other.mState.Now();
+  CHECK_FALSE(other.mContact.Asks());
+}
+
+TEST(store_contact, WhoHasTakenOverAndIsTurnedAwayLeavesTheStoreToOthers)
+{
+  node reader(mIo, 1);
+  node other(mIo, 2);
+  Meet(reader, other);
+  test::SuspendFor(kToldFor + kAskerStep * 2);
+  CHECK_TRUE(other.mContact.ReadsRunners());
+  other.mContact.NoteNoRunners();
+  other.mState.mToldStoreAt = other.mState.Now();
+  CHECK_FALSE(other.mContact.Asks());
+}
