Fix: [Links] the first read of the configuration after a time without answers doesn't wait

Found by reading, beside the fault before: a daemon that takes over, or whose last read failed, began with a wait for the next version, though there may be one. Change: the first read after a time without answers is asked for without a wait; waits follow it. It costs one call more where a daemon takes over.

--- a/src/links/config_follower.h
+++ b/src/links/config_follower.h
@@ -123,6 +123,7 @@
     const bool behind = mContact.Behind();
     const bool leaves = !behind && (!mContact.Asks() || mContact.RunnersFail());
     if (leaves) {
+      mAnswered = false;
       co_await Sleep(kLookAtTold);
     } else if (behind && mPeersAsked < kMostPeersAsked) {
       co_await AskPeer(mPeersAsked++);
@@ -179,14 +180,18 @@
     co_return reading;
   }
 
-  /** Waits for the configuration after the one in force. */
+  /** Waits for the configuration after the one in force. What was written while this daemon didn't
+   * ask, or wasn't answered, is asked for without a wait: a store may notice it at the end only. */
   asio::awaitable<void> AwaitNext(store_mark aNext)
   {
     const instant began = mState.Now();
+    const bool waits = mAnswered;
     mEnded = false;
     mWaits = true;
-    result<config_reading> reading = co_await mStore.AwaitConfig(aNext, kConfigWait);
+    result<config_reading> reading =
+      co_await mStore.AwaitConfig(aNext, waits ? kConfigWait : duration{ 0 });
     mWaits = false;
+    mAnswered = reading.has_value();
     if (!reading && mEnded) {
       co_return; // What to read is decided anew.
     }
@@ -202,7 +207,7 @@
     mRest = kFirstStoreRest;
     mContact.NoteDoubt(false);
     const bool newer = Use(reading.value());
-    if (!newer && mState.Now() - began < kLookAtTold) {
+    if (waits && !newer && mState.Now() - began < kLookAtTold) {
       co_await Sleep(kLookAtTold); // The store didn't hold the answer.
     }
   }
@@ -315,7 +320,8 @@
   instant mBehindSince{ 0 };                           ///< Another daemon has a newer version.
   instant mInForceSince{ 0 };                          ///< When the version came into force.
   bool mWaits = false;                                 ///< A wait is under way.
-  bool mEnded = false;                                 ///< The call was ended by this daemon.
+  bool mAnswered = false; ///< The last call of AwaitNext() was answered.
+  bool mEnded = false;    ///< The call was ended by this daemon.
 };
 
 } // namespace dunehook
--- a/tests/platform/config_reading_test.cpp
+++ b/tests/platform/config_reading_test.cpp
@@ -345,3 +345,23 @@
   mBed.PutConfig(3, json::array({ AddedRoute(2), AddedRoute(3) }));
   CHECK(ServesAdded(mBed, 0, 3, kShortInForceMs));
 }
+
+// A wait takes its whole time where the store doesn't notice what has been written already.
+TEST(config_reading, ADaemonThatTakesOverFindsWhatWasWrittenMeanwhile)
+{
+  mBed.AddRunner("desk-1");
+  mBed.PutConfig(1);
+  platform_daemon_options options;
+  options.mOwnStoreLink = true;
+  mBed.StartDaemon(options);
+  mBed.StartDaemon();
+  CHECK(mBed.Daemon(0).WaitForLine("daemon_heard") != "");
+  CHECK(mBed.Daemon(1).WaitForLine("daemon_heard") != "");
+  CHECK_FALSE(Eventually([] { return false; }, kUntilTold)); // The second leaves the store to it.
+  mBed.SetStore("deaf");
+  mBed.SetProxy(fleet_bed::StoreLink(0), { { "refuse", 1 }, { "reset", 1 } });
+  mBed.SendToRuns(PositionTold(1), 1); // The last that it hears of the store.
+  mBed.PutConfig(2, json::array({ AddedRoute(2) }));
+  CHECK(ServesAdded(mBed, 1, 2, kShortInForceMs));
+  CHECK(ServesAdded(mBed, 0, 2, kUntilTold));
+}
