Fix: [Control] a new owner is told of an attempt that it first hears of by its progress

Cause: a daemon that has begun takes over a cell within a millisecond of being heard. An attempt whose prompt the former owner had placed told the end of its prefill to the new one, which doesn't know the attempt and drops it. The front noted that owner as told all the same, so that its look for attempts whose owner has changed, each 150 ms, passed it over: nobody ever ordered the transfer. Change: only an arrival or an adoption notes its owner. What comes while the owner is told of the attempt may come first and be dropped, so the front looks again afterwards: the result that is ready, the failure or the end is told once more.

--- a/src/control/owner_router.cpp
+++ b/src/control/owner_router.cpp
@@ -21,9 +21,13 @@
 owner_router::Send(cell_key aKey, decide_event aEvent)
 {
   const attempt_id attempt = AttemptOf(aEvent);
+  // An owner that hears of an attempt by its progress only doesn't know it.
+  const bool introduces = std::holds_alternative<request_arrived>(aEvent) ||
+                          std::holds_alternative<request_adopted>(aEvent);
   for (int tries = 0; tries < kTries; ++tries) {
     const member_info owner = mMembers.OwnerOf(ToText(aKey));
-    if (attempt_entry* const entry = mAttempts.Find(attempt)) {
+    attempt_entry* const entry = mAttempts.Find(attempt);
+    if (entry != nullptr && introduces) {
       entry->mOwner = owner.mIncarnation;
     }
     if (owner.mIncarnation == mMembers.Self().mIncarnation) {
@@ -73,6 +77,27 @@
   }
   const request_adopted adopted{ entry->mRequest, entry->mStage, entry->mPrefill, entry->mDecode };
   co_await Send(cell, adopted);
+  co_await TellMissed(cell, aAttempt, adopted.mStage);
+}
+
+asio::awaitable<void>
+owner_router::TellMissed(cell_key aKey, attempt_id aAttempt, request_stage aTold)
+{
+  const attempt_entry* const entry = mAttempts.Find(aAttempt);
+  const request_cancelled cancelled{ aAttempt };
+  if (entry == nullptr) {
+    co_await Send(aKey, cancelled);
+    co_return;
+  }
+  if (aTold != request_stage::ePrefilling) {
+    co_return; // A transfer begins again, and a stream needs no order.
+  }
+  if (entry->mStage == request_stage::eReady) {
+    co_await Reintroduce(aAttempt);
+  } else if (entry->mStage == request_stage::eWaiting) {
+    co_await Send(aKey, cancelled); // Else it takes the request for one that it has.
+    co_await Reintroduce(aAttempt);
+  }
 }
 
 } // namespace dunehook
--- a/src/control/owner_router.h
+++ b/src/control/owner_router.h
@@ -41,6 +41,10 @@
 private:
   asio::awaitable<void> WatchLoop();
   asio::awaitable<void> Reintroduce(attempt_id aAttempt);
+  /** Tells an owner what has become of an attempt since it was told of it: what was sent meanwhile
+   * may have come before, and is dropped for an attempt that isn't known.
+   * @param aTold stage that it was told. */
+  asio::awaitable<void> TellMissed(cell_key aKey, attempt_id aAttempt, request_stage aTold);
 
   asio::io_context& mIo;       ///< Runs the loop.
   member_table& mMembers;      ///< Says who owns.
