--- a/tests/integration/handover_test.cpp
+++ b/tests/integration/handover_test.cpp
@@ -19,10 +19,10 @@
 
 /** Refuses connections: nothing here is asked of the log, the host list or engines. */
 const endpoint kNobody{ "127.0.0.250", 9 };
-constexpr incarnation_id kFront{ 0x1111 };
+constexpr incarnation_id kFrontend{ 0x1111 };
 constexpr incarnation_id kFormerOwner{ 0x2222 };
 constexpr incarnation_id kOwner{ 0x3333 };
-const attempt_id kAttempt{ kFront, 1 };
+const attempt_id kAttempt{ kFrontend, 1 };
 const cell_key kCell{ "prefill", "decode", "link" };
 /** Time until the owner knows all. */
 constexpr duration kToldWithin = 1s;
@@ -48,7 +48,7 @@
   std::vector<int> mStages;                ///< Stages that it was told of, in order.
   std::function<void()> mOnEvent;          ///< Done as an event comes.
 
-  member_table mMembers{ InfoOf(kFront, kNobody), {}, kPeerSecret };
+  member_table mMembers{ InfoOf(kFrontend, kNobody), {}, kPeerSecret };
   peer_directory mPeers{ mIo, mMembers, kPeerSecret };
   log_follower mLog{ mIo, kNobody, {}, mMembers, mPeers };
   host_directory mHosts{ mIo, kNobody, 1s };
@@ -94,7 +94,7 @@
   {
     co_await mRouter.Send(kCell, aEvent);
   }
-  void Run()
+  void TellOwner()
   {
     mRouter.Start();
     mIo.run_for(kToldWithin);
@@ -106,7 +106,7 @@
 {
   Add(request_stage::eReady);
   Spawn(mIo, Report(prefill_finished{ kAttempt, 1000, 0 }));
-  Run();
+  TellOwner();
   CHECK_TRUE(mTypes == (std::vector<std::string>{ "prefilled", "adopted" }));
   CHECK_TRUE(mStages == (std::vector<int>{ static_cast<int>(request_stage::eReady) }));
 }
@@ -115,7 +115,7 @@
 {
   Add(request_stage::ePrefilling);
   mOnEvent = [this] { mAttempts.Find(kAttempt)->mStage = request_stage::eReady; };
-  Run();
+  TellOwner();
   CHECK_TRUE(mStages == (std::vector<int>{ static_cast<int>(request_stage::ePrefilling),
                                            static_cast<int>(request_stage::eReady) }));
 }
@@ -124,7 +124,7 @@
 {
   Add(request_stage::ePrefilling);
   mOnEvent = [this] { mAttempts.Find(kAttempt)->mStage = request_stage::eWaiting; };
-  Run();
+  TellOwner();
   CHECK_TRUE(mTypes == (std::vector<std::string>{ "adopted", "cancelled", "arrived" }));
 }
 
@@ -132,13 +132,13 @@
 {
   Add(request_stage::eDecoding);
   mOnEvent = [this] { mAttempts.Remove(kAttempt); };
-  Run();
+  TellOwner();
   CHECK_TRUE(mTypes == (std::vector<std::string>{ "adopted", "cancelled" }));
 }
 
 TEST(handover, AnAttemptWhoseOwnerChangesIsToldOnce)
 {
   Add(request_stage::ePrefilling);
-  Run();
+  TellOwner();
   CHECK_TRUE(mTypes == (std::vector<std::string>{ "adopted" }));
 }
--- a/tests/integration/holds_test.cpp
+++ b/tests/integration/holds_test.cpp
@@ -171,10 +171,10 @@
       owner = entry.mName;
     }
   }
-  const std::string front = owner == "entry-1" ? "entry-2" : "entry-1";
-  const auto call = OpenAt(bed, stage::eDecode, bed.Daemon(front));
+  const std::string frontend = owner == "entry-1" ? "entry-2" : "entry-1";
+  const auto call = OpenAt(bed, stage::eDecode, bed.Daemon(frontend));
   const auto another = OpenAt(bed, stage::eDecode, bed.Daemon(owner.empty() ? "entry-3" : owner));
-  bed.Daemon(front).mProcess->Signal(SIGKILL);
+  bed.Daemon(frontend).mProcess->Signal(SIGKILL);
   bed.Daemon(owner.empty() ? "entry-3" : owner).mProcess->Signal(SIGKILL);
   CHECK_TRUE(Eventually([&] { return bed.Holds() == 0; }, kFreedWithinMs));
 }
--- a/tests/integration/order_test.cpp
+++ b/tests/integration/order_test.cpp
@@ -1,7 +1,7 @@
 /**
  * @file order_test.cpp
- * Orders of an owner to a front whose heartbeat comes after its events. The front is played by the
- * test: a listener for calls between daemons, and a member table that builds its heartbeat.
+ * Orders of an owner to a frontend whose heartbeat comes after its events. The frontend is played
+ * by the test: a listener for calls between daemons, and a member table that builds its heartbeat.
  */
 #include "control/message_func.h"
 #include "membership/member_base.h"
@@ -27,11 +27,11 @@
 using asio::ip::udp;
 using nlohmann::json;
 
-/** A front that a test plays. */
-class played_front
+/** A frontend that a test plays. */
+class played_frontend
 {
 public:
-  explicit played_front(const std::string& aOwner)
+  explicit played_frontend(const std::string& aOwner)
     : mOwner(ParseEndpoint(aOwner).value())
     , mListener(mIo, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
   {
@@ -101,7 +101,7 @@
 
 private:
   endpoint mOwner;                          ///< Of the cell.
-  incarnation_id mIncarnation{ 0x1234567 }; ///< The front's run.
+  incarnation_id mIncarnation{ 0x1234567 }; ///< The frontend's run.
   asio::io_context mIo;                     ///< For the sockets; they block.
   tcp::acceptor mListener;                  ///< Takes the owner's calls.
 };
@@ -110,27 +110,27 @@
 
 TEST_GROUP(orders){};
 
-// A daemon that has just started is known to a front, by its own heartbeat, some ms before it knows
-// the front. An order that was dropped then left its call without an answer until the caller gave
-// up.
-TEST(orders, AFrontThatIsHeardAfterItsEventGetsTheOrder)
+// A daemon that has just started is known to a frontend, by its own heartbeat, some ms before it
+// knows the frontend. An order that was dropped then left its call without an answer until the
+// caller gave up.
+TEST(orders, AFrontendThatIsHeardAfterItsEventGetsTheOrder)
 {
   testbed bed;
   bed.StartTutoring(1, 1, 1);
-  played_front front(bed.Daemon("entry-1").mPeers);
-  front.SendArrival();
+  played_frontend frontend(bed.Daemon("entry-1").mPeers);
+  frontend.SendArrival();
   std::this_thread::sleep_for(300ms);
-  front.SendHeartbeat();
-  CHECK(front.WaitForCall(3s).find("\"order\"") != std::string::npos);
+  frontend.SendHeartbeat();
+  CHECK(frontend.WaitForCall(3s).find("\"order\"") != std::string::npos);
 }
 
-TEST(orders, AFrontThatIsKnownGetsTheOrderAtOnce)
+TEST(orders, AFrontendThatIsKnownGetsTheOrderAtOnce)
 {
   testbed bed;
   bed.StartTutoring(1, 1, 1);
-  played_front front(bed.Daemon("entry-1").mPeers);
-  front.SendHeartbeat();
+  played_frontend frontend(bed.Daemon("entry-1").mPeers);
+  frontend.SendHeartbeat();
   std::this_thread::sleep_for(50ms);
-  front.SendArrival();
-  CHECK(front.WaitForCall(1s).find("\"order\"") != std::string::npos);
+  frontend.SendArrival();
+  CHECK(frontend.WaitForCall(1s).find("\"order\"") != std::string::npos);
 }
--- a/tests/unit/message_test.cpp
+++ b/tests/unit/message_test.cpp
@@ -1,6 +1,6 @@
 /**
  * @file message_test.cpp
- * Messages between fronts and owners read back as they were written; broken ones are refused.
+ * Messages between frontends and owners read back as they were written; broken ones are refused.
  */
 #include "control/message_func.h"
 #include "peer/rpc_dispatcher.h"
