Codechange: [Callers] the frontend, in place of the front

The field's term for the part that answers callers. Names and comments only, in the product's own control (callers, control) and its tests; log lines and metrics keep their names. 'cell' stays: the glossary defines it, and the field uses it for such a partition.

--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -1,7 +1,7 @@
 /**
  * @file capacity_bench.cpp
  * Measures the slopes behind docs/CAPACITY.md: heartbeats by daemons, decisions by engines, the
- * fold by resources, messages between front and owner. Prints one CSV row a measurement.
+ * fold by resources, messages between frontend and owner. Prints one CSV row a measurement.
  */
 #include "control/message_func.h"
 #include "decide/placement_core.h"
--- a/bench/policy_run.cpp
+++ b/bench/policy_run.cpp
@@ -182,8 +182,8 @@
   {
     return mOptions.mOwnerQueue ? 0 : aAttempt.mIncarnation.mValue - 1;
   }
-  /** @return time between a request's front and its core. */
-  duration FrontHop(const attempt_id& aAttempt) const
+  /** @return time between a request's frontend and its core. */
+  duration FrontendHop(const attempt_id& aAttempt) const
   {
     const bool same = !mOptions.mOwnerQueue || aAttempt.mIncarnation.mValue == 1;
     return same ? duration{ 0 } : mLoad.mHop;
@@ -192,7 +192,7 @@
   void Tell(const attempt_id& aAttempt, const decide_event& aEvent)
   {
     const std::size_t core = CoreOf(aAttempt);
-    mQueue.After(FrontHop(aAttempt),
+    mQueue.After(FrontendHop(aAttempt),
                  [this, core, aEvent] { CarryOut(mCores[core]->Handle(aEvent, mQueue.Now())); });
   }
 
@@ -303,7 +303,7 @@
 
   void Take(const start_prefill& aOrder)
   {
-    mQueue.After(FrontHop(aOrder.mAttempt) + mLoad.mHop, [this, aOrder] {
+    mQueue.After(FrontendHop(aOrder.mAttempt) + mLoad.mHop, [this, aOrder] {
       truth& one = mTruths[aOrder.mAttempt];
       if (one.mEnded) {
         return;
@@ -345,7 +345,7 @@
 
   void Take(const start_chunk& aOrder)
   {
-    mQueue.After(FrontHop(aOrder.mAttempt) + mLoad.mHop, [this, aOrder] {
+    mQueue.After(FrontendHop(aOrder.mAttempt) + mLoad.mHop, [this, aOrder] {
       truth& one = mTruths[aOrder.mAttempt];
       fake_decode& engine = Decode(aOrder.mEngine);
       if (one.mEnded) {
@@ -437,7 +437,7 @@
 
   void Take(const refuse_request& aOrder)
   {
-    mQueue.After(FrontHop(aOrder.mAttempt), [this, aOrder] {
+    mQueue.After(FrontendHop(aOrder.mAttempt), [this, aOrder] {
       truth& one = mTruths[aOrder.mAttempt];
       if (one.mEnded) {
         return;
--- a/src/callers/completion_session.cpp
+++ b/src/callers/completion_session.cpp
@@ -24,23 +24,23 @@
 
 } // namespace
 
-completion_session::completion_session(front_context& aFront,
+completion_session::completion_session(frontend_context& aFrontend,
                                        exchange_ptr aExchange,
                                        completion_request aRequest,
                                        std::string aRouteName,
                                        const route_spec& aRoute,
                                        const priority_class_spec& aTargets)
-  : mFront(aFront)
+  : mFrontend(aFrontend)
   , mExchange(std::move(aExchange))
   , mRequest(std::move(aRequest))
   , mRouteName(std::move(aRouteName))
   , mRoute(aRoute)
   , mTargets(aTargets)
   , mCell{ aRoute.mPrefillPool, aRoute.mDecodePool, aRoute.mLink }
-  , mAttempt(aFront.NextAttempt())
+  , mAttempt(aFrontend.NextAttempt())
   , mArrived(Now())
   , mDeadline(mArrived + std::chrono::milliseconds(aRoute.mTimeoutMs))
-  , mWake(aFront.mIo)
+  , mWake(aFrontend.mIo)
   , mEventHead(R"(data: {"object":"text_completion","id":")" + ToText(mAttempt) + R"(","model":)" +
                json(mRequest.mModel).dump(-1, ' ', false, json::error_handler_t::replace) +
                R"(,"token":)")
@@ -76,7 +76,7 @@
       session->Post(taken_over{});
     }
   };
-  mFront.mAttempts.Add(mAttempt, std::move(entry));
+  mFrontend.mAttempts.Add(mAttempt, std::move(entry));
   mExchange->OnCallerGone([weak] {
     if (const auto session = weak.lock()) {
       session->Post(caller_left{});
@@ -84,7 +84,7 @@
   });
   co_await TakeOverKey();
   co_await Serve();
-  mFront.mAttempts.Remove(mAttempt);
+  mFrontend.mAttempts.Remove(mAttempt);
 }
 
 asio::awaitable<void>
@@ -95,13 +95,14 @@
     co_return;
   }
   const std::string scoped = ScopedKey(TeamOf(*mExchange), mRouteName, key);
-  const member_info owner = mFront.mMembers.OwnerOf("key:" + scoped);
+  const member_info owner = mFrontend.mMembers.OwnerOf("key:" + scoped);
   std::optional<attempt_id> older;
-  if (owner.mIncarnation == mFront.mMembers.Self().mIncarnation) {
-    older = mFront.mKeys.TakeOver(scoped, mAttempt);
+  if (owner.mIncarnation == mFrontend.mMembers.Self().mIncarnation) {
+    older = mFrontend.mKeys.TakeOver(scoped, mAttempt);
   } else {
     const json message{ { "key", scoped }, { "attempt", ToText(mAttempt) } };
-    const result<json> answer = co_await mFront.mPeers.Call(owner, "take_over", message, kEndLimit);
+    const result<json> answer =
+      co_await mFrontend.mPeers.Call(owner, "take_over", message, kEndLimit);
     if (answer && answer.value().contains("older")) {
       const auto parsed = ParseAttempt(answer.value().value("older", std::string()));
       older = parsed ? std::optional(parsed.value()) : std::nullopt;
@@ -110,15 +111,15 @@
   if (!older) {
     co_return;
   }
-  if (older->mIncarnation == mFront.mMembers.Self().mIncarnation) {
-    if (attempt_entry* const entry = mFront.mAttempts.Find(*older)) {
+  if (older->mIncarnation == mFrontend.mMembers.Self().mIncarnation) {
+    if (attempt_entry* const entry = mFrontend.mAttempts.Find(*older)) {
       entry->mEnd();
     }
     co_return;
   }
-  if (const member_info* const member = mFront.mMembers.Find(older->mIncarnation)) {
+  if (const member_info* const member = mFrontend.mMembers.Find(older->mIncarnation)) {
     const json message{ { "attempt", ToText(*older) } };
-    co_await mFront.mPeers.Call(member_info(*member), "end_attempt", message, kEndLimit);
+    co_await mFrontend.mPeers.Call(member_info(*member), "end_attempt", message, kEndLimit);
   }
 }
 
@@ -139,7 +140,7 @@
       co_await mWake.Wait(std::min<duration>(kIdleResend, mDeadline - Now()));
     }
     if (mInbox.empty()) {
-      const attempt_entry* const entry = mFront.mAttempts.Find(mAttempt);
+      const attempt_entry* const entry = mFrontend.mAttempts.Find(mAttempt);
       if (entry->mStage == request_stage::eWaiting) {
         co_await Report(DescribeRequest()); // An owner that knows it takes no notice.
       }
@@ -166,7 +167,7 @@
 void
 completion_session::SetStage(request_stage aStage)
 {
-  attempt_entry* const entry = mFront.mAttempts.Find(mAttempt);
+  attempt_entry* const entry = mFrontend.mAttempts.Find(mAttempt);
   entry->mStage = aStage;
   entry->mPrefill = mPrefill.mId;
   entry->mDecode = mDecode.mId;
@@ -181,7 +182,7 @@
 asio::awaitable<void>
 completion_session::Report(decide_event aEvent)
 {
-  const result<void> sent = co_await mFront.mOwners.Send(mCell, std::move(aEvent));
+  const result<void> sent = co_await mFrontend.mOwners.Send(mCell, std::move(aEvent));
   if (!sent && !mEnded) {
     co_await Fail(
       { 503, sent.error(), "no host decides for this model now", OutcomeSoFar(), kRetryLater });
@@ -218,7 +219,7 @@
 completion_session::Fail(error_answer aAnswer)
 {
   mEnded = true;
-  mFront.mMetrics.CountCall("completion", std::string(OutcomeName(aAnswer.mOutcome)));
+  mFrontend.mMetrics.CountCall("completion", std::string(OutcomeName(aAnswer.mOutcome)));
   co_await GiveUp();
   if (!mExchange->Streaming()) {
     co_await RespondError(mExchange, std::move(aAnswer));
@@ -236,7 +237,7 @@
 completion_session::Take(caller_left /*aMessage*/)
 {
   mEnded = true;
-  mFront.mMetrics.CountCall("completion", "caller-gone");
+  mFrontend.mMetrics.CountCall("completion", "caller-gone");
   LogEvent(log_level::eInfo, "caller_gone", { { "request", ToText(mAttempt) } });
   co_await GiveUp();
 }
@@ -245,7 +246,7 @@
 completion_session::Take(taken_over /*aMessage*/)
 {
   mEnded = true;
-  mFront.mMetrics.CountCall("completion", "taken-over");
+  mFrontend.mMetrics.CountCall("completion", "taken-over");
   LogEvent(log_level::eInfo, "taken_over", { { "request", ToText(mAttempt) } });
   mExchange->Tear();
   co_await GiveUp();
@@ -260,14 +261,14 @@
   FreeEngine(mPrefill);
   FreeEngine(mDecode);
   const request_cancelled cancelled{ mAttempt };
-  co_await mFront.mOwners.Send(mCell, cancelled);
+  co_await mFrontend.mOwners.Send(mCell, cancelled);
 }
 
 void
 completion_session::FreeEngine(used_engine& aEngine)
 {
   if (aEngine.mId) {
-    Spawn(mFront.mIo, CancelAt(aEngine.mAddress));
+    Spawn(mFrontend.mIo, CancelAt(aEngine.mAddress));
   }
   aEngine = {};
 }
@@ -277,7 +278,7 @@
 {
   const auto self = shared_from_this();
   for (int tries = 0; tries < kCancelTries; ++tries) {
-    if (co_await mFront.mEngines.Cancel(aEngine, mAttempt, kCancelLimit)) {
+    if (co_await mFrontend.mEngines.Cancel(aEngine, mAttempt, kCancelLimit)) {
       co_return;
     }
     co_await Sleep(kCancelPause);
@@ -285,7 +286,7 @@
 }
 
 asio::awaitable<void>
-ServeCompletion(front_context& aFront, exchange_ptr aExchange)
+ServeCompletion(frontend_context& aFrontend, exchange_ptr aExchange)
 {
   std::string detail;
   result<completion_request> request = ParseCompletion(aExchange->Body(), detail);
@@ -293,7 +294,7 @@
     co_await RespondError(aExchange, { 400, request.error(), detail });
     co_return;
   }
-  const fold& state = aFront.mLog.State();
+  const fold& state = aFrontend.mLog.State();
   for (const auto& [key, one] : state.Resources()) {
     const auto* const route = std::get_if<route_spec>(&one.mSpec);
     if (route == nullptr || route->mModel != request.value().mModel) {
@@ -303,7 +304,7 @@
       state.FindSpec<priority_class_spec>(resource_kind::ePriorityClass, route->mClass);
     const priority_class_spec targets = found == nullptr ? priority_class_spec{} : *found;
     const auto session = std::make_shared<completion_session>(
-      aFront, aExchange, std::move(request.value()), key.mName, *route, targets);
+      aFrontend, aExchange, std::move(request.value()), key.mName, *route, targets);
     co_await session->Run();
     co_return;
   }
--- a/src/callers/completion_session.h
+++ b/src/callers/completion_session.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "callers/completion_type.h"
-#include "callers/front_base.h"
+#include "callers/frontend_base.h"
 
 #include <deque>
 #include <variant>
@@ -44,7 +44,7 @@
 class completion_session : public std::enable_shared_from_this<completion_session>
 {
 public:
-  completion_session(front_context& aFront,
+  completion_session(frontend_context& aFrontend,
                      exchange_ptr aExchange,
                      completion_request aRequest,
                      std::string aRouteName,
@@ -92,7 +92,7 @@
   call_outcome OutcomeSoFar() const;
   static instant Now() { return boot_clock_source().Now(); }
 
-  front_context& mFront;              ///< The daemon.
+  frontend_context& mFrontend;        ///< The daemon.
   exchange_ptr mExchange;             ///< The caller.
   completion_request mRequest;        ///< What the caller asks for.
   std::string mRouteName;             ///< The route's name.
--- a/src/callers/completion_steps.cpp
+++ b/src/callers/completion_steps.cpp
@@ -20,7 +20,7 @@
 void
 completion_session::BeginPrefill(const start_prefill& aOrder, const endpoint& aAddress)
 {
-  const attempt_entry* const entry = mFront.mAttempts.Find(mAttempt);
+  const attempt_entry* const entry = mFrontend.mAttempts.Find(mAttempt);
   if (entry->mStage == request_stage::ePrefilling && mPrefill.mId == aOrder.mEngine) {
     return; // The order came twice.
   }
@@ -29,7 +29,7 @@
   mPrefill = { aOrder.mEngine, aAddress };
   mTouchedRunner = true;
   SetStage(request_stage::ePrefilling);
-  Spawn(mFront.mIo, RunPrefill(aOrder, aAddress));
+  Spawn(mFrontend.mIo, RunPrefill(aOrder, aAddress));
 }
 
 asio::awaitable<void>
@@ -38,7 +38,7 @@
   const auto self = shared_from_this();
   const prefill_call call{ mAttempt, mRequest.mPrompt, mText, aOrder.mPriority };
   const result<prefill_answer> answer =
-    co_await mFront.mEngines.Prefill(aAddress, call, kEngineLimit, mConnection);
+    co_await mFrontend.mEngines.Prefill(aAddress, call, kEngineLimit, mConnection);
   mConnection.reset();
   Post(prefill_ended{ aOrder.mEngine, answer });
 }
@@ -69,7 +69,7 @@
   }
   mDecode = { aOrder.mEngine, aAddress };
   SetStage(request_stage::eTransferring);
-  Spawn(mFront.mIo, RunChunk(aOrder, aAddress, mPrefill.mAddress));
+  Spawn(mFrontend.mIo, RunChunk(aOrder, aAddress, mPrefill.mAddress));
 }
 
 asio::awaitable<void>
@@ -77,7 +77,7 @@
 {
   const auto self = shared_from_this();
   const import_call call{ mAttempt, aFrom, aOrder.mOffset, aOrder.mBytes, mKvBytes };
-  const result<void> answer = co_await mFront.mEngines.Import(aAddress, call, kEngineLimit);
+  const result<void> answer = co_await mFrontend.mEngines.Import(aAddress, call, kEngineLimit);
   Post(chunk_ended{ aOrder.mEngine, aOrder.mLast, answer });
 }
 
@@ -112,7 +112,7 @@
   const engine_id engine = mDecode.mId;
   const decode_call call{ mAttempt, mNextIndex, mRequest.mMaxTokens };
   const result<http_connection_ptr> connection =
-    co_await mFront.mEngines.Decode(mDecode.mAddress, call, kTokenLimit);
+    co_await mFrontend.mEngines.Decode(mDecode.mAddress, call, kTokenLimit);
   result<void> read = boost::outcome_v2::success();
   if (connection) {
     mConnection = connection.value();
@@ -125,16 +125,16 @@
     co_return; // The message that says so is in the inbox.
   }
   if (read) {
-    mFront.mEngines.Give(mDecode.mAddress, connection.value());
+    mFrontend.mEngines.Give(mDecode.mAddress, connection.value());
     co_await Finish();
     co_return;
   }
   if (read.error() == errc::eWrongAnswer) {
-    mFront.mMetrics.CountWrongAnswer();
+    mFrontend.mMetrics.CountWrongAnswer();
   }
   FreeEngine(mDecode);
   SetStage(request_stage::eWaiting);
-  mFront.mAttempts.Find(mAttempt)->mRequest = DescribeRequest();
+  mFrontend.mAttempts.Find(mAttempt)->mRequest = DescribeRequest();
   const work_failed failed{ mAttempt, engine, read.error() == errc::eRunnerRefused, true };
   co_await Report(failed);
 }
@@ -188,7 +188,7 @@
       continue; // Written before, by an earlier attempt.
     }
     if (mNextIndex == 0) {
-      mFront.mMetrics.ObserveFirstToken(mRoute.mClass, ToSeconds(Now() - mArrived));
+      mFrontend.mMetrics.ObserveFirstToken(mRoute.mClass, ToSeconds(Now() - mArrived));
     }
     ++mNextIndex;
     mText += one.mText;
@@ -196,7 +196,7 @@
       events += TokenEvent(one);
     }
   }
-  mFront.mMetrics.CountTokens(static_cast<double>(aTokens.size()));
+  mFrontend.mMetrics.CountTokens(static_cast<double>(aTokens.size()));
   if (events.empty()) {
     co_return !mExchange->CallerGone();
   }
@@ -211,7 +211,7 @@
 completion_session::Finish()
 {
   mEnded = true;
-  mFront.mMetrics.CountCall("completion", "done");
+  mFrontend.mMetrics.CountCall("completion", "done");
   json body{ { "id", ToText(mAttempt) },
              { "object", "text_completion" },
              { "model", mRequest.mModel },
@@ -232,7 +232,7 @@
   }
   // The engine has freed the slot itself.
   const stream_finished finished{ mAttempt, mNextIndex };
-  co_await mFront.mOwners.Send(mCell, finished);
+  co_await mFrontend.mOwners.Send(mCell, finished);
 }
 
 } // namespace dunehook
--- a/src/callers/frontend.cpp
+++ b/src/callers/frontend.cpp
@@ -1,8 +1,8 @@
 /**
- * @file front.cpp
- * The front's entry: health, metrics, and which route a call takes.
+ * @file frontend.cpp
+ * The frontend's entry: health, metrics, and which route a call takes.
  */
-#include "callers/front_base.h"
+#include "callers/frontend_base.h"
 
 #include "core/text_func.h"
 
@@ -21,15 +21,15 @@
 constexpr std::string_view kCompletionsPath = "/v1/completions";
 
 gauge_values
-CurrentGauges(const front_context& aFront, const cell_counters& aTotals)
+CurrentGauges(const frontend_context& aFrontend, const cell_counters& aTotals)
 {
   gauge_values values;
-  values.mNextOffset = static_cast<double>(aFront.mLog.State().Next());
-  values.mLogReachable = aFront.mLog.LogReachable() ? 1 : 0;
-  values.mHostListReachable = aFront.mHosts.Reachable() ? 1 : 0;
-  values.mMembers = static_cast<double>(aFront.mMembers.Others().size() + 1);
-  values.mCells = static_cast<double>(aFront.mOwners.Owned().CellCount());
-  values.mCallsUnderWay = static_cast<double>(aFront.mCallsUnderWay);
+  values.mNextOffset = static_cast<double>(aFrontend.mLog.State().Next());
+  values.mLogReachable = aFrontend.mLog.LogReachable() ? 1 : 0;
+  values.mHostListReachable = aFrontend.mHosts.Reachable() ? 1 : 0;
+  values.mMembers = static_cast<double>(aFrontend.mMembers.Others().size() + 1);
+  values.mCells = static_cast<double>(aFrontend.mOwners.Owned().CellCount());
+  values.mCallsUnderWay = static_cast<double>(aFrontend.mCallsUnderWay);
   values.mRefused = static_cast<double>(aTotals.mRefused);
   values.mRequeued = static_cast<double>(aTotals.mRequeued);
   values.mPrefillTokens = static_cast<double>(aTotals.mPrefillTokens);
@@ -56,24 +56,24 @@
 }
 
 bool
-IsReady(const front_context& aFront)
+IsReady(const frontend_context& aFrontend)
 {
-  return !aFront.mDraining && aFront.mMembers.Self().mServing;
+  return !aFrontend.mDraining && aFrontend.mMembers.Self().mServing;
 }
 
 asio::awaitable<void>
-ServeHealth(front_context& aFront, exchange_ptr aExchange)
+ServeHealth(frontend_context& aFrontend, exchange_ptr aExchange)
 {
   const std::string_view path = aExchange->Path();
   if (path == "/healthz") {
     co_await aExchange->Respond(200, "{\"status\":\"alive\"}");
   } else if (path == "/readyz") {
-    const bool ready = IsReady(aFront);
+    const bool ready = IsReady(aFrontend);
     co_await aExchange->Respond(ready ? 200 : 503,
                                 ready ? "{\"status\":\"ready\"}" : "{\"status\":\"not ready\"}");
   } else {
     const std::string text =
-      aFront.mMetrics.Serialize(CurrentGauges(aFront, aFront.mOwners.Owned().Totals()));
+      aFrontend.mMetrics.Serialize(CurrentGauges(aFrontend, aFrontend.mOwners.Owned().Totals()));
     co_await aExchange->Respond(200, text, {}, "text/plain; version=0.0.4");
   }
 }
@@ -85,10 +85,10 @@
 }
 
 asio::awaitable<void>
-ServeCall(front_context& aFront, exchange_ptr aExchange)
+ServeCall(frontend_context& aFrontend, exchange_ptr aExchange)
 {
   // Calls that come before the balancer has noticed a planned stop are served.
-  const bool takesCalls = aFront.mDraining ? !aFront.mRefusing : IsReady(aFront);
+  const bool takesCalls = aFrontend.mDraining ? !aFrontend.mRefusing : IsReady(aFrontend);
   if (!takesCalls) {
     co_await RespondError(aExchange,
                           { 503,
@@ -98,9 +98,9 @@
                             kDrainRetry });
     co_return;
   }
-  const std::size_t daemons = aFront.mMembers.CountServing();
-  const duration wait = aFront.mQuotas.Take(
-    aFront.mLog.State(), TeamOf(*aExchange), daemons, boot_clock_source().Now());
+  const std::size_t daemons = aFrontend.mMembers.CountServing();
+  const duration wait = aFrontend.mQuotas.Take(
+    aFrontend.mLog.State(), TeamOf(*aExchange), daemons, boot_clock_source().Now());
   if (wait > duration{ 0 }) {
     co_await RespondError(aExchange,
                           { 429,
@@ -111,15 +111,15 @@
     co_return;
   }
   if (aExchange->Path() == kCompletionsPath) {
-    co_await ServeCompletion(aFront, aExchange);
+    co_await ServeCompletion(aFrontend, aExchange);
     co_return;
   }
-  const std::string route = FindPathRoute(aFront.mLog.State(), aExchange->Path());
+  const std::string route = FindPathRoute(aFrontend.mLog.State(), aExchange->Path());
   if (route.empty()) {
     co_await RespondError(aExchange, { 404, make_error_code(errc::eNotFound), "no route" });
     co_return;
   }
-  co_await ServeService(aFront, aExchange, route);
+  co_await ServeService(aFrontend, aExchange, route);
 }
 
 } // namespace
@@ -165,15 +165,15 @@
 }
 
 asio::awaitable<void>
-ServeCaller(front_context& aFront, exchange_ptr aExchange)
+ServeCaller(frontend_context& aFrontend, exchange_ptr aExchange)
 {
   if (IsHealthPath(aExchange->Path())) {
-    co_await ServeHealth(aFront, aExchange);
+    co_await ServeHealth(aFrontend, aExchange);
     co_return;
   }
-  ++aFront.mCallsUnderWay;
-  co_await ServeCall(aFront, aExchange);
-  --aFront.mCallsUnderWay;
+  ++aFrontend.mCallsUnderWay;
+  co_await ServeCall(aFrontend, aExchange);
+  --aFrontend.mCallsUnderWay;
 }
 
 } // namespace dunehook
--- a/src/callers/frontend_base.h
+++ b/src/callers/frontend_base.h
@@ -1,12 +1,12 @@
 /**
- * @file front_base.h
- * The front role: answers callers. Every answer says what became of the call in the header
+ * @file frontend_base.h
+ * The frontend role: answers callers. Every answer says what became of the call in the header
  * X-Dunehook-Outcome: done, not-run, unknown, or in-stream where the last event says it.
  */
 #pragma once
 
 #include "callers/avoided_base.h"
-#include "callers/front_metrics.h"
+#include "callers/frontend_metrics.h"
 #include "callers/quota_base.h"
 #include "control/key_registry.h"
 #include "control/owner_router.h"
@@ -27,8 +27,8 @@
 std::string_view
 OutcomeName(call_outcome aOutcome);
 
-/** The parts of the daemon that fronts use. */
-struct front_context
+/** The parts of the daemon that frontends use. */
+struct frontend_context
 {
   asio::io_context& mIo;          ///< Runs everything.
   log_follower& mLog;             ///< Configuration and claims.
@@ -40,7 +40,7 @@
   attempt_registry& mAttempts;    ///< Attempts under way.
   key_registry& mKeys;            ///< Idempotency keys.
   team_quotas& mQuotas;           ///< Quotas of teams.
-  front_metrics& mMetrics;        ///< Counters.
+  frontend_metrics& mMetrics;     ///< Counters.
   avoided_runners mAvoided{};     ///< Services that refused lately.
   bool mDraining = false;         ///< A planned stop has begun: the balancer is told to stay away.
   bool mRefusing = false;         ///< No new calls; set a while after mDraining.
@@ -93,14 +93,14 @@
 
 /** Answers one completions call. */
 asio::awaitable<void>
-ServeCompletion(front_context& aFront, exchange_ptr aExchange);
+ServeCompletion(frontend_context& aFrontend, exchange_ptr aExchange);
 
 /** Answers one call of a plain service. @param aRoute name of the route it takes. */
 asio::awaitable<void>
-ServeService(front_context& aFront, exchange_ptr aExchange, std::string aRoute);
+ServeService(frontend_context& aFrontend, exchange_ptr aExchange, std::string aRoute);
 
-/** Answers any call of a caller: the front's entry. */
+/** Answers any call of a caller: the frontend's entry. */
 asio::awaitable<void>
-ServeCaller(front_context& aFront, exchange_ptr aExchange);
+ServeCaller(frontend_context& aFrontend, exchange_ptr aExchange);
 
 } // namespace dunehook
--- a/src/callers/frontend_metrics.cpp
+++ b/src/callers/frontend_metrics.cpp
@@ -1,8 +1,8 @@
 /**
- * @file front_metrics.cpp
+ * @file frontend_metrics.cpp
  * Metrics of a daemon.
  */
-#include "callers/front_metrics.h"
+#include "callers/frontend_metrics.h"
 
 #include <prometheus/text_serializer.h>
 
@@ -20,7 +20,7 @@
 
 } // namespace
 
-front_metrics::front_metrics()
+frontend_metrics::frontend_metrics()
   : mCalls(&prometheus::BuildCounter()
               .Name("dunehook_calls_total")
               .Help("Finished calls by kind and outcome")
@@ -47,19 +47,19 @@
 }
 
 void
-front_metrics::CountCall(const std::string& aKind, const std::string& aOutcome)
+frontend_metrics::CountCall(const std::string& aKind, const std::string& aOutcome)
 {
   mCalls->Add({ { "kind", aKind }, { "outcome", aOutcome } }).Increment();
 }
 
 void
-front_metrics::ObserveFirstToken(const std::string& aClass, double aSeconds)
+frontend_metrics::ObserveFirstToken(const std::string& aClass, double aSeconds)
 {
   mFirstToken->Add({ { "class", aClass } }, FirstTokenBounds()).Observe(aSeconds);
 }
 
 std::string
-front_metrics::Serialize(const gauge_values& aValues)
+frontend_metrics::Serialize(const gauge_values& aValues)
 {
   const auto set = [this](const char* aName, double aValue) {
     mGauges->Add({ { "name", aName } }).Set(aValue);
--- a/src/callers/frontend_metrics.h
+++ b/src/callers/frontend_metrics.h
@@ -1,5 +1,5 @@
 /**
- * @file front_metrics.h
+ * @file frontend_metrics.h
  * Metrics of a daemon, kept by prometheus-cpp and served as text at /metrics.
  */
 #pragma once
@@ -31,10 +31,10 @@
 };
 
 /** The daemon's metrics. */
-class front_metrics
+class frontend_metrics
 {
 public:
-  front_metrics();
+  frontend_metrics();
 
   /** Counts a finished call. */
   void CountCall(const std::string& aKind, const std::string& aOutcome);
--- a/src/callers/service_call.cpp
+++ b/src/callers/service_call.cpp
@@ -4,7 +4,7 @@
  * is told exactly one of done, not-run and unknown. "not-run" is said only if no byte of the call
  * can have reached a runner and this daemon will never send it.
  */
-#include "callers/front_base.h"
+#include "callers/frontend_base.h"
 
 #include "core/log_func.h"
 #include "resources/claim_func.h"
@@ -38,15 +38,15 @@
 class service_call
 {
 public:
-  service_call(front_context& aFront,
+  service_call(frontend_context& aFrontend,
                exchange_ptr aExchange,
                const route_spec& aRoute,
                std::string aName)
-    : mFront(aFront)
+    : mFrontend(aFrontend)
     , mExchange(std::move(aExchange))
     , mRoute(aRoute)
     , mName(std::move(aName))
-    , mAttempt(aFront.NextAttempt())
+    , mAttempt(aFrontend.NextAttempt())
     , mDeadline(Now() + std::chrono::milliseconds(aRoute.mTimeoutMs))
   {
   }
@@ -84,9 +84,9 @@
   /** @return the next runner to try, or null. @param aTry counts the tries from 0. */
   const host* Choose(std::size_t aTry)
   {
-    std::vector<const host*> hosts = mFront.mHosts.LiveOf(mRoute.mServicePool);
+    std::vector<const host*> hosts = mFrontend.mHosts.LiveOf(mRoute.mServicePool);
     std::erase_if(
-      hosts, [this](const host* aHost) { return mFront.mAvoided.Avoids(aHost->mName, Now()); });
+      hosts, [this](const host* aHost) { return mFrontend.mAvoided.Avoids(aHost->mName, Now()); });
     if (hosts.empty()) {
       return nullptr;
     }
@@ -108,7 +108,7 @@
     const result<http_connection_ptr> connection =
       co_await http_connection::Connect(aHost.mAddress, kConnectLimit);
     if (!connection) {
-      mFront.mAvoided.Avoid(aHost.mName, Now());
+      mFrontend.mAvoided.Avoid(aHost.mName, Now());
       co_return sent;
     }
     if (mExchange->CallerGone() || Now() >= mDeadline) {
@@ -122,13 +122,13 @@
       co_return sent;
     }
     if (!answer.value().Header(kRefusedHeader).empty()) {
-      mFront.mAvoided.Avoid(aHost.mName, Now());
+      mFrontend.mAvoided.Avoid(aHost.mName, Now());
       sent.mRefused = true;
       co_return sent;
     }
     const std::string echoed = answer.value().Header("X-Dunehook-Attempt");
     if (!echoed.empty() && echoed != ToText(mAttempt)) {
-      mFront.mMetrics.CountWrongAnswer();
+      mFrontend.mMetrics.CountWrongAnswer();
       co_return sent;
     }
     sent.mAnswer = answer.value();
@@ -187,14 +187,14 @@
   {
     if (!aKey.empty()) {
       NoteState(aKey, keyed_state::eAbandoned, {});
-      mFront.mLog.Release(aKey, mAttempt);
+      mFrontend.mLog.Release(aKey, mAttempt);
     }
   }
 
   void NoteState(const std::string& aKey, keyed_state aState, const http_answer& aAnswer)
   {
     if (!aKey.empty()) {
-      mFront.mKeys.Calls().Set(aKey, { mAttempt, aState, aAnswer.mStatus, aAnswer.mBody });
+      mFrontend.mKeys.Calls().Set(aKey, { mAttempt, aState, aAnswer.mStatus, aAnswer.mBody });
     }
   }
 
@@ -210,7 +210,7 @@
     // belongs to a key that is refused here, whatever this host's clock says.
     const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now().time_since_epoch());
-    const std::int64_t now = std::max(wall.count(), mFront.mLog.State().TimeMs());
+    const std::int64_t now = std::max(wall.count(), mFrontend.mLog.State().TimeMs());
     const std::int64_t age = now - issued * 1000;
     if (age > kClaimWindowMs) {
       return make_error_code(errc::eKeyExpired);
@@ -233,17 +233,17 @@
       co_return;
     }
     const std::string key = ScopedKey(TeamOf(*mExchange), mName, aKey);
-    if (const auto held = mFront.mLog.State().ClaimOf(key)) {
+    if (const auto held = mFrontend.mLog.State().ClaimOf(key)) {
       co_await RespondFromHolder(key, held->mAttempt);
       co_return;
     }
-    const keyed_call* const own = mFront.mKeys.Calls().Find(key);
+    const keyed_call* const own = mFrontend.mKeys.Calls().Find(key);
     if (own != nullptr && own->mState != keyed_state::eAbandoned) {
       co_await RespondFromHolder(key, own->mAttempt); // Claimed here; the fold will show it.
       co_return;
     }
-    mFront.mKeys.Calls().Set(key, { mAttempt, keyed_state::eRunning, 0, "" });
-    const result<claim> claimed = co_await mFront.mLog.Claim(key, mAttempt, kClaimLimit);
+    mFrontend.mKeys.Calls().Set(key, { mAttempt, keyed_state::eRunning, 0, "" });
+    const result<claim> claimed = co_await mFrontend.mLog.Claim(key, mAttempt, kClaimLimit);
     if (!claimed) {
       Abandon(key);
       co_await RespondError(mExchange,
@@ -255,7 +255,7 @@
       Count(call_outcome::eNotRun);
       co_return;
     }
-    if (!HoldsKey(mFront.mLog.State(), key, mAttempt)) {
+    if (!HoldsKey(mFrontend.mLog.State(), key, mAttempt)) {
       co_await RespondFromHolder(key, claimed.value().mAttempt);
       co_return;
     }
@@ -266,13 +266,13 @@
   asio::awaitable<void> RespondFromHolder(std::string aKey, attempt_id aHolder)
   {
     keyed_call call{ aHolder, keyed_state::eUnknown, 0, "" };
-    if (aHolder.mIncarnation == mFront.mMembers.Self().mIncarnation) {
-      const keyed_call* const own = mFront.mKeys.Calls().Find(aKey);
+    if (aHolder.mIncarnation == mFrontend.mMembers.Self().mIncarnation) {
+      const keyed_call* const own = mFrontend.mKeys.Calls().Find(aKey);
       call = own == nullptr ? call : *own;
-    } else if (const member_info* const member = mFront.mMembers.Find(aHolder.mIncarnation)) {
+    } else if (const member_info* const member = mFrontend.mMembers.Find(aHolder.mIncarnation)) {
       const json message{ { "key", aKey } };
       const result<json> answer =
-        co_await mFront.mPeers.Call(member_info(*member), "claim_status", message, kStatusLimit);
+        co_await mFrontend.mPeers.Call(member_info(*member), "claim_status", message, kStatusLimit);
       call = answer ? KeyedCallFromJson(answer.value()) : call;
     }
     switch (call.mState) {
@@ -333,25 +333,25 @@
 
   void Count(call_outcome aOutcome)
   {
-    mFront.mMetrics.CountCall("service", std::string(OutcomeName(aOutcome)));
+    mFrontend.mMetrics.CountCall("service", std::string(OutcomeName(aOutcome)));
   }
 
-  front_context& mFront;  ///< The daemon.
-  exchange_ptr mExchange; ///< The caller.
-  route_spec mRoute;      ///< The route as it was when the call came.
-  std::string mName;      ///< Name of the route.
-  attempt_id mAttempt;    ///< Identifies the call; the same for every runner tried.
-  instant mDeadline;      ///< Nothing is sent after this.
-  bool mGivenUp = false;  ///< The caller is gone or the deadline has passed.
+  frontend_context& mFrontend; ///< The daemon.
+  exchange_ptr mExchange;      ///< The caller.
+  route_spec mRoute;           ///< The route as it was when the call came.
+  std::string mName;           ///< Name of the route.
+  attempt_id mAttempt;         ///< Identifies the call; the same for every runner tried.
+  instant mDeadline;           ///< Nothing is sent after this.
+  bool mGivenUp = false;       ///< The caller is gone or the deadline has passed.
 };
 
 } // namespace
 
 asio::awaitable<void>
-ServeService(front_context& aFront, exchange_ptr aExchange, std::string aRoute)
+ServeService(frontend_context& aFrontend, exchange_ptr aExchange, std::string aRoute)
 {
-  const auto* route = aFront.mLog.State().FindSpec<route_spec>(resource_kind::eRoute, aRoute);
-  service_call call(aFront, std::move(aExchange), *route, std::move(aRoute));
+  const auto* route = aFrontend.mLog.State().FindSpec<route_spec>(resource_kind::eRoute, aRoute);
+  service_call call(aFrontend, std::move(aExchange), *route, std::move(aRoute));
   co_await call.Run();
 }
 
--- a/src/control/attempt_registry.h
+++ b/src/control/attempt_registry.h
@@ -1,7 +1,7 @@
 /**
  * @file attempt_registry.h
- * The attempts that this daemon's fronts have under way: where orders for them go, and what a new
- * owner of their cell has to be told.
+ * The attempts that this daemon's frontends have under way: where orders for them go, and what a
+ * new owner of their cell has to be told.
  */
 #pragma once
 
--- a/src/control/cell_limits.h
+++ b/src/control/cell_limits.h
@@ -12,7 +12,7 @@
 inline constexpr duration kWatchEvery = std::chrono::milliseconds(250);
 /** Time limit of a call to an engine. */
 inline constexpr duration kEngineLimit = std::chrono::milliseconds(500);
-/** Time limit of an order to a front, or of a question to it. */
+/** Time limit of an order to a frontend, or of a question to it. */
 inline constexpr duration kOrderLimit = std::chrono::milliseconds(300);
 
 } // namespace dunehook
--- a/src/control/cell_owner.cpp
+++ b/src/control/cell_owner.cpp
@@ -19,12 +19,12 @@
 using namespace std::chrono_literals;
 
 constexpr duration kTickEvery = 10ms; ///< Time limits take effect this late at most.
-/** An owner that has just started hears of a front some ms after the front has heard it and has
- * sent its first events. Orders wait for the front's heartbeat so long, several times between
- * heartbeats; a dropped one leaves its call without an answer. */
-constexpr duration kFrontHeardWithin = 1s;
-constexpr duration kFrontUnheardRest = 20ms; ///< Time between looks for it.
-constexpr duration kGiveUpAfter = 2s;        ///< A cell that ranks elsewhere is dropped after this.
+/** An owner that has just started hears of a frontend some ms after the frontend has heard it and
+ * has sent its first events. Orders wait for the frontend's heartbeat so long, several times
+ * between heartbeats; a dropped one leaves its call without an answer. */
+constexpr duration kFrontendHeardWithin = 1s;
+constexpr duration kFrontendUnheardRest = 20ms; ///< Time between looks for it.
+constexpr duration kGiveUpAfter = 2s; ///< A cell that ranks elsewhere is dropped after this.
 constexpr int kOrderTries = 3;
 constexpr int kCancelTries = 5;
 
@@ -199,13 +199,13 @@
 cell_owner::SendOrder(addressed_order aOrder)
 {
   const json message = OrderToJson(aOrder);
-  const incarnation_id front = AttemptOf(aOrder.mOrder).mIncarnation;
-  const instant heardBy = Now() + kFrontHeardWithin;
-  while (mMembers.Find(front) == nullptr && !mMembers.IsKnownGone(front) && Now() < heardBy) {
-    co_await Sleep(kFrontUnheardRest);
+  const incarnation_id frontend = AttemptOf(aOrder.mOrder).mIncarnation;
+  const instant heardBy = Now() + kFrontendHeardWithin;
+  while (mMembers.Find(frontend) == nullptr && !mMembers.IsKnownGone(frontend) && Now() < heardBy) {
+    co_await Sleep(kFrontendUnheardRest);
   }
   for (int tries = 0; tries < kOrderTries; ++tries) {
-    const member_info* const member = mMembers.Find(front);
+    const member_info* const member = mMembers.Find(frontend);
     if (member == nullptr) {
       co_return; // Its end frees what it had.
     }
@@ -263,7 +263,7 @@
 {
   for (;;) {
     co_await Sleep(kWatchEvery);
-    // A cell whose owner ended is taken over here even before a front asks for it.
+    // A cell whose owner ended is taken over here even before a frontend asks for it.
     for (const auto& [key, one] : mLog.State().Resources()) {
       const auto* const route = std::get_if<route_spec>(&one.mSpec);
       if (route == nullptr || route->mModel.empty()) {
--- a/src/control/cell_owner.h
+++ b/src/control/cell_owner.h
@@ -1,7 +1,7 @@
 /**
  * @file cell_owner.h
  * The owner role: runs the decision cores of the cells that this daemon owns, gives their orders
- * to the fronts, and frees what engines hold for attempts that nobody waits for.
+ * to the frontends, and frees what engines hold for attempts that nobody waits for.
  * Ownership is a hint: an engine's own refusal is the truth, so two owners for a moment cost
  * refusals, never a wrong answer.
  */
@@ -42,7 +42,7 @@
 
   /** Starts ticking and watching engines. */
   void Start();
-  /** Takes an event of a front. */
+  /** Takes an event of a frontend. */
   void Handle(const cell_key& aKey, const decide_event& aEvent);
   /** Frees what a daemon run that ended had under way. */
   void NoteGone(incarnation_id aIncarnation);
--- a/src/control/cell_watch.cpp
+++ b/src/control/cell_watch.cpp
@@ -132,8 +132,8 @@
 
 /**
  * Frees those of an engine's strangers that nobody waits for, one after the other. One that isn't
- * freed is listed by a later look and tried again then. A front that doesn't answer is asked once,
- * not for each of its attempts.
+ * freed is listed by a later look and tried again then. A frontend that doesn't answer is asked
+ * once, not for each of its attempts.
  */
 asio::awaitable<void>
 cell_owner::FreeAbandoned(engine_id aEngine, endpoint aAddress, stranger_ages aStrangers)
@@ -156,7 +156,7 @@
   mFreeing.erase(aEngine);
 }
 
-/** @return whether nobody waits for an attempt, or why its front didn't say. */
+/** @return whether nobody waits for an attempt, or why its frontend didn't say. */
 asio::awaitable<result<bool>>
 cell_owner::IsAbandoned(attempt_id aAttempt, duration aAge)
 {
@@ -169,13 +169,13 @@
   if (aAttempt.mIncarnation == mMembers.Self().mIncarnation) {
     co_return mAttempts.Find(aAttempt) == nullptr;
   }
-  const member_info* const front = mMembers.Find(aAttempt.mIncarnation);
-  if (front == nullptr) {
+  const member_info* const frontend = mMembers.Find(aAttempt.mIncarnation);
+  if (frontend == nullptr) {
     co_return true;
   }
   const json message{ { "attempt", ToText(aAttempt) } };
   const result<json> answer =
-    co_await mPeers.Call(member_info(*front), "attempt_active", message, kOrderLimit);
+    co_await mPeers.Call(member_info(*frontend), "attempt_active", message, kOrderLimit);
   if (!answer) {
     co_return answer.error();
   }
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -1,6 +1,6 @@
 /**
  * @file message.cpp
- * JSON of the messages between a front and the owner of a cell.
+ * JSON of the messages between a frontend and the owner of a cell.
  */
 #include "control/message_func.h"
 
--- a/src/control/message_func.h
+++ b/src/control/message_func.h
@@ -1,6 +1,6 @@
 /**
  * @file message_func.h
- * JSON of the messages between a front and the owner of a cell.
+ * JSON of the messages between a frontend and the owner of a cell.
  */
 #pragma once
 
@@ -12,7 +12,7 @@
 
 namespace dunehook {
 
-/** An order with the address of its engine, which the front's host list may not have yet. */
+/** An order with the address of its engine, which the frontend's host list may not have yet. */
 struct addressed_order
 {
   decide_order mOrder; ///< The order.
@@ -21,7 +21,7 @@
 
 /**
  * @return the event as JSON. A class's targets aren't sent: the owner has them in its fold.
- * @pre it's an event that fronts send.
+ * @pre it's an event that frontends send.
  */
 nlohmann::json
 EventToJson(const decide_event& aEvent);
--- a/src/control/owner_router.cpp
+++ b/src/control/owner_router.cpp
@@ -1,6 +1,6 @@
 /**
  * @file owner_router.cpp
- * The front's side of ownership.
+ * The frontend's side of ownership.
  */
 #include "control/owner_router.h"
 
--- a/src/control/owner_router.h
+++ b/src/control/owner_router.h
@@ -1,7 +1,7 @@
 /**
  * @file owner_router.h
- * The front's side of ownership: brings events to the owner of a cell, and tells a new owner what
- * is under way when the old one is gone.
+ * The frontend's side of ownership: brings events to the owner of a cell, and tells a new owner
+ * what is under way when the old one is gone.
  */
 #pragma once
 
--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -90,8 +90,8 @@
   , mOwner(aIo, mLog, mHosts, mMembers, mPeers, mEngines, mAttempts)
   , mOwners(aIo, mMembers, mPeers, mOwner, mAttempts)
   , mRoles(aIo, mLog, mHosts, mMembers, mEngines)
-  , mFront{ aIo,      mLog,      mHosts, mMembers, mPeers,  mOwners,
-            mEngines, mAttempts, mKeys,  mQuotas,  mMetrics }
+  , mFrontend{ aIo,      mLog,      mHosts, mMembers, mPeers,  mOwners,
+               mEngines, mAttempts, mKeys,  mQuotas,  mMetrics }
   , mOperators(aIo, mLog, mHosts, mMembers, std::move(aOperatorToken))
 {
 }
@@ -116,7 +116,7 @@
     mCallerListener,
     http_listener::Open(
       mIo, mSettings.mCallers, mSettings.mCallerLimits, [this](exchange_ptr aExchange) {
-        return ServeCaller(mFront, std::move(aExchange));
+        return ServeCaller(mFrontend, std::move(aExchange));
       }));
   BOOST_OUTCOME_TRY(
     mOperatorListener,
@@ -163,11 +163,11 @@
 void
 router::Drain()
 {
-  if (mFront.mDraining) {
+  if (mFrontend.mDraining) {
     return;
   }
-  LogEvent(log_level::eInfo, "draining", { { "calls", mFront.mCallsUnderWay } });
-  mFront.mDraining = true;
+  LogEvent(log_level::eInfo, "draining", { { "calls", mFrontend.mCallsUnderWay } });
+  mFrontend.mDraining = true;
   Spawn(mIo, DrainLoop());
 }
 
@@ -179,12 +179,12 @@
   while (Now() < earliest) {
     co_await Sleep(kDrainLook);
   }
-  mFront.mRefusing = true;
+  mFrontend.mRefusing = true;
   mCallerListener->StopAccepting();
-  while (mFront.mCallsUnderWay > 0 && Now() < deadline) {
+  while (mFrontend.mCallsUnderWay > 0 && Now() < deadline) {
     co_await Sleep(kDrainLook);
   }
-  LogEvent(log_level::eInfo, "stopped", { { "calls_cut", mFront.mCallsUnderWay } });
+  LogEvent(log_level::eInfo, "stopped", { { "calls_cut", mFrontend.mCallsUnderWay } });
   mIo.stop();
 }
 
@@ -192,7 +192,7 @@
 router::IsServing() const
 {
   const bool inContact = Now() - mLastContact < kCutOffAfter;
-  return !mFront.mDraining && mLog.CaughtUp() && mHosts.Ready() && inContact;
+  return !mFrontend.mDraining && mLog.CaughtUp() && mHosts.Ready() && inContact;
 }
 
 asio::awaitable<void>
--- a/src/daemon/router_base.h
+++ b/src/daemon/router_base.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "callers/front_base.h"
+#include "callers/frontend_base.h"
 #include "control/model_controller.h"
 #include "daemon/operator_api.h"
 #include "settings/settings_type.h"
@@ -72,8 +72,8 @@
   owner_router mOwners;                             ///< Owners of cells.
   model_controller mRoles;                          ///< Orders to load models.
   team_quotas mQuotas;                              ///< Quotas.
-  front_metrics mMetrics;                           ///< Metrics.
-  front_context mFront;                             ///< What fronts use of the above.
+  frontend_metrics mMetrics;                        ///< Metrics.
+  frontend_context mFrontend;                       ///< What frontends use of the above.
   operator_api mOperators;                          ///< The resource API.
   std::unique_ptr<http_listener> mCallerListener;   ///< Callers.
   std::unique_ptr<http_listener> mOperatorListener; ///< Operators.
--- a/src/decide/event.cpp
+++ b/src/decide/event.cpp
@@ -50,7 +50,7 @@
   void operator()(const request_arrived& aEvent)
   {
     if (mCell.FindRequest(aEvent.mAttempt) != nullptr) {
-      return; // The front asked twice.
+      return; // The frontend asked twice.
     }
     ++mCell.mCounters.mArrived;
     request_entry entry;
--- a/src/decide/event_type.h
+++ b/src/decide/event_type.h
@@ -72,7 +72,7 @@
   auto operator<=>(const work_failed&) const = default;
 };
 
-/** The caller is gone, or the front ended the request. */
+/** The caller is gone, or the frontend ended the request. */
 struct request_cancelled
 {
   attempt_id mAttempt; ///< The request.
--- a/src/resources/claim_func.h
+++ b/src/resources/claim_func.h
@@ -1,6 +1,6 @@
 /**
  * @file claim_func.h
- * Who may send a call whose idempotency key was claimed. One rule, used by the front and checked
+ * Who may send a call whose idempotency key was claimed. One rule, used by the frontend and checked
  * exhaustively by the model check.
  */
 #pragma once
