Codechange: [Control] the owner role reads its clock in one place

The split of cell_owner.cpp had left each half a copy of Now(); it's a member now, as in the other classes.

--- a/src/control/cell_owner.cpp
+++ b/src/control/cell_owner.cpp
@@ -28,12 +28,6 @@
 constexpr int kOrderTries = 3;
 constexpr int kCancelTries = 5;
 
-instant
-Now()
-{
-  return boot_clock_source().Now();
-}
-
 } // namespace
 
 std::string
--- a/src/control/cell_owner.h
+++ b/src/control/cell_owner.h
@@ -102,6 +102,7 @@
   asio::awaitable<bool> ReadCacheEvents(cell_key aKey, engine_id aEngine, endpoint aAddress);
   void DropLostCells();
   static void Add(cell_counters& aTo, const cell_counters& aFrom);
+  static instant Now() { return boot_clock_source().Now(); }
 
   asio::io_context& mIo;                                  ///< Runs the loops.
   const log_follower& mLog;                               ///< Configuration in force.
--- a/src/control/cell_watch.cpp
+++ b/src/control/cell_watch.cpp
@@ -25,12 +25,6 @@
 static_assert(kLongestWatchRest + kEngineLimit < kFailedTime);
 constexpr duration kStrangerGrace = 1s; ///< A hold unknown here may be news under way.
 
-instant
-Now()
-{
-  return boot_clock_source().Now();
-}
-
 } // namespace
 
 void
