--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -190,8 +190,7 @@
     values["body_bytes"] = static_cast<double>(sessions.mBodyBytes);
     values["log_lines_dropped"] = static_cast<double>(mLogTotals.mDropped);
     values["log_bytes"] = static_cast<double>(mLogTotals.mBytes);
-    values["requests_quarantined"] =
-      static_cast<double>(mState.mCrashes.Quarantined(now, kMostRequests).size());
+    values["requests_quarantined"] = static_cast<double>(mState.mCrashes.CountQuarantined(now));
     values["runners_taking_work"] = 0.0;
     values["runners_resting"] = 0.0;
     values["runners_leaving"] = 0.0;
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -180,6 +180,15 @@
   return EvidenceOf(aRequest).mCrashes;
 }
 
+std::size_t
+crash_ledger::CountQuarantined(instant aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mRequests.begin(), mRequests.end(), [&](const auto& aRow) {
+      return InQuarantine(aRow.second, aNow);
+    }));
+}
+
 std::vector<quarantine_notice>
 crash_ledger::Quarantined(instant aNow, std::size_t aMost) const
 {
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -63,6 +63,8 @@
   duration QuarantinedFor(request_fingerprint aRequest, instant aNow) const;
   /** @return how many crashes a request was under way at, blamed on it or not. */
   std::size_t CrashesUnder(request_fingerprint aRequest) const;
+  /** @return how many requests are in quarantine. */
+  std::size_t CountQuarantined(instant aNow) const;
   /** @return requests in quarantine, at most @p aMost, those that came last first. */
   std::vector<quarantine_notice> Quarantined(instant aNow, std::size_t aMost) const;
   /** @return a digest of the requests in quarantine; 0 if there's none. */
