Codechange: [Links] a daemon that is told doesn't count its rank

TakesOver() counted all members, several times each 100 ms, though a daemon that was told of the store lately needs no rank. It's looked at after the time now; same result.

--- a/src/links/config_follower.h
+++ b/src/links/config_follower.h
@@ -320,7 +320,7 @@
   instant mBehindSince{ 0 };                           ///< Another daemon has a newer version.
   instant mInForceSince{ 0 };                          ///< When the version came into force.
   bool mWaits = false;                                 ///< A wait is under way.
-  bool mAnswered = false; ///< The last call of AwaitNext() was answered.
+  bool mAnswered = false; ///< AwaitNext() was answered last, and this daemon has asked on since.
   bool mEnded = false;    ///< The call was ended by this daemon.
 };
 
--- a/src/links/store_contact.h
+++ b/src/links/store_contact.h
@@ -83,7 +83,7 @@
     const instant now = mState.Now();
     const bool behind = mState.mToldStore.mRunners > mState.mRunners.End();
     mBehindSince = !behind ? instant{ 0 } : mBehindSince == instant{ 0 } ? now : mBehindSince;
-    if (Known() && mLink.RankInHall() < kAskers && TakesOver()) {
+    if (Known() && TakesOver() && mLink.RankInHall() < kAskers) {
       mReadsOnUntil = now + kReadsOnFor;
     }
     return mInDoubt || Asks() || (behind && now - mBehindSince >= kRunnersBehindFor);
@@ -188,10 +188,13 @@
   /** @return whether this daemon asks since no reader has told how far the store is. */
   bool TakesOver() const
   {
-    const std::size_t rank = mLink.RankInHall();
     const instant now = mState.Now();
     const duration quiet = now - std::max(mState.mToldStoreAt, mKnownSince);
-    if (rank == 0 || quiet < kToldFor) {
+    if (quiet < kToldFor) {
+      return false;
+    }
+    const std::size_t rank = mLink.RankInHall(); // Counts all members.
+    if (rank == 0) {
       return false;
     }
     if (rank >= kAskers && now - mState.mToldSilentAt < kToldFor) {
