Add: [Runners] the limits that runners name in answers are read, logged and shown

No daemon's lines or metrics said which answers named a limit. Change: platform/ reads the header of an answer, and of the answers to side calls, into named_limit; limit_table keeps the limit of each incarnation, in the order in which the answers can have been written (an answer is known to be newer than another only if its request was sent after the other was received); lines runner_limit and limit_unreadable; gauge dunehook_runner_limit, counter of answers with a limit. Nothing decides by it yet. Values that are no rate (empty, text, negative, NaN, infinite) change nothing and are logged once; of two values the lower counts; values above 1e6 count as 1e6. The stand-in's runners name a limit that a test sets.

--- a/src/forward/engine_calls.h
+++ b/src/forward/engine_calls.h
@@ -38,9 +38,11 @@
                                                duration aLifetime)
   {
     const http_call call = Wire::ReserveCall(aTokens, aLifetime);
+    const instant sentAt = mState.Now();
     BOOST_OUTCOME_CO_TRY(const http_answer answer,
                          co_await mState.mSideCalls.Call(aAt, call, kSideCallTimeout));
     mState.NoteNotice(aEngine, Wire::ReadNotice(answer));
+    mState.NoteLimit({ aEngine, Wire::ReadLimit(answer), sentAt, false });
     if (answer.mStatus != 200) {
       co_return make_error_code(errc::eRunnerRefused);
     }
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -208,6 +208,14 @@
     values["runners_taking_work"] = 0.0;
     values["runners_resting"] = 0.0;
     values["runners_leaving"] = 0.0;
+    std::map<std::string, double> limits;
+    for (const service_runner_id runner : mState.mLimits.Limited()) {
+      const runner_state* const known = mState.mRunners.Find(runner);
+      if (known != nullptr) {
+        limits[known->mEntry.mName] = mState.mLimits.LimitOf(runner).value_or(0.0);
+      }
+    }
+    mState.mMetrics.SetLimits(limits);
     for (const auto& [id, runner] : mState.mRunners.Rows()) {
       const bool leaving = runner.mDraining || runner.mGone;
       const bool takes = mState.mRunners.TakesWork(runner, now);
@@ -316,6 +324,11 @@
       mState.mPlacement.Prune(mState.mRunners, now);
       mState.mPool.Prune(now);
       mState.mRefused.Prune(now);
+      const auto exists = [this](service_runner_id aRunner) {
+        return mState.mRunners.Find(aRunner) != nullptr;
+      };
+      mState.mLimits.Prune(exists);
+      mState.mLimitLog.Prune(exists);
       mLink.DropSilent(now);
       mPlacers.UpdatePlacers(now - slept > kTablePassInterval + kLatePassThreshold);
       mState.NoteDaemons(mLink.Members().CountServing());
--- a/src/forward/upstream_send.h
+++ b/src/forward/upstream_send.h
@@ -122,6 +122,7 @@
   const upstream_ptr connection = taken.value();
   aExchange.OnDisconnect([connection] { connection->Abort(); });
   const upstream_request request = BuildUpstreamRequest<Wire>(aExchange, aPlan);
+  const instant sentAt = aState.Now();
   const auto head = co_await connection->Start(request, aLimit);
   answer.mSendStatus = send_status::eUnknown;
   if (!head) {
@@ -137,6 +138,8 @@
   }
   connection->mKeepFor = answer.mFacts.mKeepFor;
   aState.NoteNotice(aPlan.mRunner, answer.mFacts.mNotice);
+  const bool ownAnswer = answer.mFacts.mHasReceipt && !answer.mFacts.mMisdirected;
+  aState.NoteLimit({ aPlan.mRunner, answer.mFacts.mLimit, sentAt, ownAnswer });
   answer.mHead = FieldsForCaller(*head.value());
   answer.mConnection = connection;
   answer.mSendStatus = answer.mFacts.mNotRun ? send_status::eNotRun : send_status::eAnswered;
--- a/src/messages/wire_type.h
+++ b/src/messages/wire_type.h
@@ -54,6 +54,9 @@
   {
     T::ReadNotice(aAnswer)
     } -> std::same_as<runner_notice>;
+  {
+    T::ReadLimit(aAnswer)
+    } -> std::same_as<named_limit>;
   // Auxiliary calls to engines.
   {
     T::ReserveCall(1U, duration{})
--- a/src/runners/runner_type.h
+++ b/src/runners/runner_type.h
@@ -65,6 +65,23 @@
   bool operator==(const runner_entry&) const = default;
 };
 
+/** What the head of an answer says about its runner's rate limit. */
+enum class limit_report
+{
+  eNone,       ///< Names none.
+  eNamed,      ///< Names one.
+  eUnreadable, ///< Names something that isn't a rate; it changes nothing.
+};
+
+/** A rate limit as an answer states it. */
+struct named_limit
+{
+  limit_report mReport = limit_report::eNone; ///< Whether there is one.
+  double mPerSecond = 0.0;                    ///< Requests a second, if eNamed; never below 0.
+
+  auto operator<=>(const named_limit&) const = default;
+};
+
 /** What a runner reports about itself in the head of an answer. */
 struct runner_notice
 {
--- a/src/runners/send_type.h
+++ b/src/runners/send_type.h
@@ -69,6 +69,7 @@
   bool mHasReceipt = false;  ///< It carries the runner's receipt.
   duration mKeepFor{ 0 };    ///< How long the runner keeps an idle connection; 0 if unknown.
   runner_notice mNotice;     ///< What the runner reports about itself.
+  named_limit mLimit;        ///< The requests a second that it accepts from all daemons together.
 
   auto operator<=>(const answer_facts&) const = default;
 };
--- a/src/state/forward_state.h
+++ b/src/state/forward_state.h
@@ -12,6 +12,7 @@
 #include "runners/upstream_connection.h"
 #include "state/gateway_metrics.h"
 #include "state/gateway_settings.h"
+#include "state/limit_log.h"
 
 #include "core/log_func.h"
 #include "quarantine/crash_ledger.h"
@@ -127,6 +128,28 @@
     }
   }
 
+  /** Records what an answer says about its runner's limit. @return what it changed. */
+  limit_change NoteLimit(const limit_observation& aObservation)
+  {
+    const service_runner_id runner = aObservation.mRunner;
+    const runner_state* const known = mRunners.Find(runner);
+    if (known == nullptr) {
+      return limit_change::eNone;
+    }
+    limit_change change = limit_change::eNone;
+    if (aObservation.mLimit.mReport == limit_report::eNamed) {
+      mMetrics.CountNotice("limit");
+      change =
+        mLimits.NoteNamed(runner, aObservation.mLimit.mPerSecond, aObservation.mSentAt, Now());
+    } else if (aObservation.mLimit.mReport == limit_report::eUnreadable) {
+      mLimitLog.NoteUnreadable(runner, known->mEntry.mName);
+    } else if (aObservation.mOwnAnswer) {
+      change = mLimits.NoteNotNamed(runner, aObservation.mSentAt, Now());
+    }
+    mLimitLog.Note(runner, known->mEntry.mName, change, mLimits.LimitOf(runner));
+    return change;
+  }
+
   /** Records that an engine granted a reservation, to this or another daemon. */
   void NoteReserved(service_runner_id aDecode)
   {
@@ -214,6 +237,8 @@
   placement_table mPlacement;  ///< Runs of all daemons and forecasts of engines' memory.
   placement_queue mPlaceQueue; ///< Waiting placement requests of all daemons, if this one places.
   crash_ledger mCrashes;       ///< Requests that crash runners.
+  limit_table mLimits;         ///< Limits that runners name.
+  limit_log mLimitLog;         ///< Log lines about them.
   gateway_metrics mMetrics;    ///< Counters and histograms.
   instant mRunnersReadAt{ 0 }; ///< When the runner list was last read or received.
   upstream_pool mPool;         ///< Connections to runners, for requests.
--- a/src/state/gateway_metrics.cpp
+++ b/src/state/gateway_metrics.cpp
@@ -58,6 +58,10 @@
                .Name("dunehook_state")
                .Help("Current values, by name.")
                .Register(mRegistry))
+  , mLimits(&prometheus::BuildGauge()
+               .Name("dunehook_runner_limit")
+               .Help("Requests a second that a runner says it accepts, from all daemons together.")
+               .Register(mRegistry))
 {
 }
 
@@ -137,6 +141,23 @@
     .Increment();
 }
 
+void
+gateway_metrics::SetLimits(const std::map<std::string, double>& aLimits)
+{
+  std::erase_if(mLimitGauges, [&](const auto& aRow) {
+    const bool ended = !aLimits.contains(aRow.first);
+    if (ended) {
+      mLimits->Remove(aRow.second);
+    }
+    return ended;
+  });
+  for (const auto& [runner, limit] : aLimits) {
+    prometheus::Gauge& gauge = mLimits->Add({ { "runner", runner } });
+    gauge.Set(limit);
+    mLimitGauges[runner] = &gauge;
+  }
+}
+
 std::string
 gateway_metrics::Serialize(const gateway_gauges& aValues)
 {
--- a/src/state/gateway_metrics.h
+++ b/src/state/gateway_metrics.h
@@ -58,6 +58,9 @@
   /** Counts a call to the store. */
   void CountStoreCall(std::string_view aCall, bool aAnswered);
 
+  /** Sets the limits that runners name, in requests a second, by runner. */
+  void SetLimits(const std::map<std::string, double>& aLimits);
+
   /** @return all metrics in the Prometheus text format. */
   std::string Serialize(const gateway_gauges& aValues);
 
@@ -79,6 +82,8 @@
   prometheus::Family<prometheus::Counter>* mRetries;        ///< By service.
   prometheus::Family<prometheus::Counter>* mStoreCalls;     ///< By call and answer.
   prometheus::Family<prometheus::Gauge>* mGauges;           ///< All gauges, by name.
+  prometheus::Family<prometheus::Gauge>* mLimits;           ///< By runner.
+  std::map<std::string, prometheus::Gauge*> mLimitGauges;   ///< Those in mLimits.
   std::set<std::string> mLabelledRoutes;                    ///< Routes that have their own label.
 };
 
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -127,6 +127,7 @@
   std::int64_t mBorn = 0;                ///< Unix ms of its last rebirth under its id; 0 if none.
   std::string mName;                     ///< Id of its first life.
   std::set<tcp::socket*> mSockets;       ///< Open connections.
+  std::string mLimit{};                  ///< Limit that all its answers name; empty for none.
 };
 
 /** The stand-in. */
@@ -346,6 +347,7 @@
     runner.mFree = aBody.value("free", runner.mFree);
     runner.mLeaves = aBody.value("leaves", false);
     runner.mRetryAfter = aBody.value("retry_after", "");
+    runner.mLimit = aBody.value("limit", runner.mLimit);
     runner.mCrashesReading = aBody.value("crashes_reading", runner.mCrashesReading);
     runner.mKeepsId = aBody.value("keeps_id", runner.mKeepsId);
     runner.mCrashesOn = aBody.value("crashes_on", runner.mCrashesOn);
@@ -491,6 +493,11 @@
     return aRunner.mLeaves ? "Server-Leaving: 1\r\n" : "";
   }
 
+  static std::string LimitHeader(const fake_runner& aRunner)
+  {
+    return aRunner.mLimit.empty() ? "" : Join("Server-Limit: ", aRunner.mLimit, "\r\n");
+  }
+
   static std::string RetryHeader(const fake_runner& aRunner)
   {
     return aRunner.mRetryAfter.empty() ? "" : Join("Retry-After: ", aRunner.mRetryAfter, "\r\n");
@@ -527,7 +534,8 @@
                                  "\r\nX-Server-Stamp: stamp-",
                                  aRunner.mId,
                                  "\r\n",
-                                 LeaveHeader(aRunner));
+                                 LeaveHeader(aRunner),
+                                 LimitHeader(aRunner));
     std::string mode = aRunner.mFaults == 0 ? "" : aRunner.mMode;
     const bool isSideCall = id.empty();
     if (!mode.empty() && !isSideCall && aRunner.mFaults > 0) {
@@ -558,8 +566,12 @@
       co_return false;
     }
     if (mode == "refuse") {
-      const std::string text =
-        Whole(503, Join("X-Not-Executed: 1\r\n", LeaveHeader(aRunner), RetryHeader(aRunner)), "");
+      const std::string text = Whole(503,
+                                     Join("X-Not-Executed: 1\r\n",
+                                          LeaveHeader(aRunner),
+                                          RetryHeader(aRunner),
+                                          LimitHeader(aRunner)),
+                                     "");
       co_return co_await Write(aStream, text);
     }
     const bool crashes = aRequest.body().find(aRunner.mCrashesOn) != std::string::npos ||
@@ -659,12 +671,14 @@
     if (aTarget == "/hold-take") {
       const std::int64_t tokens = body.value("tokens", 0);
       if (tokens > aRunner.mFree) {
-        return Whole(503, Join(LeaveHeader(aRunner), RetryHeader(aRunner)), "{}");
+        return Whole(
+          503, Join(LeaveHeader(aRunner), RetryHeader(aRunner), LimitHeader(aRunner)), "{}");
       }
       const std::string hold = Join("hold-", ++mHolds);
       const std::chrono::milliseconds life(body.value("ttl_ms", 1000));
       aRunner.mHolds[hold] = boot_clock_source{}.Now() + life;
-      return Whole(200, LeaveHeader(aRunner), json{ { "hold", hold } }.dump());
+      return Whole(
+        200, Join(LeaveHeader(aRunner), LimitHeader(aRunner)), json{ { "hold", hold } }.dump());
     }
     if (aTarget.substr(0, 11) == "/hold-drop/") {
       aRunner.mHolds.erase(aTarget.substr(11));
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -101,6 +101,36 @@
   CHECK(wire::ReadAnswer(head, 421).mNotice == runner_notice{});
 }
 
+TEST(platform_wire, ReadsTheLimitThatARunnerNames)
+{
+  http::fields head;
+  CHECK(wire::ReadAnswer(head, 200).mLimit == named_limit{});
+  head.set("Server-Limit", "5.8");
+  CHECK(wire::ReadAnswer(head, 200).mLimit == (named_limit{ limit_report::eNamed, 5.8 }));
+  CHECK(wire::ReadAnswer(head, 503).mLimit == (named_limit{ limit_report::eNamed, 5.8 }));
+  CHECK(wire::ReadAnswer(head, 421).mLimit == named_limit{}); // Another runner's.
+  head.insert("Server-Limit", "4");
+  CHECK(wire::ReadAnswer(head, 200).mLimit == (named_limit{ limit_report::eNamed, 4.0 }));
+  head.insert("Server-Limit", "few");
+  CHECK(wire::ReadAnswer(head, 200).mLimit == (named_limit{ limit_report::eNamed, 4.0 }));
+  const http_answer side{ 503, { { "Server-Limit", "0" } }, "" };
+  CHECK(wire::ReadLimit(side) == (named_limit{ limit_report::eNamed, 0.0 }));
+  CHECK(wire::ReadLimit(http_answer{ 200, {}, "" }) == named_limit{});
+}
+
+TEST(platform_wire, ALimitThatIsNoRateIsUnreadable)
+{
+  for (const char* const text : { "", "many", "-1", "nan", "inf", "-inf", "5 7", "1e999" }) {
+    http::fields head;
+    head.set("Server-Limit", text);
+    CHECK_TRUE_TEXT(
+      wire::ReadAnswer(head, 200).mLimit == (named_limit{ limit_report::eUnreadable, 0.0 }), text);
+  }
+  http::fields head;
+  head.set("Server-Limit", "1e300");
+  CHECK(wire::ReadAnswer(head, 200).mLimit.mPerSecond <= 1e6);
+}
+
 TEST(platform_wire, ATimeThatIsNoneIsNotBelieved)
 {
   http::fields head;
