--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -49,6 +49,8 @@
     { "runner_silent", "the runner did not answer within the time limit, and it may have run" },
     { "runner_refused", "the runner took no work, and the request may go to no other" },
     { "no_runner", "no runner of the service could be given work" },
+    { "runner_limit",
+      "every runner that could serve it had got the requests that it said it accepts" },
     { "unreachable", "no connection to a runner could be made in time" },
     { "no_route", "no route of the configuration in force matches its host and path" },
     { "quarantined", "runners crashed under it before, so it was sent to no other" },
--- a/src/forward/engine_calls.h
+++ b/src/forward/engine_calls.h
@@ -29,14 +29,18 @@
 
   /**
    * Reserves memory for a generation.
-   * @return the reservation, eRunnerRefused if the engine has no room, or the error that kept the
-   * answer away.
+   * @return the reservation, eRunnerRefused if the engine has no room or the permit isn't valid, or
+   * the error that kept the answer away.
    */
   asio::awaitable<result<reservation>> Reserve(service_runner_id aEngine,
+                                               send_permit aPermit,
                                                endpoint aAt,
                                                std::uint32_t aTokens,
                                                duration aLifetime)
   {
+    if (!aPermit.IsValid(mState.Now())) {
+      co_return make_error_code(errc::eRunnerRefused);
+    }
     const http_call call = Wire::ReserveCall(aTokens, aLifetime);
     const instant sentAt = mState.Now();
     BOOST_OUTCOME_CO_TRY(const http_answer answer,
@@ -50,27 +54,38 @@
   }
 
   /** Releases a reservation without waiting for the answer. */
-  void Release(const endpoint& aAt, const reservation& aReservation)
+  void Release(service_runner_id aEngine, const endpoint& aAt, const reservation& aReservation)
   {
-    SpawnGuarded(mState.mIo, SendInBackground(mState, aAt, Wire::ReleaseCall(aReservation)));
+    SendInBackground(aEngine, aAt, Wire::ReleaseCall(aReservation));
   }
 
   /** Frees a prefill result without waiting for the answer. */
-  void Free(const endpoint& aAt, const prefill_result& aResult)
+  void Free(service_runner_id aEngine, const endpoint& aAt, const prefill_result& aResult)
   {
-    SpawnGuarded(mState.mIo, SendInBackground(mState, aAt, Wire::FreePrefillCall(aResult)));
+    SendInBackground(aEngine, aAt, Wire::FreePrefillCall(aResult));
   }
 
 private:
-  static asio::awaitable<void> SendInBackground(forward_state& aState,
-                                                endpoint aAt,
-                                                http_call aCall)
+  /** Sends a call that frees something, which no limit holds back. */
+  void SendInBackground(service_runner_id aEngine, const endpoint& aAt, http_call aCall)
+  {
+    const send_permit permit = mState.mChargePermit(aEngine);
+    SpawnGuarded(mState.mIo, Send(mState, permit, aAt, std::move(aCall)));
+  }
+
+  static asio::awaitable<void> Send(forward_state& aState,
+                                    send_permit aPermit,
+                                    endpoint aAt,
+                                    http_call aCall)
   {
+    const instant sentAt = aState.Now();
     const result<http_answer> answer =
       co_await aState.mSideCalls.Call(aAt, aCall, kSideCallTimeout);
     if (!answer) { // The engine frees it when its own time limit passes.
       LogEvent(log_level::eInfo, "release_unanswered", { { "at", ToText(aAt) } });
+      co_return;
     }
+    aState.NoteLimit({ aPermit.Runner(), Wire::ReadLimit(answer.value()), sentAt, false });
   }
 
   forward_state& mState; ///< State shared by the daemon's components.
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -7,6 +7,7 @@
 
 #include "forward/generation_call.h"
 #include "forward/plain_call.h"
+#include "links/permit_link.h"
 #include "links/placer_link.h"
 #include "links/quarantine_store.h"
 #include "links/store_follower.h"
@@ -68,6 +69,7 @@
     , mLink(mState)
     , mPlacers(mState, mLink)
     , mQuarantines(mState, mStore, mLink)
+    , mPermits(mState, mLink)
     , mFollower(mState, mStore, mLink, [this](const caller_limits& aLimits) {
       mListener->State().mLimits = aLimits;
     })
@@ -95,6 +97,7 @@
     mLink.Start([this] { return Ready(); });
     mPlacers.Start([this] { return Ready(); });
     mQuarantines.Start();
+    mPermits.Start();
     SpawnGuarded(mState.mIo, RunTablePasses());
     SpawnGuarded(mState.mIo, RunRolePasses());
   }
@@ -209,10 +212,10 @@
     values["runners_resting"] = 0.0;
     values["runners_leaving"] = 0.0;
     std::map<std::string, double> limits;
-    for (const service_runner_id runner : mState.mLimits.Limited()) {
+    for (const service_runner_id runner : mState.mPermits.Limits().Limited()) {
       const runner_state* const known = mState.mRunners.Find(runner);
       if (known != nullptr) {
-        limits[known->mEntry.mName] = mState.mLimits.LimitOf(runner).value_or(0.0);
+        limits[known->mEntry.mName] = mState.mPermits.Limits().LimitOf(runner).value_or(0.0);
       }
     }
     mState.mMetrics.SetLimits(limits);
@@ -324,11 +327,6 @@
       mState.mPlacement.Prune(mState.mRunners, now);
       mState.mPool.Prune(now);
       mState.mRefused.Prune(now);
-      const auto exists = [this](service_runner_id aRunner) {
-        return mState.mRunners.Find(aRunner) != nullptr;
-      };
-      mState.mLimits.Prune(exists);
-      mState.mLimitLog.Prune(exists);
       mLink.DropSilent(now);
       mPlacers.UpdatePlacers(now - slept > kTablePassInterval + kLatePassThreshold);
       mState.NoteDaemons(mLink.Members().CountServing());
@@ -416,6 +414,7 @@
   daemon_link mLink;                          ///< Messages to and from the other daemons.
   placer_link mPlacers;                       ///< Calls to the daemons that place generations.
   quarantine_store<Store> mQuarantines;       ///< Keeps requests that crash runners away from them.
+  permit_link mPermits;                       ///< Limits of runners, shared by all daemons.
   store_follower<Store> mFollower;            ///< Follows changes in the store.
   std::unique_ptr<caller_listener> mListener; ///< Accepts callers.
   std::unique_ptr<http_listener> mMetricsListener; ///< Serves the operators' metrics.
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -135,7 +135,7 @@
       mDemand, mTraits, firstEventBy, target, wait.After(mState.Now() - mArrived));
     if (!found) {
       mPromptRead.Discard("no_place");
-      co_await GiveUp(mPrefillFailed ? "prefill_failed" : ReasonName(mPlace.NoPlace()));
+      co_await GiveUp(mPrefillFailed ? "prefill_failed" : NoPlaceReason());
       co_return false;
     }
     if (mCrashWatch.Quarantined()) { // Other attempts of it may have crashed engines meanwhile.
@@ -161,6 +161,14 @@
     co_return co_await Generate();
   }
 
+  /** @return why no engine was found. */
+  std::string_view NoPlaceReason() const
+  {
+    const bool held = mPlace.WasHeld() || (mPlace.NoPlace() == no_place::eNoEngine &&
+                                           mState.IsHeldByLimit(mService.mName, mRoute.mRank));
+    return held ? "runner_limit" : ReasonName(mPlace.NoPlace());
+  }
+
   /** @return the version of the weights at the chosen decode engine. */
   std::uint64_t DecodeVersion() const
   {
@@ -175,8 +183,10 @@
   asio::awaitable<bool> ReadPrompt()
   {
     const send_plan plan = PlanFor(std::string());
-    const read_outcome end = co_await mPromptRead.Read(
-      mPlace.Choice(), plan, mDemand, [this] { return TakeReplacementBudget(1.0); });
+    const read_outcome end =
+      co_await mPromptRead.Read(mPlace.Choice(), mPlace.ReadPermit(), plan, mDemand, [this] {
+        return TakeReplacementBudget(1.0);
+      });
     if (mExchange->Disconnected()) {
       mPromptRead.Discard("caller_left");
       co_return false;
@@ -234,6 +244,7 @@
                                                            *mExchange,
                                                            mPlace.DecodeAddress(),
                                                            plan,
+                                                           mPlace.RunPermit(),
                                                            mFacts.mId,
                                                            true,
                                                            TimeLeft() + kResponseSlack);
@@ -266,10 +277,13 @@
 
   /**
    * @return whether the decode engine accepts requests of this daemon. After it granted the
-   * reservation it may have told another request to back off.
+   * reservation it may have told another request to back off, or the permit may have lapsed.
    */
   bool DecodeAcceptsRequests() const
   {
+    if (!mPlace.RunPermit().IsValid(mState.Now())) {
+      return false;
+    }
     const runner_state* const decode = mState.mRunners.Find(mPlace.Choice().mDecode);
     return decode == nullptr || mState.Now() >= decode->mPausedUntil;
   }
@@ -462,6 +476,17 @@
     }
   }
 
+  /** @return the expected time until there's a place. */
+  duration ExpectedWait() const
+  {
+    const held_runners held = mState.mPermits.Held(mRoute.mRank, mState.Now());
+    if (held.empty() || !mState.mRunners.HasRunner(mService.mName)) {
+      return mPlace.FreeIn();
+    }
+    const instant from = mState.mRunners.AcceptsRequestsFrom(mService.mName, held);
+    return std::max(mPlace.FreeIn(), from - mState.Now());
+  }
+
   /** Sends the final response to a request that can't be served any further. */
   asio::awaitable<void> GiveUp(std::string_view aReason)
   {
@@ -472,7 +497,7 @@
     if (mMayHaveRun) {
       status = TimeLeft() <= duration{ 0 } ? 504 : 502;
     }
-    const duration back = RetryAfter(mPlace.FreeIn(), mState.RandomFraction());
+    const duration back = RetryAfter(ExpectedWait(), mState.RandomFraction());
     mState.mMetrics.CountRequest(mRoute.mName, status == 503 ? "refused" : "failed", aReason);
     mState.LogDecision(log_level::eWarning,
                        "generation_given_up",
--- a/src/forward/generation_place.h
+++ b/src/forward/generation_place.h
@@ -14,6 +14,8 @@
 inline constexpr duration kPlacementRetryInterval = std::chrono::milliseconds(15);
 /** A reservation lasts this much longer than the expected end of the prefill. */
 inline constexpr duration kReservationSlack = std::chrono::milliseconds(600);
+/** Time for the connection and the call of one step of a generation. */
+inline constexpr duration kStepTime = std::chrono::milliseconds(500);
 
 /** Placement of one generation. */
 template<wire_format Wire>
@@ -51,6 +53,7 @@
     const instant began = mState.Now();
     for (;;) {
       const duration spent = mState.Now() - began;
+      mHeld = false;
       aDemand.mFirstEventWithin = aDemand.mReturned ? aTarget : aFirstEventBy - mState.Now();
       aDemand.mWaited = WaitedShare(spent, aWait.Of(aDemand.mReturned));
       const placement_answer answer = co_await Choose(aDemand, aTraits, aWait.After(spent));
@@ -107,7 +110,7 @@
   void Release()
   {
     if (!mReservation.mId.empty()) {
-      mEngines.Release(mDecodeAddress, mReservation);
+      mEngines.Release(mChoice.mDecode, mDecodeAddress, mReservation);
       mReservation = {};
     }
   }
@@ -115,6 +118,12 @@
   /** @return the reservation's id for the request that uses it, empty if there's none. */
   std::string UseReservation() { return std::exchange(mReservation, {}).mId; }
 
+  /** @return the right to send to the prefill engine. @pre the choice has one. */
+  const send_permit& ReadPermit() const { return *mReadPermit; }
+  /** @return the right to send the run to the decode engine. @pre Find() returned true. */
+  const send_permit& RunPermit() const { return *mRunPermit; }
+  /** @return whether the last attempt failed because a limit held it back. */
+  bool WasHeld() const { return mHeld; }
   const placement_choice& Choice() const { return mChoice; }
   const endpoint& DecodeAddress() const { return mDecodeAddress; }
   /** @return the decode engine's id in service discovery. */
@@ -138,6 +147,9 @@
   {
     const instant now = mState.Now();
     aDemand.mExcluded = mState.mRunners.Barred(now);
+    for (const auto& [runner, until] : mState.mPermits.Held(mRank, now)) {
+      aDemand.mExcluded.push_back(runner);
+    }
     if (mState.mSettings.mPlacement.mPlacers) {
       place_request question;
       question.mDemand = aDemand;
@@ -185,6 +197,13 @@
     }
     mDecodeAddress = decode->mEntry.mAddress;
     mDecodeName = decode->mEntry.mName;
+    const duration life = std::min(mChoice.mUntilRead + kReservationSlack, aLongestHold);
+    const bool permitted = co_await TakePermits(life);
+    mHeld = !permitted;
+    if (mHeld || mExchange.Disconnected()) {
+      EndRun();
+      co_return false;
+    }
     mReservation = {};
     mEngineRefused = false;
     const run_record run = RunOf(aDemand, mChoice, 0, mState.Now());
@@ -195,10 +214,10 @@
       Announce(run);
       co_return true;
     }
-    const duration life = std::min(mChoice.mUntilRead + kReservationSlack, aLongestHold);
     const std::uint32_t tokens = mState.mPlacement.ReservedTokens(aDemand);
+    const send_permit permit = mRunPermit->Split();
     const result<reservation> granted =
-      co_await mEngines.Reserve(mChoice.mDecode, mDecodeAddress, tokens, life);
+      co_await mEngines.Reserve(mChoice.mDecode, permit, mDecodeAddress, tokens, life);
     if (!granted) {
       NoteNoReservation(granted.error(), tokens);
       EndRun();
@@ -211,6 +230,31 @@
     co_return true;
   }
 
+  /**
+   * Gets the right to send all steps of the generation before the first one: a prompt that is read
+   * and can't be run is wasted.
+   * @param aLife lifetime of the reservation, in which the run begins.
+   */
+  asio::awaitable<bool> TakePermits(duration aLife)
+  {
+    if (mChoice.mPrefill) {
+      const permit_demand read{ *mChoice.mPrefill, 1, mRank, 2 * kStepTime };
+      const result<send_permit> permit = co_await mState.mTakePermit(read);
+      if (!permit) {
+        co_return false;
+      }
+      mReadPermit = permit.value();
+    }
+    const std::uint32_t sends = mState.mSettings.mPlacement.mReserve ? 2 : 1;
+    const permit_demand run{ mChoice.mDecode, sends, mRank, aLife + kStepTime };
+    const result<send_permit> permit = co_await mState.mTakePermit(run);
+    if (!permit) {
+      co_return false;
+    }
+    mRunPermit = permit.value();
+    co_return true;
+  }
+
   /** Records that the decode engine granted no reservation. */
   void NoteNoReservation(const std::error_code& aError, std::uint32_t aTokens)
   {
@@ -258,6 +302,9 @@
   run_id mRun;                             ///< Id of the run, once in the table.
   endpoint mDecodeAddress;                 ///< Address of the decode engine.
   std::string mDecodeName;                 ///< Its id in service discovery.
+  std::optional<send_permit> mReadPermit;  ///< For the prefill.
+  std::optional<send_permit> mRunPermit;   ///< For the reservation and the run.
+  bool mHeld = false;                      ///< The last permits weren't granted.
   reservation mReservation;                ///< Granted and not used yet.
   no_place mNoPlace = no_place::eNoEngine; ///< Why the last attempt found no placement.
   duration mFreeIn{ 0 };                   ///< Expected time until there's room.
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -73,8 +73,9 @@
    */
   bool RunnerWillAcceptSoon() const
   {
+    const held_runners held = mState.mPermits.Held(mRoute.mRank, mState.Now());
     return mState.mRunners.HasRunner(mService.mName) &&
-           mState.mRunners.AcceptsRequestsFrom(mService.mName) < mArrived + MaxRunnerWait();
+           mState.mRunners.AcceptsRequestsFrom(mService.mName, held) < mArrived + MaxRunnerWait();
   }
 
   /**
@@ -101,8 +102,8 @@
       co_await GiveUpQuarantined();
       co_return false;
     }
-    runner_state* const runner =
-      mState.mRunners.Choose(mService.mName, mTriedRunners, mState.Now(), mState.RandomFraction());
+    const runner_state* const runner = mState.mRunners.Choose(
+      mService.mName, UnavailableRunners(), mState.Now(), mState.RandomFraction());
     const duration waited = mState.Now() - mArrived;
     const bool mayWait = mAttempts == 0 && waited < MaxRunnerWait();
     if (runner == nullptr && mayWait && RunnerWillAcceptSoon()) {
@@ -110,10 +111,48 @@
       co_return true;
     }
     if (runner == nullptr || mAttempts >= kMaxConnectAttempts || TimeLeft() <= duration{ 0 }) {
-      co_await GiveUp(runner == nullptr ? "no_runner" : "unreachable");
+      co_await GiveUp(runner == nullptr ? NoRunnerReason() : "unreachable");
       co_return false;
     }
     const service_runner_id id = runner->mId;
+    const permit_demand demand{ id, 1, mRoute.mRank, kPermitValidity };
+    const result<send_permit> permit = co_await mState.mTakePermit(demand);
+    if (!permit) { // The runner is held now, so another one is chosen.
+      co_return true;
+    }
+    const bool again = co_await SendTo(id, permit.value());
+    co_return again;
+  }
+
+  /** @return runners that the request was sent to, or that a limit keeps it from. */
+  std::set<service_runner_id> UnavailableRunners() const
+  {
+    std::set<service_runner_id> unavailable = mTriedRunners;
+    for (const auto& [runner, until] : mState.mPermits.Held(mRoute.mRank, mState.Now())) {
+      unavailable.insert(runner);
+    }
+    return unavailable;
+  }
+
+  /** @return why no runner was found. */
+  std::string_view NoRunnerReason() const
+  {
+    return mState.IsHeldByLimit(mService.mName, mRoute.mRank) ? "runner_limit" : "no_runner";
+  }
+
+  /**
+   * Sends the request to a runner.
+   * @return whether to try another.
+   */
+  asio::awaitable<bool> SendTo(service_runner_id aRunner, send_permit aPermit)
+  {
+    runner_state* const runner = mState.mRunners.Find(aRunner);
+    // Another look: a permit may have taken a moment.
+    if (runner == nullptr || mCrashWatch.Quarantined() || mExchange->Disconnected() ||
+        !mState.mRunners.MayReceive(*runner, mState.Now())) {
+      co_return true;
+    }
+    const service_runner_id id = aRunner;
     const endpoint address = runner->mEntry.mAddress;
     mRunnerName = runner->mEntry.mName;
     send_plan plan;
@@ -129,7 +168,7 @@
                                                     mRoute.mFirstAnswer * kTargetsBeforeRetry)
                                          : TimeLeft() + kResponseSlack;
     upstream_response answer = co_await SendToRunner<Wire>(
-      mState, *mExchange, address, plan, mFacts.mId, !MayRetry(), limit);
+      mState, *mExchange, address, plan, aPermit, mFacts.mId, !MayRetry(), limit);
     const bool again = co_await HandleSendResult(id, address, answer, limit);
     if (runner_state* const still = mState.mRunners.Find(id)) {
       --still->mUnderWay;
@@ -344,8 +383,25 @@
     if (!mState.mRunners.HasRunner(mService.mName)) {
       return back;
     }
-    const duration rest = mState.mRunners.AcceptsRequestsFrom(mService.mName) - mState.Now();
-    return back + std::max(duration{ 0 }, rest);
+    const held_runners held = mState.mPermits.Held(mRoute.mRank, mState.Now());
+    const duration rest = mState.mRunners.AcceptsRequestsFrom(mService.mName, held) - mState.Now();
+    return back + std::max({ duration{ 0 }, rest, TimeToReturnSlot(held) });
+  }
+
+  /** @return the time until a refused caller's turn, if limits keep requests from runners. */
+  duration TimeToReturnSlot(const held_runners& aHeld)
+  {
+    double rate = 0.0;
+    for (const auto& [id, until] : aHeld) {
+      const runner_state* const runner = mState.mRunners.Find(id);
+      const bool serves = runner != nullptr && runner->mEntry.mService == mService.mName;
+      rate += serves ? mState.mPermits.Limits().RateOf(id, mState.Now()) : 0.0;
+    }
+    if (rate <= 0.0) {
+      return duration{ 0 };
+    }
+    const auto daemons = static_cast<double>(std::max<std::size_t>(1, mState.mDaemons));
+    return mState.mLimitReturns[mService.mName].Next(rate / daemons, mState.Now());
   }
 
   void NoteOutcome(service_runner_id aRunner, send_outcome aOutcome)
--- a/src/forward/prompt_read.h
+++ b/src/forward/prompt_read.h
@@ -44,11 +44,13 @@
   /**
    * Has the chosen engine process the prompt. If the response is lost, the same engine is asked
    * once more: a prefill may be retried, and one that the engine has completed returns quickly.
+   * @param aPermit the right to ask it once.
    * @param aPlan the send plan; the fields that concern the prefill are filled in here.
    * @param aDemand supplies the number of prompt tokens and the model.
    * @param aTakeRetry asks the retry budget before the prefill is retried.
    */
   asio::awaitable<read_outcome> Read(const placement_choice& aChoice,
+                                     send_permit aPermit,
                                      send_plan aPlan,
                                      generation_demand aDemand,
                                      std::function<bool()> aTakeRetry)
@@ -59,6 +61,7 @@
     if (engine == nullptr || !mState.mRunners.MayReceive(*engine, mState.Now())) {
       co_return read_outcome::eNotSent;
     }
+    mEngine = id;
     mEngineName = engine->mEntry.mName;
     mEngineAddress = engine->mEntry.mAddress;
     mVersion = engine->mEntry.VersionOf(aDemand.mModel);
@@ -68,15 +71,22 @@
     const instant began = mState.Now();
     const duration limit = std::min(aPlan.mTimeLeft, aChoice.mUntilRead + kPrefillSlack);
     std::string body;
-    upstream_response answer = co_await Send(aPlan, limit, body);
+    upstream_response answer = co_await Send(aPlan, aPermit, limit, body);
     bool broke = answer.mConnectionLost;
     const bool lost =
       answer.mSendStatus == send_status::eUnknown && !answer.mTimedOut && !mExchange.Disconnected();
     const duration spent = mState.Now() - began;
-    if (lost && spent < limit && aTakeRetry()) {
+    bool retries = lost && spent < limit;
+    if (retries) {
+      const permit_demand demand{ id, 1, aPlan.mRank, limit - spent };
+      const result<send_permit> permit = co_await mState.mTakePermit(demand);
+      retries = permit && aTakeRetry();
+      aPermit = permit ? permit.value() : aPermit;
+    }
+    if (retries) {
       LogRetry();
       aPlan.mTimeLeft -= spent; // The engine gets the remaining time, not the original limit.
-      answer = co_await Send(aPlan, limit - spent, body);
+      answer = co_await Send(aPlan, aPermit, limit - spent, body);
       broke = broke || answer.mConnectionLost;
     }
     if (answer.mSendStatus != send_status::eAnswered || answer.mFacts.mStatus != 200) {
@@ -131,17 +141,20 @@
     mState.mMetrics.CountPromptTokens(aWhy, mTokens);
     mTokens = 0;
     if (!mResultLocation.empty()) {
-      engine_calls<Wire>(mState).Free(mEngineAddress, mResult);
+      engine_calls<Wire>(mState).Free(mEngine, mEngineAddress, mResult);
       mResultLocation.clear();
     }
   }
 
 private:
   /** Sends the request and reads the whole response. */
-  asio::awaitable<upstream_response> Send(send_plan aPlan, duration aLimit, std::string& aBody)
+  asio::awaitable<upstream_response> Send(send_plan aPlan,
+                                          send_permit aPermit,
+                                          duration aLimit,
+                                          std::string& aBody)
   {
     upstream_response answer = co_await SendToRunner<Wire>(
-      mState, mExchange, mEngineAddress, aPlan, mRequestId, false, aLimit);
+      mState, mExchange, mEngineAddress, aPlan, aPermit, mRequestId, false, aLimit);
     if (answer.mConnection) {
       aBody.clear();
       const result<void> read =
@@ -179,7 +192,8 @@
   forward_state& mState;      ///< State shared by the daemon's components.
   caller_exchange& mExchange; ///< The caller's side; outlives this object.
   std::string mRequestId;     ///< The request's id.
-  std::string mEngineName;    ///< Service discovery id of the engine.
+  service_runner_id mEngine;  ///< The engine asked last.
+  std::string mEngineName;    ///< Its service discovery id.
   endpoint mEngineAddress;    ///< Its address.
   prefill_result mResult;     ///< The last result.
   std::string
--- a/src/forward/upstream_send.h
+++ b/src/forward/upstream_send.h
@@ -96,6 +96,7 @@
 
 /**
  * Sends a request to a runner and reads the response head.
+ * @param aPermit the right to send it; nothing is sent if it's no longer valid.
  * @param aOnlyProven see upstream_pool::Take().
  * @param aLimit longest wait for the response head.
  */
@@ -105,6 +106,7 @@
              caller_exchange& aExchange,
              const endpoint& aTo,
              const send_plan& aPlan,
+             const send_permit& aPermit,
              const std::string& aRequestId,
              bool aOnlyProven,
              duration aLimit)
@@ -113,7 +115,7 @@
   const duration connectTime = std::min(kConnectTime, aLimit);
   result<upstream_ptr> taken =
     co_await aState.mPool.Take(aTo, aOnlyProven, aState.Now(), connectTime);
-  if (!taken || aExchange.Disconnected()) {
+  if (!taken || aExchange.Disconnected() || !aPermit.IsValid(aState.Now())) {
     if (taken) {
       aState.mPool.Give(aTo, taken.value(), aState.Now());
     }
--- a/src/limits/limit_type.h
+++ b/src/limits/limit_type.h
@@ -1,14 +1,17 @@
 /**
  * @file limit_type.h
- * Value types of runners' rate limits: what an answer says of one, and what daemons tell each
- * other.
+ * Value types of runners' rate limits: what an answer says of one, what daemons tell each
+ * other, and the permits to send.
  */
 #pragma once
 
+#include "core/attempt_type.h"
 #include "core/clock_type.h"
 #include "runners/runner_type.h"
 
+#include <map>
 #include <optional>
+#include <vector>
 
 namespace dunehook {
 
@@ -34,4 +37,98 @@
   auto operator<=>(const limit_notice&) const = default;
 };
 
+/** Most permits that one request asks for. */
+inline constexpr std::uint32_t kMaxSendsPerRequest = 4;
+
+/** A daemon asks the grantor of a runner's permits for some. */
+struct permit_request
+{
+  service_runner_id mRunner; ///< The runner.
+  std::uint32_t mRound = 0;  ///< Distinguishes the requests of a daemon.
+  std::uint32_t mSends = 1;  ///< Permits wanted; 0 only asks whether the receiver runs.
+  std::uint32_t mRank = 0;   ///< Priority rank of the caller's route: 0 is the most urgent.
+  bool mCharge = false;      ///< The sends are made anyway: they are counted, unanswered.
+  std::optional<limit_notice> mKnown; ///< The limit as the sender knows it.
+
+  auto operator<=>(const permit_request&) const = default;
+};
+
+/** Outcome of a permit request. */
+enum class permit_state
+{
+  eGranted,     ///< All permits are granted.
+  eDenied,      ///< None now; mWait says when to ask again.
+  eNotGranting, ///< The receiver isn't the grantor, or has become it just now.
+};
+
+/** The reply to a permit request. */
+struct permit_reply
+{
+  service_runner_id mRunner;                        ///< As in the request.
+  std::uint32_t mRound = 0;                         ///< As in the request.
+  permit_state mState = permit_state::eNotGranting; ///< Outcome.
+  duration mWait{ 0 }; ///< Time before the next request, if not granted.
+
+  auto operator<=>(const permit_reply&) const = default;
+};
+
+/** A message between daemons about limits and permits. */
+struct permit_message
+{
+  std::vector<limit_notice> mNotices;     ///< Limits that the sender knows.
+  std::optional<permit_request> mRequest; ///< For permits that the receiver grants.
+  std::optional<permit_reply> mReply;     ///< To the receiver's request.
+
+  bool operator==(const permit_message&) const = default;
+};
+
+/** Validity of permits for requests that are sent at once: time for a connection. */
+inline constexpr duration kPermitValidity = std::chrono::milliseconds(400);
+
+/** What a daemon wants to send to a runner. */
+struct permit_demand
+{
+  service_runner_id mRunner; ///< The runner.
+  std::uint32_t mSends = 1;  ///< Requests to be sent.
+  std::uint32_t mRank = 0;   ///< Priority rank of the caller's route: 0 is the most urgent.
+  duration mValidFor{ 0 };   ///< Time in which they are sent.
+
+  auto operator<=>(const permit_demand&) const = default;
+};
+
+/** Runners that can't be sent requests before an instant, because no permit is expected earlier. */
+using held_runners = std::map<service_runner_id, instant>;
+
+/**
+ * The right to send some requests to one runner. Whatever is sent to a runner takes one, so that no
+ * path goes round the limit. Only permit_link makes them.
+ */
+class send_permit
+{
+public:
+  service_runner_id Runner() const { return mRunner; }
+  /** @return whether a send may still use it. A daemon that was suspended doesn't use what it held.
+   */
+  bool IsValid(instant aNow) const { return mSends > 0 && aNow < mValidUntil; }
+  /** Takes one send out of it. @pre it has one left. */
+  send_permit Split()
+  {
+    --mSends;
+    return send_permit(mRunner, 1, mValidUntil);
+  }
+
+private:
+  friend class permit_link;
+  send_permit(service_runner_id aRunner, std::uint32_t aSends, instant aValidUntil)
+    : mRunner(aRunner)
+    , mSends(aSends)
+    , mValidUntil(aValidUntil)
+  {
+  }
+
+  service_runner_id mRunner; ///< Where the requests may go.
+  std::uint32_t mSends;      ///< Requests left.
+  instant mValidUntil;       ///< End of its validity.
+};
+
 } // namespace dunehook
--- a/src/links/daemon_link.cpp
+++ b/src/links/daemon_link.cpp
@@ -221,6 +221,9 @@
   if (aMessage.mQuarantine && mQuarantineHandler) {
     mQuarantineHandler(*aMessage.mQuarantine, EndpointOf(aFrom));
   }
+  if (aMessage.mPermits && mPermitHandler) {
+    mPermitHandler(*aMessage.mPermits, aMessage.mDaemon, EndpointOf(aFrom));
+  }
   if (aMessage.mStore) {
     ApplyStorePosition(aMessage, aNow);
   }
--- a/src/links/daemon_link.h
+++ b/src/links/daemon_link.h
@@ -41,6 +41,13 @@
   {
     mQuarantineHandler = std::move(aTake);
   }
+  /** @param aTake called with each message on permits, the sender's incarnation and the address to
+   * answer to. */
+  void SetPermitHandler(
+    std::function<void(const permit_message&, std::uint64_t, const endpoint&)> aTake)
+  {
+    mPermitHandler = std::move(aTake);
+  }
   /** @return where a randomly picked daemon receives run messages; nothing if no other is known. */
   std::optional<endpoint> PickRandomPeer();
   /** @return how many daemons of this data hall that accept calls rank before this one. */
@@ -70,6 +77,8 @@
   udp::socket mRunSocket;       ///< Sends and receives run messages.
   /** Called with quarantine messages; may be empty. */
   std::function<void(const quarantine_message&, const endpoint&)> mQuarantineHandler;
+  /** Called with messages on permits; may be empty. */
+  std::function<void(const permit_message&, std::uint64_t, const endpoint&)> mPermitHandler;
   std::function<bool()> mReady;   ///< Whether this daemon accepts calls.
   instant mFirstHeartbeatAt{ 0 }; ///< When the first heartbeat was sent; zero before.
 };
--- /dev/null
+++ b/src/links/permit_link.cpp
@@ -0,0 +1,240 @@
+/**
+ * @file permit_link.cpp
+ * Exchanges limits, permit requests and replies with the other daemons.
+ */
+#include "links/permit_link.h"
+
+namespace dunehook {
+
+permit_link::permit_link(forward_state& aState, daemon_link& aLink)
+  : mState(aState)
+  , mLink(aLink)
+{
+  mLink.SetPermitHandler(
+    [this](const permit_message& aMessage, std::uint64_t aDaemon, const endpoint& aFrom) {
+      HandleMessage(aMessage, aDaemon, aFrom);
+    });
+  mState.mTellLimit = [this](service_runner_id aRunner, limit_change aChange) {
+    Tell(aRunner, aChange);
+  };
+  mState.mTakePermit = [this](permit_demand aDemand) { return Take(aDemand); };
+  mState.mChargePermit = [this](service_runner_id aRunner) { return Charge(aRunner); };
+}
+
+void
+permit_link::Start()
+{
+  SpawnGuarded(mState.mIo, RunPasses());
+  SpawnGuarded(mState.mIo, ExchangeLimits());
+}
+
+void
+permit_link::Tell(service_runner_id aRunner, limit_change aChange)
+{
+  if (aChange == limit_change::eNone) {
+    return;
+  }
+  const std::optional<limit_notice> notice =
+    mState.mPermits.Limits().NoticeOf(aRunner, mState.Now());
+  if (!notice) {
+    return;
+  }
+  run_message message;
+  message.mPermits.emplace().mNotices.push_back(*notice);
+  if (aChange != limit_change::eChanged) {
+    mLink.Broadcast(std::move(message));
+    return;
+  }
+  const std::optional<incarnation_id> grantor = mState.mPermits.GrantorOf(aRunner);
+  const std::optional<endpoint> to = grantor ? EndpointOfDaemon(*grantor) : std::nullopt;
+  if (to) {
+    mLink.SendTo(std::move(message), *to);
+  }
+}
+
+asio::awaitable<result<send_permit>>
+permit_link::Take(permit_demand aDemand)
+{
+  const instant asked = mState.Now();
+  const service_runner_id runner = aDemand.mRunner;
+  if (!mState.mPermits.Limits().NeedsPermit(runner, asked)) {
+    co_return send_permit(runner, aDemand.mSends, instant::max());
+  }
+  const std::optional<incarnation_id> grantor = mState.mPermits.GrantorOf(runner);
+  const bool held = mState.mPermits.Held(aDemand.mRank, asked).contains(runner);
+  if (!grantor) {
+    mState.mPermits.Hold(runner, aDemand.mRank, asked + kUngrantedWait);
+  }
+  if (!grantor || held) {
+    Count(runner, false);
+    co_return make_error_code(errc::eRunnerRefused);
+  }
+  const permit_request request =
+    mState.mPermits.MakeRequest(runner, aDemand.mSends, aDemand.mRank, asked);
+  std::optional<permit_reply> reply;
+  if (*grantor == mLink.Members().Self().mIncarnation) {
+    reply = mState.mPermits.Answer(request, *grantor, asked);
+  } else {
+    reply = co_await Ask(*grantor, request);
+  }
+  if (reply) {
+    mState.mPermits.NoteReply(*reply, aDemand.mRank, mState.Now());
+  }
+  const bool granted = reply && reply->mState == permit_state::eGranted;
+  Count(runner, granted);
+  if (!granted) {
+    co_return make_error_code(errc::eRunnerRefused);
+  }
+  co_return send_permit(runner, aDemand.mSends, asked + aDemand.mValidFor);
+}
+
+send_permit
+permit_link::Charge(service_runner_id aRunner)
+{
+  const instant now = mState.Now();
+  const send_permit permit(aRunner, 1, instant::max());
+  if (!mState.mPermits.Limits().NeedsPermit(aRunner, now)) {
+    return permit;
+  }
+  Count(aRunner, true);
+  permit_request request = mState.mPermits.MakeRequest(aRunner, 1, 0, now);
+  request.mCharge = true;
+  const std::optional<incarnation_id> grantor = mState.mPermits.GrantorOf(aRunner);
+  if (!grantor) {
+    return permit;
+  }
+  if (*grantor == mLink.Members().Self().mIncarnation) {
+    mState.mPermits.Answer(request, *grantor, now);
+  } else if (const std::optional<endpoint> to = EndpointOfDaemon(*grantor)) {
+    run_message message;
+    message.mPermits.emplace().mRequest = request;
+    mLink.SendTo(std::move(message), *to);
+  }
+  return permit;
+}
+
+asio::awaitable<std::optional<permit_reply>>
+permit_link::Ask(incarnation_id aDaemon, const permit_request& aRequest)
+{
+  const permit_request request = aRequest;
+  const std::optional<endpoint> to = EndpointOfDaemon(aDaemon);
+  std::optional<permit_reply> reply;
+  if (to) {
+    const auto pending = std::make_shared<pending_request>(mState.mIo);
+    mPending[request.mRound] = pending;
+    run_message message;
+    message.mPermits.emplace().mRequest = request;
+    mLink.SendTo(std::move(message), *to);
+    const instant until = mState.Now() + kPermitReplyTimeout;
+    while (!pending->mReply && mState.Now() < until) {
+      co_await pending->mReplyArrived.Wait(until - mState.Now());
+    }
+    mPending.erase(request.mRound);
+    reply = pending->mReply;
+  }
+  if (!reply) {
+    mState.mPermits.NoteNoReply(aDaemon, request, mState.Now());
+  }
+  co_return reply;
+}
+
+asio::awaitable<void>
+permit_link::Check(incarnation_id aDaemon)
+{
+  const permit_request request = mState.mPermits.MakeCheck();
+  co_await Ask(aDaemon, request);
+}
+
+void
+permit_link::HandleMessage(const permit_message& aMessage,
+                           std::uint64_t aDaemon,
+                           const endpoint& aFrom)
+{
+  const instant now = mState.Now();
+  const incarnation_id sender{ aDaemon };
+  mState.mPermits.NoteHeard(sender, now);
+  for (const limit_notice& notice : aMessage.mNotices) {
+    mState.ApplyLimit(notice);
+  }
+  if (aMessage.mReply) {
+    const auto pending = mPending.find(aMessage.mReply->mRound);
+    if (pending != mPending.end()) {
+      pending->second->mReply = aMessage.mReply;
+      pending->second->mReplyArrived.Notify();
+    }
+  }
+  if (aMessage.mRequest) {
+    const permit_reply reply = mState.mPermits.Answer(*aMessage.mRequest, sender, now);
+    if (!aMessage.mRequest->mCharge) {
+      run_message message;
+      message.mPermits.emplace().mReply = reply;
+      mLink.SendTo(std::move(message), aFrom);
+    }
+  }
+}
+
+asio::awaitable<void>
+permit_link::RunPasses()
+{
+  for (;;) {
+    const instant slept = mState.Now();
+    co_await Sleep(kPermitPassInterval);
+    const instant now = mState.Now();
+    std::set<incarnation_id> serving;
+    for (const member_info* const member : mLink.Members().RankedServing()) {
+      serving.insert(member->mIncarnation);
+    }
+    mState.mPermits.SetMembers(mLink.Members().Self().mIncarnation,
+                               std::move(serving),
+                               now - slept > 2 * kPermitPassInterval,
+                               now);
+    const auto exists = [this](service_runner_id aRunner) {
+      return mState.mRunners.Find(aRunner) != nullptr;
+    };
+    mState.mPermits.Prune(exists, now);
+    mState.mLimitLog.Prune(exists);
+    for (const incarnation_id daemon : mState.mPermits.DueChecks(now)) {
+      SpawnGuarded(mState.mIo, Check(daemon));
+    }
+  }
+}
+
+asio::awaitable<void>
+permit_link::ExchangeLimits()
+{
+  for (;;) {
+    std::vector<limit_notice> notices = mState.mPermits.Limits().Notices(mState.Now());
+    const std::optional<endpoint> other = notices.empty() ? std::nullopt : mLink.PickRandomPeer();
+    if (other) {
+      notices.resize(std::min(notices.size(), kMaxLimitsPerDatagram));
+      run_message message;
+      message.mPermits.emplace().mNotices = std::move(notices);
+      mLink.SendTo(std::move(message), *other);
+    }
+    const double spread = 0.5 + mState.RandomFraction();
+    co_await Sleep(FromSeconds(ToSeconds(kLimitCompareInterval) * spread));
+  }
+}
+
+std::optional<endpoint>
+permit_link::EndpointOfDaemon(incarnation_id aDaemon) const
+{
+  const member_info* const member = mLink.Members().Find(aDaemon);
+  return member == nullptr ? std::nullopt
+                           : std::optional<endpoint>(RunEndpointOf(member->mAddress));
+}
+
+void
+permit_link::Count(service_runner_id aRunner, bool aSent)
+{
+  mState.mMetrics.CountLimited(NameOf(aRunner), aSent ? "sent" : "held");
+}
+
+std::string
+permit_link::NameOf(service_runner_id aRunner) const
+{
+  const runner_state* const runner = mState.mRunners.Find(aRunner);
+  return runner == nullptr ? "" : runner->mEntry.mName;
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/links/permit_link.h
@@ -0,0 +1,72 @@
+/**
+ * @file permit_link.h
+ * Keeps the rate limits that runners name in their answers, over all daemons. Whoever reads an
+ * answer tells the others that a limit began or ended; the value goes to the grantor of the
+ * runner's permits, which are asked for before each send. So no daemon has to know how many others
+ * send.
+ */
+#pragma once
+
+#include "limits/permit_broker.h"
+#include "links/daemon_link.h"
+
+namespace dunehook {
+
+/** Time between passes over members and limits. */
+inline constexpr duration kPermitPassInterval = std::chrono::milliseconds(250);
+/** Mean time between messages to another daemon, drawn at random, with the limits known here. They
+ * make up for lost datagrams and reach daemons that have just started. */
+inline constexpr duration kLimitCompareInterval = std::chrono::milliseconds(500);
+/** Most limits in one datagram. */
+inline constexpr std::size_t kMaxLimitsPerDatagram = 64;
+/** Asks for permits, grants them, and exchanges limits with the other daemons. */
+class permit_link
+{
+public:
+  permit_link(forward_state& aState, daemon_link& aLink);
+
+  /** Starts the passes and the exchange. */
+  void Start();
+  /**
+   * Gets the right to send requests to a runner; at once if it names no limit.
+   * @param aValidFor how long the permit may be kept.
+   * @return the permit, or eRunnerRefused if the limit leaves none now.
+   */
+  asio::awaitable<result<send_permit>> Take(permit_demand aDemand);
+  /** @return a permit for a call that frees something at the runner. It isn't refused, but counted.
+   */
+  send_permit Charge(service_runner_id aRunner);
+
+private:
+  /** A request that waits for its reply. */
+  struct pending_request
+  {
+    explicit pending_request(asio::io_context& aIo)
+      : mReplyArrived(aIo)
+    {
+    }
+
+    std::optional<permit_reply> mReply; ///< Set once it came.
+    wake_list mReplyArrived;            ///< Woken then.
+  };
+
+  asio::awaitable<void> RunPasses();
+  asio::awaitable<void> ExchangeLimits();
+  asio::awaitable<void> Check(incarnation_id aDaemon);
+  /** Sends a request to another daemon. @return its reply; none if it didn't come in time. */
+  asio::awaitable<std::optional<permit_reply>> Ask(incarnation_id aDaemon,
+                                                   const permit_request& aRequest);
+  void HandleMessage(const permit_message& aMessage, std::uint64_t aDaemon, const endpoint& aFrom);
+  /** Tells the others of a limit that began or ended, and the grantor of one that changed. */
+  void Tell(service_runner_id aRunner, limit_change aChange);
+  std::optional<endpoint> EndpointOfDaemon(incarnation_id aDaemon) const;
+  std::string NameOf(service_runner_id aRunner) const;
+  /** Counts a send, or one that the limit held back. */
+  void Count(service_runner_id aRunner, bool aSent);
+
+  forward_state& mState; ///< State shared by the parts of the daemon; the broker among it.
+  daemon_link& mLink;    ///< Sends messages to the other daemons.
+  std::map<std::uint32_t, std::shared_ptr<pending_request>> mPending; ///< By round.
+};
+
+} // namespace dunehook
--- a/src/messages/run_message.cpp
+++ b/src/messages/run_message.cpp
@@ -2,20 +2,25 @@
  * @file run_message.cpp
  * Encodes run messages as CBOR: [sender, digest, [[run, decode, prefill, prompt, answer, most,
  * made, age]...], [ended...], [ordered...], [refused...], store, runner changes, whether the store
- * is silent, [finished...], [reads...], [outcomes...], [full...], [leaving...], quarantine].
+ * is silent, [finished...], [reads...], [outcomes...], [full...], [leaving...], quarantine,
+ * permits].
  */
 #include "messages/run_message.h"
 
 #include "runners/id_list_func.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace dunehook {
 
 namespace {
 
 using nlohmann::json;
 
-/** Index of the quarantine in a message. */
+/** Index of the quarantine, and of the permits, in a message. */
 constexpr std::size_t kQuarantineIndex = 14;
+constexpr std::size_t kPermitsIndex = 15;
 
 /** Limit on runs decoded from one datagram; a valid datagram can't hold as many. */
 constexpr std::size_t kMaxRuns = 2000;
@@ -221,6 +226,88 @@
   return message;
 }
 
+json
+EncodeLimit(const limit_notice& aNotice)
+{
+  const json limit = aNotice.mPerSecond ? json(*aNotice.mPerSecond) : json();
+  return json::array({ aNotice.mRunner.mValue, limit, aNotice.mAge.count() });
+}
+
+json
+EncodePermits(const permit_message& aMessage)
+{
+  json notices = json::array();
+  for (const limit_notice& notice : aMessage.mNotices) {
+    notices.push_back(EncodeLimit(notice));
+  }
+  json request;
+  if (aMessage.mRequest) {
+    const permit_request& asked = *aMessage.mRequest;
+    request = json::array({ asked.mRunner.mValue,
+                            asked.mRound,
+                            asked.mSends,
+                            asked.mRank,
+                            asked.mCharge,
+                            asked.mKnown ? EncodeLimit(*asked.mKnown) : json() });
+  }
+  json reply;
+  if (aMessage.mReply) {
+    const permit_reply& answer = *aMessage.mReply;
+    reply = json::array({ answer.mRunner.mValue,
+                          answer.mRound,
+                          static_cast<int>(answer.mState),
+                          answer.mWait.count() });
+  }
+  return json::array({ std::move(notices), std::move(request), std::move(reply) });
+}
+
+/** @return the notice; nothing if its limit isn't a rate. */
+std::optional<limit_notice>
+DecodeLimit(const json& aItem)
+{
+  limit_notice notice;
+  notice.mRunner = { aItem.at(0).get<std::uint64_t>() };
+  if (!aItem.at(1).is_null()) {
+    notice.mPerSecond = aItem.at(1).get<double>();
+  }
+  notice.mAge = duration(std::max<std::int64_t>(0, aItem.at(2).get<std::int64_t>()));
+  const bool isRate =
+    !notice.mPerSecond || (std::isfinite(*notice.mPerSecond) && *notice.mPerSecond >= 0.0);
+  return isRate ? std::optional<limit_notice>(notice) : std::nullopt;
+}
+
+permit_message
+DecodePermits(const json& aItem)
+{
+  permit_message message;
+  for (const json& item : aItem.at(0)) {
+    if (const std::optional<limit_notice> notice = DecodeLimit(item)) {
+      message.mNotices.push_back(*notice);
+    }
+  }
+  const json& request = aItem.at(1);
+  if (!request.is_null()) {
+    permit_request& asked = message.mRequest.emplace();
+    asked.mRunner = { request.at(0).get<std::uint64_t>() };
+    asked.mRound = request.at(1).get<std::uint32_t>();
+    asked.mSends = std::min(kMaxSendsPerRequest, request.at(2).get<std::uint32_t>());
+    asked.mRank = request.at(3).get<std::uint32_t>();
+    asked.mCharge = request.at(4).get<bool>();
+    if (!request.at(5).is_null()) {
+      asked.mKnown = DecodeLimit(request.at(5));
+    }
+  }
+  const json& reply = aItem.at(2);
+  if (!reply.is_null()) {
+    permit_reply& answer = message.mReply.emplace();
+    answer.mRunner = { reply.at(0).get<std::uint64_t>() };
+    answer.mRound = reply.at(1).get<std::uint32_t>();
+    answer.mState = static_cast<permit_state>(reply.at(2).get<int>());
+    answer.mWait = duration(reply.at(3).get<std::int64_t>());
+  }
+  return message;
+}
+
 } // namespace
 
 std::string
@@ -258,6 +345,10 @@
   if (aMessage.mQuarantine) {
     quarantine = EncodeQuarantine(*aMessage.mQuarantine);
   }
+  json permits;
+  if (aMessage.mPermits) {
+    permits = EncodePermits(*aMessage.mPermits);
+  }
   const std::vector<std::uint8_t> bytes = json::to_cbor(json::array({ aMessage.mDaemon,
                                                                       aMessage.mDigest,
                                                                       std::move(begun),
@@ -272,7 +363,8 @@
                                                                       EncodeOutcomes(aMessage),
                                                                       IdsOf(aMessage.mFull),
                                                                       IdsOf(aMessage.mLeaving),
-                                                                      std::move(quarantine) }));
+                                                                      std::move(quarantine),
+                                                                      std::move(permits) }));
   return { bytes.begin(), bytes.end() };
 }
 
@@ -315,6 +407,10 @@
     if (hasQuarantine) { // Daemons of the version before the quarantine don't send the item.
       message.mQuarantine = DecodeQuarantine(body.at(kQuarantineIndex));
     }
+    // Daemons of the version before the permits don't send the item.
+    if (body.size() > kPermitsIndex && !body.at(kPermitsIndex).is_null()) {
+      message.mPermits = DecodePermits(body.at(kPermitsIndex));
+    }
     return message.mDaemon == 0 ? std::nullopt : std::optional<run_message>(message);
   } catch (const json::exception&) {
     return std::nullopt; // The receiver counts invalid datagrams.
--- a/src/messages/run_message.h
+++ b/src/messages/run_message.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "limits/limit_type.h"
 #include "placement/placement_type.h"
 #include "quarantine/quarantine_type.h"
 
@@ -71,6 +72,7 @@
   std::vector<service_runner_id> mLeaving; ///< Runners that announced their shutdown in an answer.
 
   std::optional<quarantine_message> mQuarantine; ///< About requests that crash runners.
+  std::optional<permit_message> mPermits;        ///< About limits that runners name.
 
   bool operator==(const run_message&) const = default;
 };
--- a/src/roles/role_controller.h
+++ b/src/roles/role_controller.h
@@ -132,6 +132,12 @@
     order.mTerm = mTerm;
     order.mAfterOrders = mAcceptedOrders[aChange.mRunner];
     const endpoint address = runner->mEntry.mAddress;
+    const permit_demand demand{ aChange.mRunner, 1, 0, 2 * kOrderTimeout };
+    const result<send_permit> permit = co_await mState.mTakePermit(demand);
+    if (!permit) { // Planned again at the next tick.
+      LogEvent(log_level::eInfo, "order_withheld", { { "runner", order.mRunnerName } });
+      co_return;
+    }
     mPlanner.NoteOrdered(aChange, mState.Now());
     const http_call call = Wire::OrderCall(order);
     auto connected = co_await http_connection::Connect(address, kOrderTimeout);
@@ -141,7 +147,7 @@
     }
     // Connecting takes time, in which the machine may have been suspended, so that another daemon
     // may hold the term by now.
-    if (mState.Now() >= mOrdersValidUntil) {
+    if (mState.Now() >= mOrdersValidUntil || !permit.value().IsValid(mState.Now())) {
       LogEvent(log_level::eInfo, "order_withheld", { { "runner", order.mRunnerName } });
       co_return;
     }
--- a/src/runners/runner_choice.cpp
+++ b/src/runners/runner_choice.cpp
@@ -84,13 +84,16 @@
 }
 
 instant
-runner_table::AcceptsRequestsFrom(const std::string& aService) const
+runner_table::AcceptsRequestsFrom(const std::string& aService,
+                                  const std::map<service_runner_id, instant>& aHeld) const
 {
   instant from = instant::max();
   for (const auto& [id, runner] : mRunners) {
     const bool remains = !runner.mDraining && !runner.mGone;
     if (remains && runner.mEntry.mService == aService) {
-      from = std::min(from, runner.mPausedUntil);
+      const auto held = aHeld.find(id);
+      const instant heldUntil = held == aHeld.end() ? instant{ 0 } : held->second;
+      from = std::min(from, std::max(runner.mPausedUntil, heldUntil));
     }
   }
   return from;
@@ -98,7 +101,7 @@
 
 runner_state*
 runner_table::Choose(const std::string& aService,
-                     const std::set<service_runner_id>& aTried,
+                     const std::set<service_runner_id>& aExcluded,
                      instant aNow,
                      double aDraw)
 {
@@ -106,7 +109,7 @@
   double bestShare = 1.0;
   for (auto& [id, state] : mRunners) {
     const bool available = TakesWork(state, aNow) && MayReceive(state, aNow);
-    if (state.mEntry.mService == aService && available && aTried.count(id) == 0) {
+    if (state.mEntry.mService == aService && available && aExcluded.count(id) == 0) {
       candidates.push_back(&state);
       bestShare = std::min(bestShare, state.mFailureShare);
     }
--- a/src/runners/runner_table.h
+++ b/src/runners/runner_table.h
@@ -9,6 +9,7 @@
 #include "runners/runner_type.h"
 #include "runners/send_type.h"
 
+#include <map>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -85,18 +86,23 @@
   /** @return known runners that this daemon may not send to (see MayReceive()). Whoever places
    * requests for this daemon has to exclude them. */
   std::vector<service_runner_id> Barred(instant aNow) const;
-  /** @return when the first runner of a service accepts requests from this daemon again, leaving
-   * out those that shut down; in the past if one accepts them now. @pre HasRunner(). */
-  instant AcceptsRequestsFrom(const std::string& aService) const;
+  /**
+   * @param aHeld runners that accept none before an instant for another reason.
+   * @return when the first runner of a service accepts requests from this daemon again, leaving out
+   * those that shut down; in the past if one accepts them now.
+   * @pre HasRunner().
+   */
+  instant AcceptsRequestsFrom(const std::string& aService,
+                              const std::map<service_runner_id, instant>& aHeld) const;
 
   /**
    * Chooses a runner of a plain service by its load and its share of failures.
-   * @param aTried runners that this request was already sent to.
+   * @param aExcluded runners that this request can't be sent to, or was sent to already.
    * @param aDraw a number from 0 up to 1 that breaks ties.
    * @return null if none may be given work.
    */
   runner_state* Choose(const std::string& aService,
-                       const std::set<service_runner_id>& aTried,
+                       const std::set<service_runner_id>& aExcluded,
                        instant aNow,
                        double aDraw);
 
--- a/src/state/forward_state.h
+++ b/src/state/forward_state.h
@@ -5,6 +5,8 @@
  */
 #pragma once
 
+#include "limits/permit_broker.h"
+#include "limits/return_slots.h"
 #include "messages/run_message.h"
 #include "placement/placement_queue.h"
 #include "placement/refused_table.h"
@@ -29,6 +31,9 @@
 using ask_placer_callback =
   std::function<asio::awaitable<std::optional<place_reply>>(place_request, std::function<bool()>)>;
 
+/** Gets a permit, or eRunnerRefused if the runner's limit leaves none now. */
+using take_permit_callback = std::function<asio::awaitable<result<send_permit>>(permit_demand)>;
+
 /** The shared state of a forwarding daemon. */
 struct forward_state
 {
@@ -128,26 +133,53 @@
     }
   }
 
-  /** Records what an answer says about its runner's limit. @return what it changed. */
-  limit_change NoteLimit(const limit_observation& aObservation)
+  /** Records what an answer says about its runner's limit, and tells the daemons concerned. */
+  void NoteLimit(const limit_observation& aObservation)
   {
     const service_runner_id runner = aObservation.mRunner;
     const runner_state* const known = mRunners.Find(runner);
     if (known == nullptr) {
-      return limit_change::eNone;
+      return;
     }
+    limit_table& limits = mPermits.Limits();
     limit_change change = limit_change::eNone;
     if (aObservation.mLimit.mReport == limit_report::eNamed) {
       mMetrics.CountNotice("limit");
       change =
-        mLimits.NoteNamed(runner, aObservation.mLimit.mPerSecond, aObservation.mSentAt, Now());
+        limits.NoteNamed(runner, aObservation.mLimit.mPerSecond, aObservation.mSentAt, Now());
     } else if (aObservation.mLimit.mReport == limit_report::eUnreadable) {
       mLimitLog.NoteUnreadable(runner, known->mEntry.mName);
     } else if (aObservation.mOwnAnswer) {
-      change = mLimits.NoteNotNamed(runner, aObservation.mSentAt, Now());
+      change = limits.NoteNotNamed(runner, aObservation.mSentAt, Now());
+    }
+    mLimitLog.Note(runner, known->mEntry.mName, change, limits.LimitOf(runner));
+    if (change != limit_change::eNone) {
+      mTellLimit(runner, change);
+    }
+  }
+
+  /** Applies what another daemon knows of a runner's limit. */
+  void ApplyLimit(const limit_notice& aNotice)
+  {
+    if (const runner_state* const known = mRunners.Find(aNotice.mRunner)) {
+      const limit_change change = mPermits.Limits().Apply(aNotice, Now());
+      mLimitLog.Note(
+        aNotice.mRunner, known->mEntry.mName, change, mPermits.Limits().LimitOf(aNotice.mRunner));
     }
-    mLimitLog.Note(runner, known->mEntry.mName, change, mLimits.LimitOf(runner));
-    return change;
+  }
+
+  /**
+   * @return whether a limit keeps requests of this rank from a runner of the service that could
+   * serve them otherwise.
+   */
+  bool IsHeldByLimit(const std::string& aService, std::uint32_t aRank) const
+  {
+    const held_runners held = mPermits.Held(aRank, Now());
+    return std::any_of(held.begin(), held.end(), [&](const auto& aRow) {
+      const runner_state* const runner = mRunners.Find(aRow.first);
+      return runner != nullptr && runner->mEntry.mService == aService &&
+             mRunners.MayReceive(*runner, Now());
+    });
   }
 
   /** Records that an engine granted a reservation, to this or another daemon. */
@@ -237,8 +269,8 @@
   placement_table mPlacement;  ///< Runs of all daemons and forecasts of engines' memory.
   placement_queue mPlaceQueue; ///< Waiting placement requests of all daemons, if this one places.
   crash_ledger mCrashes;       ///< Requests that crash runners.
-  limit_table mLimits;         ///< Limits that runners name.
-  limit_log mLimitLog;         ///< Log lines about them.
+  permit_broker mPermits;      ///< Limits that runners name, and the permits to send to them.
+  limit_log mLimitLog;         ///< Log lines about the limits.
   gateway_metrics mMetrics;    ///< Counters and histograms.
   instant mRunnersReadAt{ 0 }; ///< When the runner list was last read or received.
   upstream_pool mPool;         ///< Connections to runners, for requests.
@@ -258,6 +290,11 @@
   std::function<void(const crash_report&)> mReportCrash;  ///< Records and sends a crash report.
   std::function<void(request_fingerprint)> mReportServed; ///< Records a completed request.
   ask_placer_callback mAskPlacer;                         ///< Asks a daemon that places.
+  take_permit_callback mTakePermit;                       ///< Gets the right to send to a runner.
+  std::function<send_permit(service_runner_id)> mChargePermit; ///< The same for calls that free.
+  /** Tells other daemons of a limit that has changed. */
+  std::function<void(service_runner_id, limit_change)> mTellLimit;
+  std::map<std::string, return_slots> mLimitReturns; ///< Returns of refused callers, by service.
 };
 
 } // namespace dunehook
--- a/src/state/gateway_metrics.cpp
+++ b/src/state/gateway_metrics.cpp
@@ -18,6 +18,9 @@
   0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 3.0
 };
 
+/** Label of routes and runners that have none of their own. */
+const std::string kOtherLabel = "other";
+
 prometheus::Family<prometheus::Counter>*
 Counters(prometheus::Registry& aRegistry, const char* aName, const char* aHelp)
 {
@@ -58,6 +61,9 @@
                .Name("dunehook_state")
                .Help("Current values, by name.")
                .Register(mRegistry))
+  , mLimitedSends(Counters(mRegistry,
+                           "dunehook_limited_sends_total",
+                           "Requests to runners that name a limit, sent or held back."))
   , mLimits(&prometheus::BuildGauge()
                .Name("dunehook_runner_limit")
                .Help("Requests a second that a runner says it accepts, from all daemons together.")
@@ -71,7 +77,7 @@
   if (mLabelledRoutes.size() < kMaxRouteLabels) {
     mLabelledRoutes.insert(aRoute);
   }
-  return mLabelledRoutes.count(aRoute) > 0 ? aRoute : "other";
+  return mLabelledRoutes.count(aRoute) > 0 ? aRoute : kOtherLabel;
 }
 
 void
@@ -141,6 +147,16 @@
     .Increment();
 }
 
+void
+gateway_metrics::CountLimited(const std::string& aRunner, std::string_view aWhat)
+{
+  if (mLabelledRunners.size() < kMaxRunnerLabels) {
+    mLabelledRunners.insert(aRunner);
+  }
+  const std::string& label = mLabelledRunners.contains(aRunner) ? aRunner : kOtherLabel;
+  mLimitedSends->Add({ { "runner", label }, { "what", std::string(aWhat) } }).Increment();
+}
+
 void
 gateway_metrics::SetLimits(const std::map<std::string, double>& aLimits)
 {
--- a/src/state/gateway_metrics.h
+++ b/src/state/gateway_metrics.h
@@ -58,6 +58,8 @@
   /** Counts a call to the store. */
   void CountStoreCall(std::string_view aCall, bool aAnswered);
 
+  /** Counts a request to a runner that names a limit: "sent", or "held" back. */
+  void CountLimited(const std::string& aRunner, std::string_view aWhat);
   /** Sets the limits that runners name, in requests a second, by runner. */
   void SetLimits(const std::map<std::string, double>& aLimits);
 
@@ -68,7 +70,8 @@
   /** @return the route's label; routes beyond kMaxRouteLabels share one. */
   std::string RouteLabel(const std::string& aRoute);
 
-  static constexpr std::size_t kMaxRouteLabels = 100; ///< Routes that have their own label.
+  static constexpr std::size_t kMaxRouteLabels = 100;  ///< Routes that have their own label.
+  static constexpr std::size_t kMaxRunnerLabels = 100; ///< Limited runners that have one.
 
   prometheus::Registry mRegistry;                           ///< Owns all metric families.
   prometheus::Family<prometheus::Counter>* mRequests;       ///< By route, outcome, reason.
@@ -82,9 +85,11 @@
   prometheus::Family<prometheus::Counter>* mRetries;        ///< By service.
   prometheus::Family<prometheus::Counter>* mStoreCalls;     ///< By call and answer.
   prometheus::Family<prometheus::Gauge>* mGauges;           ///< All gauges, by name.
+  prometheus::Family<prometheus::Counter>* mLimitedSends;   ///< By runner and what became of them.
   prometheus::Family<prometheus::Gauge>* mLimits;           ///< By runner.
   std::map<std::string, prometheus::Gauge*> mLimitGauges;   ///< Those in mLimits.
   std::set<std::string> mLabelledRoutes;                    ///< Routes that have their own label.
+  std::set<std::string> mLabelledRunners;                   ///< Limited runners that have one.
 };
 
 } // namespace dunehook
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -144,7 +144,7 @@
   mTable.NotePause(RunnerIdOf("a"), kNow + 3s);
   mTable.NotePause(RunnerIdOf("a"), kNow + 1s); // The later end counts.
   CHECK(Pick(kNow + 2999ms) == nullptr);
-  CHECK(mTable.AcceptsRequestsFrom("desk") == kNow + 3s);
+  CHECK(mTable.AcceptsRequestsFrom("desk", {}) == kNow + 3s);
   CHECK_TRUE(mTable.HasRunner("desk"));
   CHECK(mTable.Barred(kNow) == std::vector<service_runner_id>{ RunnerIdOf("a") });
   CHECK(Pick(kNow + 3s) != nullptr);
--- a/tests/unit/limit_test.cpp
+++ b/tests/unit/limit_test.cpp
@@ -1,9 +1,11 @@
 /**
  * @file limit_test.cpp
- * Unit tests of the limits that runners name: which of several answers counts, and the rate
- * after the end of a limit.
+ * Unit tests of the limits that runners name: the order of answers, the bucket of permits, and a
+ * daemon's part in sharing them.
  */
-#include "limits/limit_table.h"
+#include "limits/permit_broker.h"
+#include "limits/return_slots.h"
+#include "messages/run_message.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -15,6 +17,8 @@
 using std::chrono::seconds;
 
 constexpr service_runner_id kRunner{ 7001 };
+constexpr incarnation_id kOne{ 11 };
+constexpr incarnation_id kTwo{ 12 };
 constexpr instant kStart = seconds(1000);
 
 } // namespace
@@ -93,3 +97,206 @@
   }
   CheckLimit(100.0 - 9.99);
 }
+
+TEST_GROUP(permit_bucket)
+{
+  permit_bucket mBucket{ kStart }; ///< Under test.
+
+  /** Asks for permits of two ranks at equal times. @return permits taken by each. */
+  std::pair<int, int> Compete(double aRate, int aSeconds, int aUrgentEveryMs, int aOtherEveryMs)
+  {
+    std::pair<int, int> taken{ 0, 0 };
+    for (int ms = 0; ms < aSeconds * 1000; ++ms) {
+      const instant now = kStart + milliseconds(ms);
+      mBucket.Fill(aRate, now);
+      if (ms % aUrgentEveryMs == 0 && mBucket.Take(1, 0, now)) {
+        ++taken.first;
+      }
+      if (ms % aOtherEveryMs == 1 && mBucket.Take(1, 5, now)) {
+        ++taken.second;
+      }
+    }
+    return taken;
+  }
+};
+
+TEST(permit_bucket, OneRankAloneUsesTheWholeRate)
+{
+  const auto [urgent, other] = Compete(5.8, 20, 1000000, 20);
+  CHECK_TRUE(other >= static_cast<int>(0.95 * 5.8 * 20));
+  CHECK_TRUE(other <= static_cast<int>(5.8 * 20) + 4);
+}
+
+TEST(permit_bucket, UrgentRequestsGoFirstAndTheOthersAreNotStarved)
+{
+  const auto [urgent, other] = Compete(10.0, 20, 20, 20);
+  CHECK_TRUE(urgent >= 140);
+  CHECK_TRUE(other >= 30);
+  CHECK_TRUE(urgent + other <= 204);
+}
+
+TEST(permit_bucket, UrgentRequestsThatWantLittleLeaveTheRest)
+{
+  const auto [urgent, other] = Compete(10.0, 20, 500, 20);
+  CHECK_TRUE(urgent >= 38);
+  CHECK_TRUE(other >= 140);
+}
+
+TEST(permit_bucket, ChargesNeverStopItForGood)
+{
+  for (int i = 0; i < 1000; ++i) {
+    mBucket.Charge(1);
+  }
+  mBucket.Fill(1.0, kStart + seconds(10));
+  CHECK_TRUE(mBucket.Take(1, 0, kStart + seconds(10)));
+}
+
+TEST_GROUP(permit_broker)
+{
+  permit_broker mBroker; ///< Under test, of daemon kOne.
+
+  void SetMembers(std::set<incarnation_id> aServing, instant aNow, bool aLate = false)
+  {
+    mBroker.SetMembers(kOne, std::move(aServing), aLate, aNow);
+  }
+  /** Asks as often as a daemon may for a while. @return permits granted. */
+  int CountGranted(instant aFrom, duration aFor)
+  {
+    int granted = 0;
+    for (instant now = aFrom; now < aFrom + aFor; now += milliseconds(10)) {
+      const permit_request request = mBroker.MakeRequest(kRunner, 1, 1, now);
+      granted += mBroker.Answer(request, kTwo, now).mState == permit_state::eGranted ? 1 : 0;
+    }
+    return granted;
+  }
+};
+
+TEST(permit_broker, ANewGrantorBeginsWithNothingAndThenHalf)
+{
+  mBroker.Limits().NoteNamed(kRunner, 10.0, kStart, kStart);
+  SetMembers({ kOne }, kStart);
+  LONGS_EQUAL(0, CountGranted(kStart, kGrantorWarmUp));
+  const int half = CountGranted(kStart + kGrantorWarmUp, kNewGrantorTime);
+  CHECK_TRUE(half <= 15 + 1);
+  CHECK_TRUE(half >= 13);
+  const int whole = CountGranted(kStart + kGrantorWarmUp + kNewGrantorTime, seconds(4));
+  CHECK_TRUE(whole >= 38);
+  CHECK_TRUE(whole <= 42);
+}
+
+TEST(permit_broker, AGrantorOfStableMembersGrantsAtOnce)
+{
+  SetMembers({ kOne }, kStart);
+  const instant now = kStart + kStableMembersTime;
+  mBroker.Limits().NoteNamed(kRunner, 10.0, now, now);
+  CHECK_TRUE(CountGranted(now, seconds(2)) >= 17);
+}
+
+TEST(permit_broker, AGrantorThatStoodStillBeginsAnew)
+{
+  SetMembers({ kOne }, kStart);
+  const instant now = kStart + kStableMembersTime;
+  mBroker.Limits().NoteNamed(kRunner, 10.0, now, now);
+  CHECK_TRUE(CountGranted(now, seconds(1)) > 0);
+  SetMembers({ kOne }, now + seconds(2), true);
+  LONGS_EQUAL(0, CountGranted(now + seconds(2), kGrantorWarmUp));
+}
+
+TEST(permit_broker, ADaemonThatHearsFewGrantsTheirPartOnly)
+{
+  SetMembers({ kOne, kTwo, { 13 }, { 14 } }, kStart);
+  SetMembers({ kOne }, kStart + seconds(1));
+  const instant now = kStart + seconds(1) + kStableMembersTime;
+  mBroker.Limits().NoteNamed(kRunner, 20.0, now, now);
+  const int granted = CountGranted(now, seconds(4));
+  CHECK_TRUE(granted <= 20 + 3);
+  CHECK_TRUE(granted >= 16);
+}
+
+TEST(permit_broker, HostsThatWereTakenAwayAreForgotten)
+{
+  SetMembers({ kOne, kTwo, { 13 }, { 14 } }, kStart);
+  SetMembers({ kOne }, kStart + seconds(1));
+  const instant now = kStart + seconds(2) + kMostHeardMemory;
+  SetMembers({ kOne }, now);
+  mBroker.Limits().NoteNamed(kRunner, 20.0, now, now);
+  CHECK_TRUE(CountGranted(now, seconds(4)) >= 76);
+}
+
+TEST(permit_broker, ASilentGrantorIsPassedOverUntilItIsHeard)
+{
+  SetMembers({ kOne, kTwo }, kStart);
+  mBroker.Limits().NoteNamed(kRunner, 10.0, kStart, kStart);
+  const std::optional<incarnation_id> first = mBroker.GrantorOf(kRunner);
+  CHECK_TRUE(first.has_value());
+  for (std::uint32_t i = 0; i < kMaxUnansweredRequests; ++i) {
+    mBroker.NoteNoReply(*first, mBroker.MakeRequest(kRunner, 1, 1, kStart), kStart);
+  }
+  CHECK_TRUE(mBroker.GrantorOf(kRunner) != first);
+  LONGS_EQUAL(1, mBroker.DueChecks(kStart).size());
+  LONGS_EQUAL(0, mBroker.DueChecks(kStart).size());
+  mBroker.NoteHeard(*first, kStart);
+  CHECK_TRUE(mBroker.GrantorOf(kRunner) == first);
+}
+
+TEST(permit_broker, ADeniedDaemonAsksForMoreUrgentRequestsOnly)
+{
+  SetMembers({ kOne }, kStart);
+  mBroker.Limits().NoteNamed(kRunner, 1.0, kStart, kStart);
+  permit_reply denied;
+  denied.mRunner = kRunner;
+  denied.mState = permit_state::eDenied;
+  denied.mWait = milliseconds(300);
+  mBroker.NoteReply(denied, 3, kStart);
+  LONGS_EQUAL(1, mBroker.Held(3, kStart).size());
+  LONGS_EQUAL(1, mBroker.Held(4, kStart).size());
+  LONGS_EQUAL(0, mBroker.Held(2, kStart).size());
+  LONGS_EQUAL(0, mBroker.Held(3, kStart + milliseconds(300)).size());
+}
+
+TEST_GROUP(return_slots){};
+
+TEST(return_slots, RefusedCallersReturnOneAfterTheOther)
+{
+  return_slots slots;
+  LONGS_EQUAL(500'000, slots.Next(2.0, kStart).count());
+  LONGS_EQUAL(1'000'000, slots.Next(2.0, kStart).count());
+  LONGS_EQUAL(1'000'000, slots.Next(2.0, kStart + milliseconds(500)).count());
+  for (int i = 0; i < 100; ++i) {
+    CHECK_TRUE(slots.Next(2.0, kStart) <= kMaxReturnAhead);
+  }
+}
+
+TEST_GROUP(permit_message){};
+
+TEST(permit_message, SurvivesTheWire)
+{
+  run_message sent;
+  sent.mDaemon = 5;
+  permit_message& permits = sent.mPermits.emplace();
+  permits.mNotices = { { kRunner, 5.8, milliseconds(20) },
+                       { { 7002 }, std::nullopt, milliseconds(30) } };
+  permit_request request;
+  request.mRunner = kRunner;
+  request.mRound = 9;
+  request.mSends = 2;
+  request.mRank = 3;
+  request.mCharge = true;
+  request.mKnown = limit_notice{ kRunner, 5.8, milliseconds(20) };
+  permits.mRequest = request;
+  permits.mReply = permit_reply{ kRunner, 9, permit_state::eDenied, milliseconds(120) };
+  const std::optional<run_message> got = DecodeRunMessage(Encode(sent, kStart), kStart);
+  CHECK_TRUE(got.has_value());
+  CHECK_TRUE(*got == sent);
+}
+
+TEST(permit_message, LimitsThatAreNoRatesAreLeftOut)
+{
+  run_message sent;
+  sent.mDaemon = 5;
+  sent.mPermits.emplace().mNotices = { { kRunner, -1.0, duration{ 0 } },
+                                       { { 7002 }, 3.0, duration{ 0 } } };
+  const std::optional<run_message> got = DecodeRunMessage(Encode(sent, kStart), kStart);
+  CHECK_TRUE(got && got->mPermits);
+  LONGS_EQUAL(1, got->mPermits->mNotices.size());
+}
--- a/tests/unit/suspension_test.cpp
+++ b/tests/unit/suspension_test.cpp
@@ -2,6 +2,7 @@
  * @file suspension_test.cpp
  * Time during which the machine is suspended counts for leases, budgets and timeouts.
  */
+#include "links/permit_link.h"
 #include "membership/member_base.h"
 #include "placement/retry_budget.h"
 #include "platform/store_client.h"
@@ -164,6 +165,8 @@
   settings.mFirstStart = true;
   forward_state state(mIo, settings);
   state.mTellDaemons = [](const run_message&) {};
+  daemon_link link(state);
+  const permit_link permits(state, link); // Engines name no limits.
   std::vector<runner_entry> entries;
   for (int i = 0; i < 4; ++i) {
     runner_entry entry;
