Add: [Soak] runners that name limits; a permit lapses during a suspension

What callers saw: nothing; neither the soak nor any kind of fault of the users' bench played a runner that names a limit, so nothing noticed that none was heeded.

--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -18,7 +18,7 @@
           only,
           "all",
           "kind of faults that aren't planned work: process, network, runner, store, memory, "
-          "poison or all");
+          "poison, limit or all");
 ABSL_FLAG(int, daemons, 4, "daemons");
 ABSL_FLAG(int, callers, 16, "callers");
 
@@ -42,7 +42,8 @@
   static const std::map<std::string, fault_kind> kinds{
     { "process", fault_kind::eProcess }, { "network", fault_kind::eNetwork },
     { "runner", fault_kind::eRunner },   { "store", fault_kind::eStore },
-    { "memory", fault_kind::eMemory },   { "poison", fault_kind::ePoison }
+    { "memory", fault_kind::eMemory },   { "poison", fault_kind::ePoison },
+    { "limit", fault_kind::eLimit }
   };
   const auto found = kinds.find(aName);
   return found == kinds.end() ? fault_kind::eAll : found->second;
@@ -79,6 +80,7 @@
       mFaults.PlayEpisode();
       Check(load);
     }
+    mFaults.EndLimits();
     mFaults.MendAll();
     CheckRecovery();
     load.Stop();
@@ -96,6 +98,7 @@
     known.mSeen = mBed.Seen();
     known.mFaults = mFaults.Faults();
     known.mDrains = mFaults.Drains();
+    known.mLimits = mFaults.Limits();
     known.mCrashes = mBed.Crashes();
     for (const json& crash : known.mCrashes) { // What ran there broke, whoever else was stopped.
       const auto at = crash.value("at_ms", std::int64_t{ 0 });
--- a/soak/soak_check.cpp
+++ b/soak/soak_check.cpp
@@ -25,6 +25,13 @@
 constexpr std::size_t kRetriesAllowed = 3;
 constexpr std::int64_t kContactTime = 3000;
 
+/** The users' rule: a runner that names a limit gets in a window, in ms, at most its limit times
+ * the window times kLimitShare, and kLimitMore, once all daemons can know of it. */
+constexpr std::int64_t kLimitWindow = 4000;
+constexpr double kLimitShare = 1.5;
+constexpr double kLimitMore = 5.0;
+constexpr std::int64_t kLimitSpreadTime = 500;
+
 /** Runs that runners began, by request. */
 using runs_by_request = std::map<std::string, std::vector<const json*>>;
 
@@ -286,6 +293,53 @@
   }
 }
 
+/** @return the highest limit that a runner named within a window; none if it named none at some
+ * time of it, or named the first one too late for all daemons to know. */
+std::optional<double>
+LimitWithin(const evidence& aEvidence,
+            const std::string& aRunner,
+            std::int64_t aFrom,
+            std::int64_t aUntil)
+{
+  double highest = 0.0;
+  std::int64_t covered = aFrom;
+  for (const limit_record& record : aEvidence.mLimits) {
+    const std::int64_t until =
+      record.mUntil == 0 ? std::numeric_limits<std::int64_t>::max() : record.mUntil;
+    const std::int64_t from = record.mFrom + (record.mFirst ? kLimitSpreadTime : 0);
+    if (record.mRunner == aRunner && from <= covered && until + kLimitSpreadTime >= aFrom) {
+      highest = std::max(highest, record.mPerSecond);
+      covered = std::max(covered, until);
+    }
+  }
+  return covered >= aUntil ? std::optional<double>(highest) : std::nullopt;
+}
+
+/** A runner that names a limit gets no more in any window than the users' rule allows, from all
+ * daemons together. */
+void
+CheckLimits(const evidence& aEvidence, std::set<violation>& aFound)
+{
+  std::map<std::string, std::vector<std::int64_t>> arrivals;
+  for (const json& one : aEvidence.mSeen) {
+    arrivals[one.value("runner", "")].push_back(one.value("at_ms", std::int64_t{ 0 }));
+  }
+  for (const auto& [runner, times] : arrivals) {
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < times.size(); ++last) {
+      while (times[last] - times[first] > kLimitWindow) {
+        ++first;
+      }
+      const std::optional<double> limit =
+        LimitWithin(aEvidence, runner, times[last] - kLimitWindow, times[last]);
+      const auto got = static_cast<double>(last - first + 1);
+      if (limit && got > kLimitShare * *limit * kLimitWindow / 1000.0 + kLimitMore) {
+        aFound.insert({ "limits hold", "", Join(runner, ": ", got, " of ", *limit, " a second") });
+      }
+    }
+  }
+}
+
 } // namespace
 
 std::set<violation>
@@ -303,6 +357,7 @@
   CheckPoison(aEvidence, found);
   CheckVersions(aEvidence, found);
   CheckDrains(aEvidence, found);
+  CheckLimits(aEvidence, found);
   return found;
 }
 
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -26,6 +26,10 @@
 constexpr unsigned kFirstWithMemory = 1000;
 /** Seeds from here on play requests that crash runners as well. */
 constexpr unsigned kFirstWithPoison = 2000;
+/** Seeds from here on play limits that runners name, and no requests that crash runners. */
+constexpr unsigned kFirstWithLimits = 3000;
+/** Limits are drawn up to this many requests a second. */
+constexpr int kMostPerSecond = 20;
 /** Time from a runner's crash to its next life, in ms. */
 constexpr int kDownMs = 700;
 /** Most records that an older copy lacks, of each topic. */
@@ -50,7 +54,8 @@
   , mMemory(aOnly == fault_kind::eMemory ||
             (aOnly == fault_kind::eAll && aSeed >= kFirstWithMemory))
   , mPoisons(aOnly == fault_kind::ePoison ||
-             (aOnly == fault_kind::eAll && aSeed >= kFirstWithPoison))
+             (aOnly == fault_kind::eAll && aSeed >= kFirstWithPoison && aSeed < kFirstWithLimits))
+  , mLimits(aOnly == fault_kind::eLimit || (aOnly == fault_kind::eAll && aSeed >= kFirstWithLimits))
   , mRunners{ "desk-1", "desk-2", "prefill-1", "decode-1", "decode-2" }
 {
 }
@@ -201,6 +206,50 @@
   });
 }
 
+void
+soak_faults::SetLimit(const std::string& aRunner, std::optional<double> aPerSecond)
+{
+  bool first = true;
+  for (limit_record& record : mLimitRecords) {
+    if (record.mRunner == aRunner && record.mUntil == 0) {
+      record.mUntil = NowMs();
+      first = false;
+    }
+  }
+  if (aPerSecond) {
+    mLimitRecords.push_back({ aRunner, *aPerSecond, NowMs(), 0, first });
+  }
+  mBed.SetRunner(aRunner, { { "limit", aPerSecond ? std::to_string(*aPerSecond) : "" } });
+}
+
+void
+soak_faults::EndLimits()
+{
+  const std::vector<limit_record> records = mLimitRecords;
+  for (const limit_record& record : records) {
+    if (record.mUntil == 0) {
+      SetLimit(record.mRunner, std::nullopt);
+    }
+  }
+}
+
+void
+soak_faults::AddLimit(timeline& aTimes)
+{
+  // Most limits last for several episodes: some change, some end.
+  const std::string runner = mRunners[DrawIndex(mRunners.size())];
+  const double perSecond = Draw(kMostPerSecond * 10) / 10.0;
+  const bool ends = Draw(4) == 0;
+  const auto [from, until] = DrawSpan();
+  aTimes.emplace(from, [this, runner, perSecond] {
+    Note("limit", std::nullopt, 0, false);
+    SetLimit(runner, perSecond);
+  });
+  if (ends) {
+    aTimes.emplace(until, [this, runner] { SetLimit(runner, std::nullopt); });
+  }
+}
+
 void
 soak_faults::LetStoreGoBack()
 {
@@ -430,8 +479,11 @@
 void
 soak_faults::AddUnplanned(timeline& aTimes)
 {
-  const int kinds = mPoisons ? 6 : mMemory ? 5 : 4;
-  const fault_kind kind = mOnly == fault_kind::eAll ? static_cast<fault_kind>(Draw(kinds)) : mOnly;
+  const int kinds = mPoisons || mLimits ? 6 : mMemory ? 5 : 4;
+  fault_kind kind = mOnly == fault_kind::eAll ? static_cast<fault_kind>(Draw(kinds)) : mOnly;
+  if (mLimits && kind == fault_kind::ePoison) {
+    kind = fault_kind::eLimit;
+  }
   switch (kind) {
     case fault_kind::eProcess:
       AddProcessFault(aTimes);
@@ -448,6 +500,9 @@
     case fault_kind::ePoison:
       AddPoison(aTimes);
       break;
+    case fault_kind::eLimit:
+      AddLimit(aTimes);
+      break;
     default:
       AddStoreFault(aTimes);
       break;
@@ -480,6 +535,9 @@
       AddUnplanned(times);
     }
   }
+  if (mLimits) {
+    AddLimit(times);
+  }
   const std::int64_t began = NowMs();
   for (const auto& [at, act] : times) {
     const std::int64_t left = began + at - NowMs();
--- a/soak/soak_faults.h
+++ b/soak/soak_faults.h
@@ -23,6 +23,7 @@
   eStore,   ///< What the store answers.
   eMemory,  ///< What the store and runners forget, and what others write.
   ePoison,  ///< Requests that crash the runners that run them.
+  eLimit,   ///< Limits that runners name.
   eAll,     ///< Any of them.
 };
 
@@ -37,11 +38,15 @@
   void PlayEpisode();
   /** Has the runners tell when they were born, where that is among what is played. */
   void TellBirths();
+  /** Lets no runner name a limit any more. */
+  void EndLimits();
   /** Mends everything: all daemons run, nothing is held up. */
   void MendAll();
 
   const std::vector<fault_record>& Faults() const { return mFaults; }
   const std::vector<drain_record>& Drains() const { return mDrains; }
+  /** @return limits that runners named. */
+  const std::vector<limit_record>& Limits() const { return mLimitRecords; }
   /** @return how often each kind of fault was injected. */
   const std::map<std::string, int>& Counts() const { return mCounts; }
   /** @return daemons that ended by themselves, or didn't end as they should. */
@@ -70,6 +75,9 @@
   void AddStoreFault(timeline& aTimes);
   void AddMemoryFault(timeline& aTimes);
   void AddPoison(timeline& aTimes);
+  void AddLimit(timeline& aTimes);
+  /** Lets a runner name a limit, or none where @p aPerSecond is empty. */
+  void SetLimit(const std::string& aRunner, std::optional<double> aPerSecond);
   /** Lets the store come back from an older copy; its writers write again later. */
   void LetStoreGoBack();
   /** Writes again what the store may have lost. */
@@ -106,6 +114,8 @@
   fault_kind mOnly;                             ///< Kind of unplanned faults, or eAll.
   bool mMemory;                                 ///< eMemory is among what is played.
   bool mPoisons;                                ///< ePoison is among what is played.
+  bool mLimits;                                 ///< eLimit is among what is played.
+  std::vector<limit_record> mLimitRecords;      ///< Limits that runners named.
   std::vector<std::string> mRunners;            ///< Ids of runners that take work.
   std::vector<fault_record> mFaults;            ///< What was done.
   std::vector<drain_record> mDrains;            ///< Runners told to leave.
--- a/soak/soak_type.h
+++ b/soak/soak_type.h
@@ -60,4 +60,14 @@
   bool mByAnswers = false;    ///< Only its answers say so.
 };
 
+/** A limit that a runner named, in requests a second; one record for each value. */
+struct limit_record
+{
+  std::string mRunner;     ///< Its id.
+  double mPerSecond = 0.0; ///< The limit.
+  std::int64_t mFrom = 0;  ///< When it was set.
+  std::int64_t mUntil = 0; ///< When it was changed or taken away; 0 while it's in force.
+  bool mFirst = true;      ///< The runner named none before.
+};
+
 } // namespace dunehook::soak
--- a/tests/unit/suspension_test.cpp
+++ b/tests/unit/suspension_test.cpp
@@ -216,6 +216,34 @@
   CHECK_TRUE(orders > 0);
 }
 
+TEST(suspension, APermitLapsesDuringASuspension)
+{
+  forward_state state(mIo, gateway_settings{});
+  daemon_link link(state);
+  permit_link permits(state, link);
+  const service_runner_id runner{ 1 };
+  const incarnation_id self = link.Members().Self().mIncarnation;
+  state.mPermits.SetMembers(self, { self }, false, state.Now());
+  SuspendFor(kStableMembersTime);
+  state.mPermits.Limits().NoteNamed(runner, 100.0, state.Now(), state.Now());
+  std::vector<send_permit> granted;
+  const auto take = [&]() -> asio::awaitable<void> {
+    const permit_demand demand{ runner, 1, 0, kPermitValidity };
+    for (int i = 0; i < 2; ++i) { // The grantor has none in the first moment.
+      const result<send_permit> permit = co_await permits.Take(demand);
+      if (permit) {
+        granted.push_back(permit.value());
+      }
+      SuspendFor(milliseconds(100));
+    }
+  };
+  Run(take());
+  LONGS_EQUAL(1, granted.size());
+  CHECK_TRUE(granted[0].IsValid(state.Now()));
+  SuspendFor(kPermitValidity);
+  CHECK_FALSE(granted[0].IsValid(state.Now()));
+}
+
 TEST(suspension, AQuarantineEndsAfterItsTime)
 {
   crash_ledger ledger;
