--- a/tests/platform/crash_test.cpp
+++ b/tests/platform/crash_test.cpp
@@ -6,6 +6,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
 #include <csignal>
 #include <functional>
 #include <set>
@@ -27,6 +28,8 @@
 constexpr int kRestartMs = 400;
 /** Time that a plain runner needs for an answer, in ms. */
 constexpr int kPlainAnswerMs = 100;
+/** Limit of a plain call, in ms. */
+constexpr int kCallLimitMs = 5000;
 constexpr int kPromptTokens = 2000;
 constexpr int kEvents = 10;
 const std::string kPoison = "poison";
@@ -148,6 +151,48 @@
     }
   }
 
+  /** Sends a plain request to the daemons in turn, each time from another address. */
+  answer SendFrom(const std::string& aMethod,
+                  const std::string& aTarget,
+                  const std::string& aBody,
+                  std::size_t aNumber)
+  {
+    mLastId = NextId();
+    return Call(mBed.Callers(aNumber % mBed.Daemons()),
+                aMethod,
+                aTarget,
+                aBody,
+                CallerHeaders(mLastId),
+                kCallLimitMs,
+                "127.0.9." + std::to_string(10 + aNumber));
+  }
+
+  /** Sends a plain request from one address after the other, whatever it crashes. */
+  void CrashFromManyAddresses(
+    const std::string& aMethod, const std::string& aTarget, const std::string& aBody)
+  {
+    for (std::size_t i = 0; i < 12; ++i) {
+      SendFrom(aMethod, aTarget, aBody, i);
+      Wait(kRestartMs / 4);
+    }
+    CHECK_TRUE(CrashCount() >= kCrashLimit);
+  }
+
+  /** Checks that a plain request is refused, from any address and by any daemon, and that it had
+   * crashed hardly more runners than it may. */
+  void CheckReachesNoRunner(
+    const std::string& aMethod, const std::string& aTarget, const std::string& aBody)
+  {
+    Wait(kPropagationMs);
+    CHECK_TRUE(CrashCount() <= kCrashLimit + 1);
+    const std::size_t reached = CountReached(kPoison);
+    for (std::size_t i = 0; i < mBed.Daemons(); ++i) {
+      const std::int64_t sent = NowMs();
+      CheckRefusal(SendFrom(aMethod, aTarget, aBody, 100 + i), sent);
+    }
+    LONGS_EQUAL(reached, CountReached(kPoison));
+  }
+
   static void Wait(int aMs)
   {
     std::this_thread::sleep_for(std::chrono::milliseconds(aMs));
@@ -217,6 +262,41 @@
   LONGS_EQUAL(reached, CountReached(kPoison));
 }
 
+TEST(crashes, TriesOfAPlainRequestFromManyAddressesCountTogether)
+{
+  StartFleet(3);
+  CrashFromManyAddresses("GET", "/pages/" + kPoison, "");
+  CheckReachesNoRunner("GET", "/pages/" + kPoison, "");
+}
+
+TEST(crashes, TriesOfAPlainRequestWithABodyFromManyAddressesCountTogether)
+{
+  StartFleet(3);
+  CrashFromManyAddresses("POST", "/records/a", kPoison);
+  CheckReachesNoRunner("POST", "/records/a", kPoison);
+}
+
+TEST(crashes, CallersOfAPopularPathAreServedBesideAPlainRequestThatCrashesRunners)
+{
+  StartFleet(3);
+  std::atomic<bool> stops{ false };
+  std::vector<std::thread> callers = StartCallers(9, [this, &stops](int aNumber) {
+    const auto daemon = static_cast<std::size_t>(aNumber) % 3;
+    for (int i = 0; !stops; ++i) {
+      const std::string id = "popular" + std::to_string(aNumber) + "-" + std::to_string(i);
+      Call(mBed.Callers(daemon), "GET", "/pages/popular", "", CallerHeaders(id));
+    }
+  });
+  CrashFromManyAddresses("GET", "/pages/" + kPoison, "");
+  Wait(kPropagationMs);
+  stops = true;
+  Join(std::move(callers));
+  CheckReachesNoRunner("GET", "/pages/" + kPoison, "");
+  for (std::size_t daemon = 0; daemon < mBed.Daemons(); ++daemon) {
+    LONGS_EQUAL(200, GetPage("/pages/popular", daemon).mStatus);
+  }
+}
+
 TEST(crashes, AStreamThatIsResumedCrashesNoFurtherEngineOnceThreeHaveCrashed)
 {
   StartFleet(3);
--- a/tests/support/testbed.cpp
+++ b/tests/support/testbed.cpp
@@ -64,11 +64,16 @@
 Exchange(const endpoint& aTo,
          const http::request<http::string_body>& aRequest,
          duration aLimit,
+         const std::string& aFrom,
          answer& aAnswer)
 {
   beast::tcp_stream link(co_await asio::this_coro::executor);
   link.expires_after(aLimit);
   boost::system::error_code error;
+  if (!aFrom.empty()) {
+    link.socket().open(tcp::v4());
+    link.socket().bind(tcp::endpoint(asio::ip::make_address(aFrom), 0));
+  }
   const tcp::endpoint target(asio::ip::make_address(aTo.mAddress), aTo.mPort);
   co_await link.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
   if (error) {
@@ -111,7 +116,8 @@
      const std::string& aTarget,
      const std::string& aBody,
      const headers& aHeaders,
-     int aLimitMs)
+     int aLimitMs,
+     const std::string& aFrom)
 {
   answer received;
   const auto to = ParseEndpoint(aAddress);
@@ -120,9 +126,8 @@
   }
   asio::io_context io(1);
   const auto request = BuildRequest(aMethod, aTarget, aBody, aHeaders);
-  asio::co_spawn(io,
-                 Exchange(to.value(), request, std::chrono::milliseconds(aLimitMs), received),
-                 asio::detached);
+  const std::chrono::milliseconds limit(aLimitMs);
+  asio::co_spawn(io, Exchange(to.value(), request, limit, aFrom, received), asio::detached);
   io.run();
   return received;
 }
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -41,14 +41,16 @@
   std::string Outcome() const;
 };
 
-/** Sends one call on a fresh connection and reads the whole answer. */
+/** Sends one call on a fresh connection and reads the whole answer.
+ * @param aFrom address of the caller; empty for any. */
 answer
 Call(const std::string& aAddress,
      const std::string& aMethod,
      const std::string& aTarget,
      const std::string& aBody = "",
      const headers& aHeaders = {},
-     int aLimitMs = 15000);
+     int aLimitMs = 15000,
+     const std::string& aFrom = "");
 
 /** A caller's streamed call, read step by step. */
 class stream
