Fix: [Quarantine] tries of a plain request count together, whichever address they come from

Cause: the caller's address was part of the fingerprint of a request without a prompt; its tries come from other addresses. Change: what is sent identifies a request: method, host, path, body, the prompt's own part (docs/DECISIONS.md 40 says what that means for popular paths).

--- a/src/forward/upstream_send.cpp
+++ b/src/forward/upstream_send.cpp
@@ -65,14 +65,10 @@
   const auto& request = aExchange.Request();
   const auto method = request.method_string();
   const auto host = request[http::field::host];
-  // The caller is part of the identity only without a prompt: the same prompt is one request
-  // whoever sends it, the same address without a body isn't.
-  const std::string caller = aFacts.mPromptKey == 0 ? aExchange.CallerAddress() : std::string();
   request_identity identity;
   identity.mMethod = { method.data(), method.size() };
   identity.mHost = { host.data(), host.size() };
   identity.mTarget = aExchange.Target();
-  identity.mCaller = caller;
   identity.mPromptKey = aFacts.mPromptKey;
   identity.mBody = *aExchange.Body();
   return FingerprintOf(identity);
--- a/src/quarantine/request_fingerprint.cpp
+++ b/src/quarantine/request_fingerprint.cpp
@@ -12,11 +12,8 @@
 FingerprintOf(const request_identity& aIdentity)
 {
   std::uint64_t hash = aIdentity.mPromptKey;
-  for (const std::string_view part : { aIdentity.mMethod,
-                                       aIdentity.mHost,
-                                       aIdentity.mTarget,
-                                       aIdentity.mCaller,
-                                       aIdentity.mBody }) {
+  for (const std::string_view part :
+       { aIdentity.mMethod, aIdentity.mHost, aIdentity.mTarget, aIdentity.mBody }) {
     hash = HashBytes(part, hash + part.size());
   }
   return { hash | 1U };
--- a/src/quarantine/request_fingerprint.h
+++ b/src/quarantine/request_fingerprint.h
@@ -17,11 +17,9 @@
 /** The parts that all attempts of one request have in common. */
 struct request_identity
 {
-  std::string_view mMethod; ///< HTTP method.
-  std::string_view mHost;   ///< Host header.
-  std::string_view mTarget; ///< Path and query.
-  std::string_view
-    mCaller; ///< Address of the caller's host; empty if it isn't part of the identity.
+  std::string_view mMethod;     ///< HTTP method.
+  std::string_view mHost;       ///< Host header.
+  std::string_view mTarget;     ///< Path and query.
   std::uint64_t mPromptKey = 0; ///< Hash of the prompt's own part; 0 if there's none.
   std::string_view mBody;       ///< Whole body.
 };
