--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -147,20 +147,19 @@
   asio::awaitable<bool> SendTo(service_runner_id aRunner, send_permit aPermit)
   {
     runner_state* const runner = mState.mRunners.Find(aRunner);
-    // Another look: a permit may have taken a moment.
+    // All of this may have changed while the permit was awaited.
     if (runner == nullptr || mCrashWatch.Quarantined() || mExchange->Disconnected() ||
         !mState.mRunners.MayReceive(*runner, mState.Now())) {
       co_return true;
     }
-    const service_runner_id id = aRunner;
     const endpoint address = runner->mEntry.mAddress;
     mRunnerName = runner->mEntry.mName;
     send_plan plan;
     plan.mRunnerName = runner->mEntry.mName;
-    plan.mRunner = id;
+    plan.mRunner = aRunner;
     plan.mTimeLeft = TimeLeft();
     plan.mRank = mRoute.mRank;
-    mTriedRunners.insert(id);
+    mTriedRunners.insert(aRunner);
     ++mAttempts;
     ++runner->mUnderWay;
     const bool mayRetryLater = MayRetry() && mSends + 1 < mRoute.mMaxRunners;
@@ -169,8 +168,8 @@
                                          : TimeLeft() + kResponseSlack;
     upstream_response answer = co_await SendToRunner<Wire>(
       mState, *mExchange, address, plan, aPermit, mFacts.mId, !MayRetry(), limit);
-    const bool again = co_await HandleSendResult(id, address, answer, limit);
-    if (runner_state* const still = mState.mRunners.Find(id)) {
+    const bool again = co_await HandleSendResult(aRunner, address, answer, limit);
+    if (runner_state* const still = mState.mRunners.Find(aRunner)) {
       --still->mUnderWay;
     }
     co_return again;
@@ -361,7 +360,7 @@
     if (mMayHaveRun) {
       status = TimeLeft() <= duration{ 0 } ? 504 : 502;
     }
-    const duration back = RetryAfter();
+    const duration back = status == 503 ? RetryAfter() : duration{ 0 };
     mState.mMetrics.CountRequest(mRoute.mName, status == 503 ? "refused" : "failed", aReason);
     mState.LogDecision(log_level::eWarning,
                        "request_given_up",
@@ -371,8 +370,7 @@
                          { "reason", aReason },
                          { "sends", mSends },
                          { "held_ms", (mState.Now() - mArrived).count() / 1000 } });
-    co_await Refuse<Wire>(
-      *mExchange, mFacts.mId, status, status == 503 ? back : duration{ 0 }, aReason);
+    co_await Refuse<Wire>(*mExchange, mFacts.mId, status, back, aReason);
   }
 
   /** @return the time after which the caller of a request that found no runner may retry. */
