Codechange: [Limits] one function tells when a service accepts requests, limits and pauses together

What callers saw: nothing; no behaviour changes. Change: plain_call (twice) and generation_call asked the broker what is held and then the table; forward_state::AcceptsRequestsFrom() does both. limit_table::InForce() in place of a list and a second look-up; the gauges of limits are set where metrics are served, not by the function that lists the other gauges; limit_table::Empty() had no caller.

--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -179,11 +179,24 @@
 
   asio::awaitable<void> AnswerMetrics(exchange_ptr aExchange)
   {
+    mState.mMetrics.SetLimits(LimitsByName());
     const std::string text = mState.mMetrics.Serialize(Gauges());
     const header_list noHeaders;
     co_await aExchange->Respond(200, text, noHeaders, "text/plain; version=0.0.4");
   }
 
+  /** @return the limits that runners name, in requests a second, by runner. */
+  std::map<std::string, double> LimitsByName() const
+  {
+    std::map<std::string, double> limits;
+    for (const auto& [id, perSecond] : mState.mPermits.Limits().InForce()) {
+      if (const runner_state* const runner = mState.mRunners.Find(id)) {
+        limits[runner->mEntry.mName] = perSecond;
+      }
+    }
+    return limits;
+  }
+
   /** @return the current values of the gauges. */
   gateway_gauges Gauges()
   {
@@ -211,14 +224,6 @@
     values["runners_taking_work"] = 0.0;
     values["runners_resting"] = 0.0;
     values["runners_leaving"] = 0.0;
-    std::map<std::string, double> limits;
-    for (const service_runner_id runner : mState.mPermits.Limits().Limited()) {
-      const runner_state* const known = mState.mRunners.Find(runner);
-      if (known != nullptr) {
-        limits[known->mEntry.mName] = mState.mPermits.Limits().LimitOf(runner).value_or(0.0);
-      }
-    }
-    mState.mMetrics.SetLimits(limits);
     for (const auto& [id, runner] : mState.mRunners.Rows()) {
       const bool leaving = runner.mDraining || runner.mGone;
       const bool takes = mState.mRunners.TakesWork(runner, now);
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -479,11 +479,11 @@
   /** @return the expected time until there's a place. */
   duration ExpectedWait() const
   {
-    const held_runners held = mState.mPermits.Held(mRoute.mRank, mState.Now());
-    if (held.empty() || !mState.mRunners.HasRunner(mService.mName)) {
+    const bool held = !mState.mPermits.Held(mRoute.mRank, mState.Now()).empty();
+    if (!held || !mState.mRunners.HasRunner(mService.mName)) {
       return mPlace.FreeIn();
     }
-    const instant from = mState.mRunners.AcceptsRequestsFrom(mService.mName, held);
+    const instant from = mState.AcceptsRequestsFrom(mService.mName, mRoute.mRank);
     return std::max(mPlace.FreeIn(), from - mState.Now());
   }
 
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -73,9 +73,8 @@
    */
   bool RunnerWillAcceptSoon() const
   {
-    const held_runners held = mState.mPermits.Held(mRoute.mRank, mState.Now());
     return mState.mRunners.HasRunner(mService.mName) &&
-           mState.mRunners.AcceptsRequestsFrom(mService.mName, held) < mArrived + MaxRunnerWait();
+           mState.AcceptsRequestsFrom(mService.mName, mRoute.mRank) < mArrived + MaxRunnerWait();
   }
 
   /**
@@ -381,16 +380,15 @@
     if (!mState.mRunners.HasRunner(mService.mName)) {
       return back;
     }
-    const held_runners held = mState.mPermits.Held(mRoute.mRank, mState.Now());
-    const duration rest = mState.mRunners.AcceptsRequestsFrom(mService.mName, held) - mState.Now();
-    return back + std::max({ duration{ 0 }, rest, TimeToReturnSlot(held) });
+    const duration rest = mState.AcceptsRequestsFrom(mService.mName, mRoute.mRank) - mState.Now();
+    return back + std::max({ duration{ 0 }, rest, TimeToReturnSlot() });
   }
 
   /** @return the time until a refused caller's turn, if limits keep requests from runners. */
-  duration TimeToReturnSlot(const held_runners& aHeld)
+  duration TimeToReturnSlot()
   {
     double rate = 0.0;
-    for (const auto& [id, until] : aHeld) {
+    for (const auto& [id, until] : mState.mPermits.Held(mRoute.mRank, mState.Now())) {
       const runner_state* const runner = mState.mRunners.Find(id);
       const bool serves = runner != nullptr && runner->mEntry.mService == mService.mName;
       rate += serves ? mState.mPermits.Limits().RateOf(id, mState.Now()) : 0.0;
--- a/src/limits/limit_table.cpp
+++ b/src/limits/limit_table.cpp
@@ -157,16 +157,16 @@
   return notices;
 }
 
-std::vector<service_runner_id>
-limit_table::Limited() const
+std::map<service_runner_id, double>
+limit_table::InForce() const
 {
-  std::vector<service_runner_id> limited;
+  std::map<service_runner_id, double> limits;
   for (const auto& [runner, row] : mRows) {
     if (!row.mEndedAt) {
-      limited.push_back(runner);
+      limits[runner] = row.mPerSecond;
     }
   }
-  return limited;
+  return limits;
 }
 
 } // namespace dunehook
--- a/src/limits/limit_table.h
+++ b/src/limits/limit_table.h
@@ -69,9 +69,8 @@
   std::optional<limit_notice> NoticeOf(service_runner_id aRunner, instant aNow) const;
   /** @return what it knows of the runners that need permits, and of limits that ended lately. */
   std::vector<limit_notice> Notices(instant aNow) const;
-  /** @return the runners that name a limit. */
-  std::vector<service_runner_id> Limited() const;
-  bool Empty() const { return mRows.empty(); }
+  /** @return the limits of the runners that name one. */
+  std::map<service_runner_id, double> InForce() const;
 
 private:
   /** An answer that named a limit. */
--- a/src/state/forward_state.h
+++ b/src/state/forward_state.h
@@ -168,6 +168,16 @@
     }
   }
 
+  /**
+   * @return when the first runner of a service accepts requests of this rank from this daemon, as
+   * far as runners have asked for pauses and limits leave permits; in the past if one accepts them.
+   * @pre the service has a runner, see runner_table::HasRunner().
+   */
+  instant AcceptsRequestsFrom(const std::string& aService, std::uint32_t aRank) const
+  {
+    return mRunners.AcceptsRequestsFrom(aService, mPermits.Held(aRank, Now()));
+  }
+
   /**
    * @return whether a limit keeps requests of this rank from a runner of the service that could
    * serve them otherwise.
