Fix: [Quarantine] a quarantine told by another daemon explains the crashes beside it, too

Cause: the daemon that puts a request into quarantine clears those that were at fewer of its crashes, but a daemon that is told of it did not. There the same crashes went on counting against bystanders. Change: ApplyNotice() clears bystanders as EvaluateDue() does. Before and after: quarantine.AQuarantineFromAnotherDaemonExplainsTheCrashesOfRequestsBesideIt failed on and passes.

--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -48,6 +48,9 @@
     aNotice.mStatus == quarantine_status::eQuarantined ? row.mQuarantined : row.mSuspected;
   const bool isNew = !known || since - *known > kCommonFailureWindow;
   known = known ? std::max(*known, since) : since;
+  if (aNotice.mStatus == quarantine_status::eQuarantined) {
+    ClearBystanders(aNotice.mRequest);
+  }
   EvictOldest();
   return isNew;
 }
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -209,6 +209,15 @@
   LONGS_EQUAL(0, mLedger.CountCrashes(OtherRequest(1)));
 }
 
+TEST(quarantine, AQuarantineFromAnotherDaemonExplainsTheCrashesOfRequestsBesideIt)
+{
+  CrashRunner({ kPoison, OtherRequest(1) });
+  AdvanceTime(kCrashSpacing);
+  CrashRunner({ kPoison });
+  mLedger.ApplyNotice({ kPoison, quarantine_status::eQuarantined, duration{ 0 } }, mNow);
+  LONGS_EQUAL(0, mLedger.CountCrashes(OtherRequest(1)));
+}
+
 TEST(quarantine, RequestsThatStayAtTheSameCrashesAreQuarantinedAtTheFourth)
 {
   for (int i = 0; i < 4; ++i) {
