Fix: [Quarantine] two requests that each crash a runner a second are no common failure

Callers saw: with two requests that crash runners, whose callers return after a second, neither was ever quarantined: 38 runners each in 40 s. Cause: crashes count as a common failure if enough other runners crash within a second before or after. For a single crash that is two seconds, in which the other request crashes two runners. Change: the other crashes are counted within one second in all. Before and after: quarantine.TwoRequestsThatEachCrashARunnerASecondAreNoCommonFailure failed before and passes; the tests of racks that fail together pass unchanged. Three such requests at once, whose callers return each second, may still be taken for a common failure.

--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -187,9 +187,12 @@
                                 instant aUntil,
                                 instant aNow) const
 {
+  // No longer than the window: two requests that each crash a runner a second have no common cause.
+  const instant middle = aFrom + (aUntil - aFrom) / 2;
   const auto isUnrelated = [&](const auto& aRow) {
     const crashed_runner& runner = aRow.second;
-    if (runner.mAt < aFrom - kCommonFailureWindow || runner.mAt > aUntil + kCommonFailureWindow) {
+    if (runner.mAt < middle - kCommonFailureWindow / 2 ||
+        runner.mAt > middle + kCommonFailureWindow / 2) {
       return false;
     }
     return std::none_of(
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -111,8 +111,8 @@
   /** @return how many crashes are blamed on a request. Of crashes that a common failure explains,
    * one isn't counted. */
   std::uint32_t CountBlamedCrashes(request_fingerprint aRequest, instant aNow) const;
-  /** @return how many runners crashed between @p aFrom and @p aUntil, give or take
-   * kCommonFailureWindow, that ran neither the request nor a quarantined one. */
+  /** @return how many runners crashed around the time between @p aFrom and @p aUntil, within
+   * kCommonFailureWindow in all, that ran neither the request nor a quarantined one. */
   std::uint32_t CountOtherCrashes(request_fingerprint aRequest,
                                   instant aFrom,
                                   instant aUntil,
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -218,6 +218,19 @@
   LONGS_EQUAL(0, mLedger.CountCrashes(OtherRequest(1)));
 }
 
+TEST(quarantine, TwoRequestsThatEachCrashARunnerASecondAreNoCommonFailure)
+{
+  constexpr duration kSpacing = milliseconds(1050);
+  for (int i = 0; i < 4; ++i) {
+    CrashRunner({ kPoison });
+    AdvanceTime(kSpacing / 2);
+    CrashRunner({ OtherRequest(1) });
+    AdvanceTime(kSpacing / 2);
+  }
+  CHECK_TRUE(IsQuarantined(kPoison));
+  CHECK_TRUE(IsQuarantined(OtherRequest(1)));
+}
+
 TEST(quarantine, RequestsThatStayAtTheSameCrashesAreQuarantinedAtTheFourth)
 {
   for (int i = 0; i < 4; ++i) {
