Fix: [Quarantine] a suspected request runs once at a time, apart from other suspected ones

Callers saw: a caller that came back fast crashed a fifth runner, and requests beside one that crashes runners were refused as quarantined for ten minutes. Cause: a crash is judged 250 ms after it and known 350 ms after it. Until then every daemon sent the same request, and all that had run beside it, to whatever runner had room, so that they met at the next crashes too, where nothing tells them apart. Change: - A request is suspected as soon as two crashes of it are known, not when they are judged, and all daemons are told within 2 ms, in one datagram for all that a crash makes suspected. - It's sent only as a trial. The first daemon by rank grants trials: one of a request at a time in the fleet, on runners without another suspected one, and none before the last crash is judged. A lease of 1 s, kept by requests each 300 ms, frees what a stopped daemon held. A caller waits for up to 500 ms; beyond that it's told 503 at once, and when to come back. - A request at three crashes of which each may be another one's (some other that was there wasn't served since) is held until no other runner has crashed for 2 s, 10 s at most, and judged by one more trial. - A served suspect is cleared at all daemons. Why it works: at the next crash there's one suspect; the others were elsewhere, and are cleared by being served. Where fresh culprits crash a trial's runner all the same, being served or not decides.

--- a/src/forward/crash_watch.h
+++ b/src/forward/crash_watch.h
@@ -27,6 +27,12 @@
     return !mState.mCrashes.Empty() &&
            mState.mCrashes.StatusOf(Fingerprint(), mState.Now()) == quarantine_status::eQuarantined;
   }
+  /** @return whether the request is suspected, and may be sent as a trial only. */
+  bool Suspected()
+  {
+    return !mState.mCrashes.Empty() &&
+           mState.mCrashes.StatusOf(Fingerprint(), mState.Now()) == quarantine_status::eSuspected;
+  }
   /** @return the remaining time of the quarantine, after which the caller may retry. */
   duration QuarantinedFor()
   {
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -11,6 +11,7 @@
 #include "links/placer_link.h"
 #include "links/quarantine_store.h"
 #include "links/store_follower.h"
+#include "links/trial_link.h"
 #include "net/http_server.h"
 #include "roles/role_controller.h"
 
@@ -69,6 +70,7 @@
     , mLink(mState)
     , mPlacers(mState, mLink)
     , mQuarantines(mState, mStore, mLink)
+    , mTrials(mState, mLink, mQuarantines.Link())
     , mPermits(mState, mLink)
     , mFollower(mState, mStore, mLink, [this](const caller_limits& aLimits) {
       mListener->State().mLimits = aLimits;
@@ -97,6 +99,7 @@
     mLink.Start([this] { return Ready(); });
     mPlacers.Start([this] { return Ready(); });
     mQuarantines.Start();
+    mTrials.Start();
     mPermits.Start();
     SpawnGuarded(mState.mIo, RunTablePasses());
     SpawnGuarded(mState.mIo, RunRolePasses());
@@ -419,6 +422,7 @@
   daemon_link mLink;                          ///< Messages to and from the other daemons.
   placer_link mPlacers;                       ///< Calls to the daemons that place generations.
   quarantine_store<Store> mQuarantines;       ///< Keeps requests that crash runners away from them.
+  trial_link mTrials;                         ///< Trials of requests that may crash runners.
   permit_link mPermits;                       ///< Limits of runners, shared by all daemons.
   store_follower<Store> mFollower;            ///< Follows changes in the store.
   std::unique_ptr<caller_listener> mListener; ///< Accepts callers.
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -42,9 +42,10 @@
     , mTraits(*aService.mEngines)
     , mArrived(aArrived)
     , mDeadline(aArrived + std::min(aRoute.mTimeout, mFacts.mTimeLeft.value_or(aRoute.mTimeout)))
-    , mPlace(aState, *mExchange, mFacts, aRoute.mRank)
-    , mPromptRead(aState, *mExchange, mFacts.mId)
     , mCrashWatch(aState, *mExchange, mFacts)
+    , mTrial(aState, mCrashWatch)
+    , mPlace(aState, *mExchange, mFacts, aRoute.mRank, mTrial)
+    , mPromptRead(aState, *mExchange, mFacts.mId)
   {
     mDemand.mRun = { HashBytes(mFacts.mId) | 1U };
     mDemand.mService = aService.mName;
@@ -76,6 +77,7 @@
     while (again && !mExchange->Disconnected()) {
       again = co_await TryOnce();
       mPlace.EndRun();
+      mTrial.End();
     }
   }
 
@@ -157,6 +159,7 @@
         co_await GiveUp("prefill_failed");
         co_return false;
       }
+      mTrial.KeepOnly(mPlace.Choice().mDecode);
     }
     co_return co_await Generate();
   }
@@ -164,6 +167,9 @@
   /** @return why no engine was found. */
   std::string_view NoPlaceReason() const
   {
+    if (mTrial.WasDenied()) {
+      return "crash_suspected";
+    }
     const bool held = mPlace.WasHeld() || (mPlace.NoPlace() == no_place::eNoEngine &&
                                            mState.IsHeldByLimit(mService.mName, mRoute.mRank));
     return held ? "runner_limit" : ReasonName(mPlace.NoPlace());
@@ -601,9 +607,10 @@
   instant mArrived;                           ///< When the request arrived, or its last run broke.
   instant mDeadline;                          ///< End of the request's time limit.
   generation_demand mDemand;                  ///< What the placement must provide.
+  crash_watch mCrashWatch;                    ///< Crash tracking of the request.
+  suspect_trial mTrial;                       ///< Its trial, if it's suspected.
   generation_place<Wire> mPlace;              ///< The chosen engines and their reservation.
   prompt_read<Wire> mPromptRead;              ///< The prefill and its result.
-  crash_watch mCrashWatch;                    ///< Crash tracking of the request.
   event_splitter mEvents;                     ///< Splits the events, over all runs.
   std::uint32_t mEventsInPrompt = 0;          ///< Events already added to the demand's prompt.
   std::uint32_t mSends = 0;                   ///< Decode engines that may have run the request.
--- a/src/forward/generation_place.h
+++ b/src/forward/generation_place.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "forward/engine_calls.h"
+#include "forward/suspect_trial.h"
 
 namespace dunehook {
 
@@ -26,13 +27,15 @@
   generation_place(forward_state& aState,
                    caller_exchange& aExchange,
                    const request_facts& aFacts,
-                   std::uint32_t aRank)
+                   std::uint32_t aRank,
+                   suspect_trial& aTrial)
     : mState(aState)
     , mEngines(aState)
     , mExchange(aExchange)
     , mRequestId(aFacts.mId)
     , mPromptKey(aFacts.mPromptKey)
     , mRank(aRank)
+    , mTrial(aTrial)
   {
   }
 
@@ -67,12 +70,25 @@
         if (reserved || mExchange.Disconnected()) {
           co_return reserved;
         }
+        if (mTrial.WasBusy()) { // Other engines may be free of suspected requests.
+          continue;
+        }
+        mTrial.End();
         // An unreachable engine says nothing about the memory of the others, so the wait stays
         // unchanged.
         if (mEngineRefused) {
           aWait = aWait.Refused(aTarget);
         }
       }
+      mTrial.ForgetBusy();
+      if (mTrial.WasDenied()) {
+        const bool again = co_await mTrial.WaitForRetry(aWait.mReturned);
+        if (!again || mExchange.Disconnected()) {
+          mFreeIn = mTrial.Wait();
+          co_return false;
+        }
+        continue;
+      }
       const duration wait = std::max<duration>(
         kPlacementRetryInterval, std::min(answer.mFreeIn, kPlacementRetryInterval * 3));
       const duration most = mState.mStopping ? aWait.mNew : aWait.Of(aDemand.mReturned);
@@ -150,12 +166,13 @@
     for (const auto& [runner, until] : mState.mPermits.Held(mRank, now)) {
       aDemand.mExcluded.push_back(runner);
     }
+    aDemand.mExcluded.insert(aDemand.mExcluded.end(), mTrial.Busy().begin(), mTrial.Busy().end());
     if (mState.mSettings.mPlacement.mPlacers) {
       place_request question;
       question.mDemand = aDemand;
       question.mPromptKey = mPromptKey;
       question.mRank = mRank;
-      question.mWait = aWait;
+      question.mWait = mTrial.Busy().empty() ? aWait : place_wait{};
       std::function<bool()> gone = [this] { return mExchange.Disconnected(); };
       const std::optional<place_reply> reply =
         co_await mState.mAskPlacer(std::move(question), std::move(gone));
@@ -197,6 +214,12 @@
     }
     mDecodeAddress = decode->mEntry.mAddress;
     mDecodeName = decode->mEntry.mName;
+    std::vector<service_runner_id> engines = mChoice.Engines();
+    const bool trial = co_await mTrial.Begin(std::move(engines));
+    if (!trial || mExchange.Disconnected()) {
+      EndRun();
+      co_return false;
+    }
     const duration life = std::min(mChoice.mUntilRead + kReservationSlack, aLongestHold);
     const bool permitted = co_await TakePermits(life);
     mHeld = !permitted;
@@ -298,6 +321,7 @@
   std::string mRequestId;                  ///< The request's id.
   std::uint64_t mPromptKey;                ///< Key of the prompt's own part.
   std::uint32_t mRank;                     ///< Priority of the route.
+  suspect_trial& mTrial;                   ///< The request's trial; outlives this object.
   placement_choice mChoice;                ///< The chosen engines, once found.
   run_id mRun;                             ///< Id of the run, once in the table.
   endpoint mDecodeAddress;                 ///< Address of the decode engine.
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -5,7 +5,7 @@
  */
 #pragma once
 
-#include "forward/crash_watch.h"
+#include "forward/suspect_trial.h"
 
 namespace dunehook {
 
@@ -47,6 +47,7 @@
     , mRoute(aRoute)
     , mService(aService)
     , mCrashWatch(aState, *mExchange, mFacts)
+    , mTrial(aState, mCrashWatch)
     , mArrived(aArrived)
     , mDeadline(aArrived + std::min(aRoute.mTimeout, mFacts.mTimeLeft.value_or(aRoute.mTimeout)))
   {
@@ -60,6 +61,7 @@
     while (again && !mExchange->Disconnected()) {
       again = co_await TryOnce();
     }
+    mTrial.End();
   }
 
 private:
@@ -105,6 +107,11 @@
       mService.mName, UnavailableRunners(), mState.Now(), mState.RandomFraction());
     const duration waited = mState.Now() - mArrived;
     const bool mayWait = mAttempts == 0 && waited < MaxRunnerWait();
+    if (runner == nullptr && !mTrial.Busy().empty()) {
+      mTrial.ForgetBusy();
+      const bool again = co_await WaitForTrial();
+      co_return again;
+    }
     if (runner == nullptr && mayWait && RunnerWillAcceptSoon()) {
       co_await Sleep(kRunnerPollInterval);
       co_return true;
@@ -114,12 +121,32 @@
       co_return false;
     }
     const service_runner_id id = runner->mId;
+    std::vector<service_runner_id> runners(1, id);
+    const bool trial = co_await mTrial.Begin(std::move(runners));
+    if (!trial) {
+      const bool again = co_await WaitForTrial();
+      co_return again;
+    }
     const permit_demand demand{ id, 1, mRoute.mRank, kPermitValidity };
     const result<send_permit> permit = co_await mState.mTakePermit(demand);
     if (!permit) { // The runner is held now, so another one is chosen.
       co_return true;
     }
     const bool again = co_await SendTo(id, permit.value());
+    mTrial.End();
+    co_return again;
+  }
+
+  /** Waits for a trial of a suspected request. @return whether to try again. */
+  asio::awaitable<bool> WaitForTrial()
+  {
+    if (mTrial.WasBusy()) { // Another runner may be free of suspected requests.
+      co_return true;
+    }
+    const bool again = co_await mTrial.WaitForRetry(TimeLeft());
+    if (!again) {
+      co_await GiveUp("crash_suspected");
+    }
     co_return again;
   }
 
@@ -130,6 +157,7 @@
     for (const auto& [runner, until] : mState.mPermits.Held(mRoute.mRank, mState.Now())) {
       unavailable.insert(runner);
     }
+    unavailable.insert(mTrial.Busy().begin(), mTrial.Busy().end());
     return unavailable;
   }
 
@@ -359,7 +387,7 @@
     if (mMayHaveRun) {
       status = TimeLeft() <= duration{ 0 } ? 504 : 502;
     }
-    const duration back = status == 503 ? RetryAfter() : duration{ 0 };
+    const duration back = status == 503 ? RetryAfter() + mTrial.Wait() : duration{ 0 };
     mState.mMetrics.CountRequest(mRoute.mName, status == 503 ? "refused" : "failed", aReason);
     mState.LogDecision(log_level::eWarning,
                        "request_given_up",
@@ -420,6 +448,7 @@
   const forward_route& mRoute;                ///< The request's route.
   const forward_service& mService;            ///< The service that serves the request.
   crash_watch mCrashWatch;                    ///< Crash tracking of the request.
+  suspect_trial mTrial;                       ///< Its trial, if it's suspected.
   instant mArrived;                           ///< When the request arrived.
   instant mDeadline;                          ///< End of the request's time limit.
   std::set<service_runner_id> mTriedRunners;  ///< Runners tried so far.
--- /dev/null
+++ b/src/forward/suspect_trial.h
@@ -0,0 +1,115 @@
+/**
+ * @file suspect_trial.h
+ * The trial of one caller's request, if the request is suspected of crashing runners: it's sent
+ * only where and when the daemon that grants trials allows it.
+ */
+#pragma once
+
+#include "forward/crash_watch.h"
+
+namespace dunehook {
+
+/** A suspected request waits this long for a trial at most; its caller then has to return. */
+inline constexpr duration kMaxTrialWait = std::chrono::milliseconds(500);
+
+/** The trial of one request; without effect while the request isn't suspected. */
+class suspect_trial
+{
+public:
+  /** Both arguments must outlive this object. */
+  suspect_trial(forward_state& aState, crash_watch& aWatch)
+    : mState(aState)
+    , mWatch(aWatch)
+  {
+  }
+
+  /** Asks for the right to send the request to some runners. @return whether it may be sent. */
+  asio::awaitable<bool> Begin(std::vector<service_runner_id> aRunners)
+  {
+    mDenied.reset();
+    if (!mWatch.Suspected()) {
+      co_return true;
+    }
+    const duration held = mState.mCrashes.HeldUntil(mWatch.Fingerprint()) - mState.Now();
+    if (held > duration{ 0 }) {
+      mDenied = trial_reply{ mWatch.Fingerprint(), 0, trial_state::eHeld, held, {} };
+      co_return false;
+    }
+    if (!mTrial) {
+      mTrial = { mState.mRandom() | 1U };
+    }
+    trial_request request{ mTrial, mWatch.Fingerprint(), std::move(aRunners), 0 };
+    const trial_reply reply = co_await mState.mRequestTrial(std::move(request));
+    mUnderWay = reply.mState == trial_state::eGranted;
+    const bool maySend = mUnderWay || reply.mState == trial_state::eNotSuspected;
+    mState.mMetrics.CountQuarantine(maySend ? "trial" : "trial_denied");
+    LogEvent(log_level::eInfo,
+             "crash_trial",
+             { { "fingerprint", reply.mRequest.mValue },
+               { "state", TrialStateName(reply.mState) },
+               { "wait_ms", reply.mWait.count() / 1000 } });
+    if (!maySend) {
+      mDenied = reply;
+      mBusy.insert(reply.mBusy.begin(), reply.mBusy.end());
+    }
+    co_return maySend;
+  }
+
+  /** Frees the runners of the trial but for one. */
+  void KeepOnly(service_runner_id aRunner)
+  {
+    if (mUnderWay) {
+      mState.mKeepTrial({ mTrial, mWatch.Fingerprint(), { aRunner }, 0 });
+    }
+  }
+
+  /** Ends the trial. A crash must have been reported before. */
+  void End()
+  {
+    if (mUnderWay) {
+      mUnderWay = false;
+      mState.mKeepTrial({ mTrial, mWatch.Fingerprint(), {}, 0 });
+    }
+    mTrial = {};
+    mBusy.clear();
+  }
+
+  /** Waits until a denied trial may be asked for again, unless that takes too long.
+   * @param aTimeLeft until the request's deadline. @return whether to ask again. */
+  asio::awaitable<bool> WaitForRetry(duration aTimeLeft)
+  {
+    const duration wait = Wait();
+    if (mWaited + wait > std::min(kMaxTrialWait, aTimeLeft)) {
+      co_return false;
+    }
+    mWaited += wait;
+    co_await Sleep(wait);
+    co_return true;
+  }
+
+  /** @return whether the last request for a trial was denied. */
+  bool WasDenied() const { return mDenied.has_value(); }
+  /** @return whether it was denied because of other suspected requests at the runners, which
+   * Busy() contains. */
+  bool WasBusy() const { return WasDenied() && !mBusy.empty(); }
+  /** Lets the runners of Busy() be asked for again. */
+  void ForgetBusy() { mBusy.clear(); }
+  /** @return time until the trial may be granted, after it was denied. */
+  duration Wait() const { return mDenied ? std::max(mDenied->mWait, kMinWait) : duration{ 0 }; }
+  /** @return runners at which other suspected requests are on trial. */
+  const std::set<service_runner_id>& Busy() const { return mBusy; }
+
+private:
+  /** Shortest time before a trial is asked for again. */
+  static constexpr duration kMinWait = std::chrono::milliseconds(10);
+
+  forward_state& mState;               ///< State shared by the daemon's components.
+  crash_watch& mWatch;                 ///< Tells whether the request is suspected.
+  trial_id mTrial;                     ///< Set once a trial was asked for.
+  bool mUnderWay = false;              ///< A trial was granted, and hasn't ended.
+  std::optional<trial_reply> mDenied;  ///< Last reply, if it was a denial.
+  std::set<service_runner_id> mBusy;   ///< See Busy().
+  duration mWaited{ 0 };               ///< Time waited for trials so far.
+};
+
+} // namespace dunehook
--- a/src/links/quarantine_link.cpp
+++ b/src/links/quarantine_link.cpp
@@ -26,7 +26,9 @@
 quarantine_link::NoteCrash(const crash_report& aReport)
 {
   const instant now = mState.Now();
-  mState.mCrashes.NoteCrash(aReport, now);
+  if (mState.mCrashes.NoteCrash(aReport, now)) {
+    TellSuspected(aReport.mRequest);
+  }
   mRecentCrashes.push_back({ aReport, now, instant{ 0 } });
   if (mRecentCrashes.size() > kMaxCrashesResent) {
     mRecentCrashes.pop_front();
@@ -37,9 +39,14 @@
 void
 quarantine_link::NoteServed(request_fingerprint aRequest)
 {
+  const bool suspected =
+    mState.mCrashes.StatusOf(aRequest, mState.Now()) == quarantine_status::eSuspected;
   if (!mState.mCrashes.NoteServed(aRequest)) {
     return;
   }
+  if (suspected) {
+    mServedSuspects.push_back(aRequest);
+  }
   run_message message;
   message.mQuarantine.emplace().mServed.push_back(aRequest);
   mState.mTellPlacers(std::move(message));
@@ -49,9 +56,10 @@
 quarantine_link::Tick()
 {
   for (;;) {
-    co_await Sleep(kQuarantineInterval);
+    co_await Sleep(kEvaluationInterval);
     JudgeAndBroadcast();
     SendCrashes();
+    BroadcastServed();
   }
 }
 
@@ -85,6 +93,47 @@
   mLink.Broadcast(std::move(message));
 }
 
+void
+quarantine_link::TellSuspected(request_fingerprint aRequest)
+{
+  mState.mMetrics.CountQuarantine("suspected");
+  LogEvent(log_level::eInfo, "request_suspected", { { "fingerprint", aRequest.mValue } });
+  if (mNewlySuspected.empty()) {
+    SpawnGuarded(mState.mIo, SendSuspected());
+  }
+  mNewlySuspected.push_back({ aRequest, quarantine_status::eSuspected, duration{ 0 } });
+}
+
+asio::awaitable<void>
+quarantine_link::SendSuspected()
+{
+  co_await Sleep(kSuspicionDelay);
+  std::vector<quarantine_notice> notices = std::exchange(mNewlySuspected, {});
+  for (std::size_t from = 0; from < notices.size(); from += kMaxNoticesPerDatagram) {
+    const std::size_t until = std::min(notices.size(), from + kMaxNoticesPerDatagram);
+    run_message message;
+    message.mQuarantine.emplace().mNotices = { notices.begin() + static_cast<std::ptrdiff_t>(from),
+                                               notices.begin() +
+                                                 static_cast<std::ptrdiff_t>(until) };
+    mLink.Broadcast(std::move(message));
+  }
+}
+
+void
+quarantine_link::BroadcastServed()
+{
+  if (mServedSuspects.empty()) {
+    return;
+  }
+  const auto until =
+    mServedSuspects.begin() +
+    static_cast<std::ptrdiff_t>(std::min(mServedSuspects.size(), kMaxNoticesPerDatagram));
+  run_message message;
+  message.mQuarantine.emplace().mServed = { mServedSuspects.begin(), until };
+  mServedSuspects.erase(mServedSuspects.begin(), until);
+  mLink.Broadcast(std::move(message));
+}
+
 void
 quarantine_link::SendCrashes()
 {
@@ -130,7 +179,9 @@
 {
   const instant now = mState.Now();
   for (const crash_report& report : aMessage.mCrashes) {
-    mState.mCrashes.NoteCrash(report, now);
+    if (mState.mCrashes.NoteCrash(report, now)) {
+      TellSuspected(report.mRequest);
+    }
   }
   for (const request_fingerprint request : aMessage.mServed) {
     mState.mCrashes.NoteServed(request);
@@ -147,6 +198,9 @@
     }
   }
   mStateReceived = mStateReceived || aMessage.mSenderStateReceived;
+  if (mTrialHandler && (aMessage.mTrial || aMessage.mTrialReply)) {
+    mTrialHandler(aMessage, aFrom);
+  }
   if (aMessage.mSenderDigest) {
     Answer(aMessage, aFrom);
   }
--- a/src/links/quarantine_link.h
+++ b/src/links/quarantine_link.h
@@ -18,8 +18,8 @@
 inline constexpr duration kCompareInterval = std::chrono::milliseconds(500);
 /** The same for a daemon that has just started, until it has received the state of another one. */
 inline constexpr duration kInitialCompareInterval = std::chrono::milliseconds(100);
-/** Time between passes that judge requests and send what is due. */
-inline constexpr duration kQuarantineInterval = std::chrono::milliseconds(100);
+/** Newly suspected requests are sent to all daemons in one datagram, after this time. */
+inline constexpr duration kSuspicionDelay = std::chrono::milliseconds(2);
 /** A crash is sent again each second for this long: a datagram may be lost, or the placers may be
  * changing at that moment. */
 inline constexpr duration kCrashResendPeriod = std::chrono::milliseconds(3500);
@@ -45,6 +45,11 @@
   bool HasReceivedState() const { return mStateReceived; }
   /** Marks these quarantines as received. */
   void MarkStateReceived() { mStateReceived = true; }
+  /** @param aTake called with each message that concerns trials, and the address to answer to. */
+  void SetTrialHandler(std::function<void(const quarantine_message&, const endpoint&)> aTake)
+  {
+    mTrialHandler = std::move(aTake);
+  }
   /** @param aAction called with each request that this daemon puts into quarantine. */
   void OnQuarantined(std::function<void(request_fingerprint)> aAction)
   {
@@ -64,6 +69,11 @@
   asio::awaitable<void> Compare();
   /** Judges the requests that are due and broadcasts changed decisions. */
   void JudgeAndBroadcast();
+  /** Queues a newly suspected request to be sent to all daemons. */
+  void TellSuspected(request_fingerprint aRequest);
+  asio::awaitable<void> SendSuspected();
+  /** Sends to all daemons which suspected requests were served. */
+  void BroadcastServed();
   /** Sends the crashes of this daemon that are due to be sent or sent again. */
   void SendCrashes();
   void HandleMessage(const quarantine_message& aMessage, const endpoint& aFrom);
@@ -75,8 +85,12 @@
   daemon_link& mLink;                   ///< Sends messages to the other daemons.
   std::deque<own_crash> mRecentCrashes; ///< This daemon's crashes to send again, oldest first; at
                                         ///< most kMaxCrashesResent.
+  std::vector<quarantine_notice> mNewlySuspected;          ///< To be sent to all daemons.
+  std::vector<request_fingerprint> mServedSuspects;        ///< Likewise; served by this daemon.
   std::function<void(request_fingerprint)> mOnQuarantined; ///< May be empty.
-  bool mStateReceived = false;                             ///< See HasReceivedState().
+  /** Called with messages on trials; may be empty. */
+  std::function<void(const quarantine_message&, const endpoint&)> mTrialHandler;
+  bool mStateReceived = false; ///< See HasReceivedState().
 };
 
 } // namespace dunehook
--- /dev/null
+++ b/src/links/trial_link.cpp
@@ -0,0 +1,145 @@
+/**
+ * @file trial_link.cpp
+ * Sends, answers and repeats trial requests.
+ */
+#include "links/trial_link.h"
+
+namespace dunehook {
+
+trial_link::trial_link(forward_state& aState, daemon_link& aLink, quarantine_link& aQuarantines)
+  : mState(aState)
+  , mLink(aLink)
+{
+  aQuarantines.SetTrialHandler(
+    [this](const quarantine_message& aMessage, const endpoint& aFrom) {
+      HandleMessage(aMessage, aFrom);
+    });
+  mState.mRequestTrial = [this](trial_request aRequest) { return Request(std::move(aRequest)); };
+  mState.mKeepTrial = [this](trial_request aRequest) { Keep(std::move(aRequest)); };
+}
+
+void
+trial_link::Start()
+{
+  SpawnGuarded(mState.mIo, RunPasses());
+}
+
+const member_info*
+trial_link::Grantor() const
+{
+  const std::vector<const member_info*> ranked = mLink.Members().RankedServing();
+  return ranked.empty() ? nullptr : ranked.front();
+}
+
+void
+trial_link::UpdateGrantor(bool aLate)
+{
+  const bool grants = Grantor() == &mLink.Members().Self();
+  if (!grants || aLate) {
+    mGrantorSince.reset();
+  }
+  if (grants && !mGrantorSince) {
+    mGrantorSince = mState.Now();
+  }
+}
+
+trial_reply
+trial_link::Answer(const trial_request& aRequest)
+{
+  const instant now = mState.Now();
+  const bool grants = mGrantorSince && now - *mGrantorSince >= kTrialWarmUp &&
+                      Grantor() == &mLink.Members().Self();
+  if (grants) {
+    return mTrials.Answer(aRequest, mState.mCrashes, now);
+  }
+  trial_reply reply;
+  reply.mRequest = aRequest.mRequest;
+  reply.mRound = aRequest.mRound;
+  reply.mWait = kUngrantedTrialWait;
+  return reply;
+}
+
+std::optional<trial_reply>
+trial_link::Send(const trial_request& aRequest)
+{
+  const member_info* const grantor = Grantor();
+  if (grantor == &mLink.Members().Self()) {
+    return Answer(aRequest);
+  }
+  if (grantor != nullptr) {
+    run_message message;
+    message.mQuarantine.emplace().mTrial = aRequest;
+    mLink.SendTo(std::move(message), RunEndpointOf(grantor->mAddress));
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<trial_reply>
+trial_link::Request(trial_request aRequest)
+{
+  aRequest.mRound = ++mRounds;
+  const auto pending = std::make_shared<pending_trial>(mState.mIo);
+  mPending[aRequest.mRound] = pending;
+  pending->mReply = Send(aRequest);
+  const instant until = mState.Now() + kTrialReplyTimeout;
+  while (!pending->mReply && mState.Now() < until) {
+    co_await pending->mReplyArrived.Wait(until - mState.Now());
+  }
+  mPending.erase(aRequest.mRound);
+  trial_reply reply;
+  reply.mWait = kUngrantedTrialWait;
+  if (pending->mReply) {
+    reply = *pending->mReply;
+  } else { // It may have been granted, and the reply lost.
+    Keep({ aRequest.mTrial, aRequest.mRequest, {}, 0 });
+  }
+  if (reply.mState == trial_state::eGranted) {
+    mOwnTrials[aRequest.mTrial] = aRequest;
+  } else if (reply.mState == trial_state::eNotSuspected) {
+    mState.mCrashes.ClearSuspicion(aRequest.mRequest);
+  }
+  co_return reply;
+}
+
+void
+trial_link::Keep(trial_request aRequest)
+{
+  if (aRequest.mRunners.empty()) {
+    mOwnTrials.erase(aRequest.mTrial);
+  } else {
+    mOwnTrials[aRequest.mTrial] = aRequest;
+  }
+  Send(aRequest);
+}
+
+asio::awaitable<void>
+trial_link::RunPasses()
+{
+  for (;;) {
+    const instant slept = mState.Now();
+    co_await Sleep(kTrialKeepInterval);
+    UpdateGrantor(mState.Now() - slept > 2 * kTrialKeepInterval);
+    for (const auto& [trial, request] : mOwnTrials) {
+      Send(request);
+    }
+  }
+}
+
+void
+trial_link::HandleMessage(const quarantine_message& aMessage, const endpoint& aFrom)
+{
+  if (aMessage.mTrialReply) {
+    const auto pending = mPending.find(aMessage.mTrialReply->mRound);
+    if (pending != mPending.end()) {
+      pending->second->mReply = aMessage.mTrialReply;
+      pending->second->mReplyArrived.Notify();
+    }
+  }
+  if (aMessage.mTrial) {
+    run_message message;
+    message.mQuarantine.emplace().mTrialReply = Answer(*aMessage.mTrial);
+    mLink.SendTo(std::move(message), aFrom);
+  }
+}
+
+} // namespace dunehook
--- /dev/null
+++ b/src/links/trial_link.h
@@ -0,0 +1,65 @@
+/**
+ * @file trial_link.h
+ * Asks for trials of suspected requests, and grants them if this daemon is the one that does: the
+ * first of the serving daemons by RanksBefore(). Crashes are reported to that one, so it knows which
+ * requests are suspected and which crashes aren't evaluated yet.
+ */
+#pragma once
+
+#include "links/quarantine_link.h"
+#include "quarantine/trial_table.h"
+
+namespace dunehook {
+
+/** A reply to a trial request that comes later is ignored, and the request isn't sent. */
+inline constexpr duration kTrialReplyTimeout = std::chrono::milliseconds(100);
+/** Time before the next request to a daemon that grants no trials or doesn't reply. */
+inline constexpr duration kUngrantedTrialWait = std::chrono::milliseconds(100);
+
+/** Requests and grants trials. */
+class trial_link
+{
+public:
+  trial_link(forward_state& aState, daemon_link& aLink, quarantine_link& aQuarantines);
+
+  /** Starts the passes that keep trials. */
+  void Start();
+
+private:
+  /** A request that waits for its reply. */
+  struct pending_trial
+  {
+    explicit pending_trial(asio::io_context& aIo)
+      : mReplyArrived(aIo)
+    {
+    }
+
+    std::optional<trial_reply> mReply; ///< Set once it came.
+    wake_list mReplyArrived;           ///< Woken then.
+  };
+
+  /** Asks for a trial. @return the reply; eNotGranting if none comes in time. */
+  asio::awaitable<trial_reply> Request(trial_request aRequest);
+  /** Sends the runners that a trial still uses, without waiting for a reply. */
+  void Keep(trial_request aRequest);
+  asio::awaitable<void> RunPasses();
+  void HandleMessage(const quarantine_message& aMessage, const endpoint& aFrom);
+  /** Answers a request as the daemon that grants. */
+  trial_reply Answer(const trial_request& aRequest);
+  /** Sends a request. @return the reply if this daemon is the one that grants. */
+  std::optional<trial_reply> Send(const trial_request& aRequest);
+  /** @return the daemon that grants trials; null if none serves. */
+  const member_info* Grantor() const;
+  /** Updates since when this daemon grants. @param aLate the process was suspended. */
+  void UpdateGrantor(bool aLate);
+
+  forward_state& mState;                        ///< State shared by the parts of the daemon.
+  daemon_link& mLink;                           ///< Sends messages to the other daemons.
+  trial_table mTrials;                          ///< Trials that this daemon has granted.
+  std::optional<instant> mGrantorSince;         ///< When it became the one that grants.
+  std::map<trial_id, trial_request> mOwnTrials; ///< Trials of this daemon's callers.
+  std::map<std::uint32_t, std::shared_ptr<pending_trial>> mPending; ///< By round.
+  std::uint32_t mRounds = 0;                                        ///< Requests sent so far.
+};
+
+} // namespace dunehook
--- a/src/messages/run_message.cpp
+++ b/src/messages/run_message.cpp
@@ -21,6 +21,8 @@
 /** Index of the quarantine, and of the permits, in a message. */
 constexpr std::size_t kQuarantineIndex = 14;
 constexpr std::size_t kPermitsIndex = 15;
+/** Index of a trial request, followed by the reply to one, in a quarantine. */
+constexpr std::size_t kTrialIndex = 6;
 
 /** Limit on runs decoded from one datagram; a valid datagram can't hold as many. */
 constexpr std::size_t kMaxRuns = 2000;
@@ -168,6 +170,51 @@
   }
 }
 
+json
+EncodeTrial(const trial_request& aRequest)
+{
+  return json::array({ aRequest.mTrial.mValue,
+                       aRequest.mRequest.mValue,
+                       IdsOf(aRequest.mRunners),
+                       aRequest.mRound });
+}
+
+trial_request
+DecodeTrial(const json& aItem)
+{
+  trial_request request;
+  request.mTrial = { aItem.at(0).get<std::uint64_t>() };
+  request.mRequest = { aItem.at(1).get<std::uint64_t>() };
+  request.mRunners = IdsFrom(aItem.at(2));
+  request.mRunners.resize(std::min(request.mRunners.size(), kMaxTrialRunners));
+  request.mRound = aItem.at(3).get<std::uint32_t>();
+  return request;
+}
+
+json
+EncodeTrialReply(const trial_reply& aReply)
+{
+  return json::array({ aReply.mRequest.mValue,
+                       aReply.mRound,
+                       static_cast<int>(aReply.mState),
+                       aReply.mWait.count(),
+                       IdsOf(aReply.mBusy) });
+}
+
+trial_reply
+DecodeTrialReply(const json& aItem)
+{
+  trial_reply reply;
+  reply.mRequest = { aItem.at(0).get<std::uint64_t>() };
+  reply.mRound = aItem.at(1).get<std::uint32_t>();
+  const int state = aItem.at(2).get<int>();
+  const bool known = state >= 0 && state <= static_cast<int>(trial_state::eNotGranting);
+  reply.mState = known ? static_cast<trial_state>(state) : trial_state::eNotGranting;
+  reply.mWait = duration(std::max<std::int64_t>(0, aItem.at(3).get<std::int64_t>()));
+  reply.mBusy = IdsFrom(aItem.at(4));
+  return reply;
+}
+
 json
 EncodeQuarantine(const quarantine_message& aMessage)
 {
@@ -190,7 +237,9 @@
                        std::move(notices),
                        senderDigest,
                        aMessage.mAlwaysAnswer,
-                       aMessage.mSenderStateReceived });
+                       aMessage.mSenderStateReceived,
+                       aMessage.mTrial ? EncodeTrial(*aMessage.mTrial) : json(),
+                       aMessage.mTrialReply ? EncodeTrialReply(*aMessage.mTrialReply) : json() });
 }
 
 quarantine_notice
@@ -223,6 +272,13 @@
   }
   message.mAlwaysAnswer = aItem.at(4).get<bool>();
   message.mSenderStateReceived = aItem.at(5).get<bool>();
+  if (aItem.size() >
+      kTrialIndex) { // Daemons of the version before the trials don't send the items.
+    const json& trial = aItem.at(kTrialIndex);
+    const json& reply = aItem.at(kTrialIndex + 1);
+    message.mTrial = trial.is_null() ? std::nullopt : std::optional(DecodeTrial(trial));
+    message.mTrialReply = reply.is_null() ? std::nullopt : std::optional(DecodeTrialReply(reply));
+  }
   return message;
 }
 
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -12,22 +12,30 @@
 
 namespace dunehook {
 
-void
+bool
 crash_ledger::NoteCrash(const crash_report& aReport, instant aNow)
 {
   crashed_runner& runner =
     mCrashedRunners.try_emplace(aReport.mRunner, crashed_runner{ aNow, {} }).first->second;
   auto& requests = runner.mRequests;
   if (std::find(requests.begin(), requests.end(), aReport.mRequest) != requests.end()) {
-    return;
+    return false;
   }
   requests.push_back(aReport.mRequest);
   if (IsExplained(aReport.mRequest, runner, aNow)) {
-    return;
+    return false;
   }
-  mRequests[aReport.mRequest].mCrashes.push_back({ aReport.mRunner, aNow, aReport.mProgressed });
+  tracked_request& row = mRequests[aReport.mRequest];
+  row.mCrashes.push_back({ aReport.mRunner, aNow, aReport.mProgressed });
   mDueEvaluations[aNow + kReportWindow].push_back(aReport.mRequest);
+  const bool isNew = !row.mSuspected && !IsQuarantined(row, aNow) &&
+                     row.mCrashes.size() + 1 >= kCrashesToQuarantine &&
+                     IsSuspected(aReport.mRequest, aNow);
+  if (isNew) {
+    row.mSuspected = aNow;
+  }
   EvictOldest();
+  return isNew;
 }
 
 bool
@@ -69,14 +77,19 @@
       }
       tracked_request& row = found->second;
       const std::uint32_t priorBlame = row.mQuarantined ? kCrashesToQuarantine - 1 : 0;
-      if (priorBlame + CountBlamedCrashes(request, aNow) >= kCrashesToQuarantine) {
-        row.mQuarantined = aNow;
-        ClearBystanders(request);
-        changed.push_back({ request, quarantine_status::eQuarantined, duration{ 0 } });
-      } else if (!row.mSuspected && row.mCrashes.size() + 1 >= kCrashesToQuarantine) {
-        row.mSuspected = aNow;
-        changed.push_back({ request, quarantine_status::eSuspected, duration{ 0 } });
+      const bool blamed = priorBlame + CountBlamedCrashes(request, aNow) >= kCrashesToQuarantine;
+      if (UpdateDoubt(request, blamed, aNow)) {
+        if (aNow < row.mCrashes.back().mAt + kMaxDoubtTime) {
+          mDueEvaluations[aNow + kEvaluationInterval].push_back(request);
+        }
+        continue;
+      }
+      if (!blamed) {
+        continue;
       }
+      row.mQuarantined = aNow;
+      ClearBystanders(request);
+      changed.push_back({ request, quarantine_status::eQuarantined, duration{ 0 } });
     }
   }
   return changed;
@@ -151,8 +164,75 @@
   }
 }
 
+bool
+crash_ledger::IsProven(request_fingerprint aRequest) const
+{
+  const auto& crashes = mRequests.at(aRequest).mCrashes;
+  const auto wasAt = [&](request_fingerprint aOther, service_runner_id aRunner) {
+    const auto row = mRequests.find(aOther);
+    return row != mRequests.end() &&
+           std::any_of(row->second.mCrashes.begin(),
+                       row->second.mCrashes.end(),
+                       [&](const runner_crash& aCrash) { return aCrash.mRunner == aRunner; });
+  };
+  // One that was at all of its crashes is compared by IsBlamed().
+  const auto mayHaveCaused = [&](request_fingerprint aOther, service_runner_id aRunner) {
+    return aOther != aRequest && wasAt(aOther, aRunner) &&
+           !std::all_of(crashes.begin(), crashes.end(), [&](const runner_crash& aCrash) {
+             return wasAt(aOther, aCrash.mRunner);
+           });
+  };
+  return std::any_of(crashes.begin(), crashes.end(), [&](const runner_crash& aCrash) {
+    const auto runner = mCrashedRunners.find(aCrash.mRunner);
+    return runner != mCrashedRunners.end() &&
+           std::none_of(
+             runner->second.mRequests.begin(),
+             runner->second.mRequests.end(),
+             [&](request_fingerprint aOther) { return mayHaveCaused(aOther, aCrash.mRunner); });
+  });
+}
+
+std::optional<instant>
+crash_ledger::LastOtherCrash(request_fingerprint aRequest, instant aNow) const
+{
+  const instant from = mRequests.at(aRequest).mCrashes.front().mAt - kCommonFailureWindow;
+  std::optional<instant> last;
+  for (const auto& [id, runner] : mCrashedRunners) {
+    if (runner.mAt >= from && IsUnrelated(runner, aRequest, aNow)) {
+      last = std::max(last.value_or(runner.mAt), runner.mAt);
+    }
+  }
+  return last;
+}
+
+bool
+crash_ledger::UpdateDoubt(request_fingerprint aRequest, bool aBlamed, instant aNow)
+{
+  tracked_request& row = mRequests.at(aRequest);
+  row.mDoubtUntil.reset();
+  const std::size_t crashes = row.mCrashes.size();
+  const bool mayDoubt = crashes >= kCrashesToQuarantine && !row.mQuarantined &&
+                        (!aBlamed || crashes <= kMaxCrashesInDoubt);
+  const bool inDoubt = mayDoubt && !IsProven(aRequest);
+  if (inDoubt) {
+    const instant own = row.mCrashes.back().mAt;
+    const instant last = std::max(own, LastOtherCrash(aRequest, aNow).value_or(own));
+    row.mDoubtUntil = std::min(last + kCalmTime, own + kMaxDoubtTime);
+  }
+  return inDoubt;
+}
+
 std::uint32_t
 crash_ledger::CountBlamedCrashes(request_fingerprint aRequest, instant aNow) const
+{
+  return CountSeparateCrashes(
+    aRequest, aNow, [&](const crashed_runner& aRunner) { return IsBlamed(aRequest, aRunner); });
+}
+
+std::uint32_t
+crash_ledger::CountSeparateCrashes(request_fingerprint aRequest,
+                                   instant aNow,
+                                   const std::function<bool(const crashed_runner&)>& aFilter) const
 {
   std::uint32_t count = 0;
   std::uint32_t groupSize = 0; // Crashes close enough to have one cause.
@@ -167,7 +247,7 @@
   };
   for (const runner_crash& crash : mRequests.at(aRequest).mCrashes) {
     const auto runner = mCrashedRunners.find(crash.mRunner);
-    if (runner == mCrashedRunners.end() || !IsBlamed(aRequest, runner->second)) {
+    if (runner == mCrashedRunners.end() || !aFilter(runner->second)) {
       continue;
     }
     if (groupSize > 0 && crash.mAt - groupBegin > kCommonFailureWindow) {
@@ -189,19 +269,23 @@
 {
   // No longer than the window: two requests that each crash a runner a second have no common cause.
   const instant middle = aFrom + (aUntil - aFrom) / 2;
-  const auto isUnrelated = [&](const auto& aRow) {
-    const crashed_runner& runner = aRow.second;
-    if (runner.mAt < middle - kCommonFailureWindow / 2 ||
-        runner.mAt > middle + kCommonFailureWindow / 2) {
-      return false;
-    }
-    return std::none_of(
-      runner.mRequests.begin(), runner.mRequests.end(), [&](request_fingerprint aRunning) {
-        return aRunning == aRequest || StatusOf(aRunning, aNow) == quarantine_status::eQuarantined;
-      });
-  };
   return static_cast<std::uint32_t>(
-    std::count_if(mCrashedRunners.begin(), mCrashedRunners.end(), isUnrelated));
+    std::count_if(mCrashedRunners.begin(), mCrashedRunners.end(), [&](const auto& aRow) {
+      const crashed_runner& runner = aRow.second;
+      return runner.mAt >= middle - kCommonFailureWindow / 2 &&
+             runner.mAt <= middle + kCommonFailureWindow / 2 && IsUnrelated(runner, aRequest, aNow);
+    }));
+}
+
+bool
+crash_ledger::IsUnrelated(const crashed_runner& aRunner,
+                          request_fingerprint aRequest,
+                          instant aNow) const
+{
+  return std::none_of(
+    aRunner.mRequests.begin(), aRunner.mRequests.end(), [&](request_fingerprint aRunning) {
+      return aRunning == aRequest || StatusOf(aRunning, aNow) == quarantine_status::eQuarantined;
+    });
 }
 
 bool
@@ -223,6 +307,40 @@
   return found->second.mSuspected ? quarantine_status::eSuspected : quarantine_status::eClear;
 }
 
+bool
+crash_ledger::IsSuspected(request_fingerprint aRequest, instant aNow) const
+{
+  const auto found = mRequests.find(aRequest);
+  if (found == mRequests.end()) {
+    return false;
+  }
+  if (found->second.mCrashes.size() + 1 < kCrashesToQuarantine) {
+    return found->second.mSuspected.has_value();
+  }
+  const auto all = [](const crashed_runner&) { return true; };
+  return CountSeparateCrashes(aRequest, aNow, all) + 1 >= kCrashesToQuarantine;
+}
+
+instant
+crash_ledger::HeldUntil(request_fingerprint aRequest) const
+{
+  const auto found = mRequests.find(aRequest);
+  if (found == mRequests.end() || found->second.mCrashes.empty()) {
+    return instant{ 0 };
+  }
+  const instant evaluated = found->second.mCrashes.back().mAt + kVerdictTime;
+  return std::max(evaluated, found->second.mDoubtUntil.value_or(evaluated));
+}
+
+void
+crash_ledger::ClearSuspicion(request_fingerprint aRequest)
+{
+  const auto found = mRequests.find(aRequest);
+  if (found != mRequests.end()) {
+    found->second.mSuspected.reset();
+  }
+}
+
 duration
 crash_ledger::RemainingQuarantine(request_fingerprint aRequest, instant aNow) const
 {
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -9,13 +9,20 @@
  * explains its crashes, so they no longer count against those that were at fewer of them. If many
  * runners crash at once and a request was running on only a few of them, those crashes are no
  * evidence against it: the runners had a common cause of failure.
+ *
+ * A request that was at two crashes is suspected. It's sent only as trial_table allows, so that the
+ * next crash tells the suspected requests apart. If other runners crash at the time without it, its
+ * crashes may be theirs: unless it's proven by a crash at which no other is left, it's held until
+ * they have ended, and judged by one more trial.
  */
 #pragma once
 
 #include "quarantine/quarantine_type.h"
 
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -23,8 +30,8 @@
 
 /** A request is quarantined once this many crashes are blamed on it. */
 inline constexpr std::uint32_t kCrashesToQuarantine = 3;
-/** Requests that were running at the same crashes are all quarantined once these are more than this
- * many: the next crash usually tells them apart. */
+/** Requests that were running at the same crashes, or are in doubt, are quarantined once these are
+ * more than this many: the next crash usually tells. */
 inline constexpr std::size_t kMaxCrashesInDoubt = 3;
 /** Length of a quarantine. After it, a single further crash quarantines the request again. */
 inline constexpr duration kQuarantineDuration = std::chrono::minutes(10);
@@ -32,6 +39,14 @@
 inline constexpr duration kCrashRetention = std::chrono::minutes(10);
 /** Time after a crash for other daemons' reports of it to arrive; it's evaluated after that. */
 inline constexpr duration kReportWindow = std::chrono::milliseconds(250);
+/** Time between evaluations. */
+inline constexpr duration kEvaluationInterval = std::chrono::milliseconds(100);
+/** A suspected request isn't sent for this long after a crash: the crash is evaluated by then. */
+inline constexpr duration kVerdictTime = kReportWindow + kEvaluationInterval;
+/** A request in doubt isn't sent until no other runner has crashed for this long. */
+inline constexpr duration kCalmTime = std::chrono::milliseconds(2000);
+/** It's sent again this long after its last crash, even if others go on crashing. */
+inline constexpr duration kMaxDoubtTime = std::chrono::milliseconds(10000);
 /** Crashes within this time of each other may have a common cause. */
 inline constexpr duration kCommonFailureWindow = std::chrono::milliseconds(1000);
 /** Crashes count as a common failure if, for each crashed runner that ran the request, at least
@@ -46,8 +61,9 @@
 class crash_ledger
 {
 public:
-  /** Records that a runner crashed while it ran a request. Repeated reports count once. */
-  void NoteCrash(const crash_report& aReport, instant aNow);
+  /** Records that a runner crashed while it ran a request. Repeated reports count once.
+   * @return whether the request is suspected because of it, and wasn't before. */
+  bool NoteCrash(const crash_report& aReport, instant aNow);
   /** Records that a request was completed, so it doesn't crash runners, and drops its crashes.
    * @return whether anything was recorded against it. */
   bool NoteServed(request_fingerprint aRequest);
@@ -56,6 +72,8 @@
   /** Evaluates the requests whose crashes are at least kReportWindow old and not evaluated yet.
    * @return those whose status has changed by it. */
   std::vector<quarantine_notice> EvaluateDue(instant aNow);
+  /** Drops a suspicion that the daemon which grants trials doesn't share. */
+  void ClearSuspicion(request_fingerprint aRequest);
   /** Removes expired crashes and quarantines; to be called periodically. */
   void Prune(instant aNow);
 
@@ -64,6 +82,11 @@
   /** @return whether no request is tracked. */
   bool Empty() const { return mRequests.empty(); }
   quarantine_status StatusOf(request_fingerprint aRequest, instant aNow) const;
+  /** @return whether a request is suspected, as far as the crashes known here tell; if they are
+   * fewer than two, as far as another daemon has told. */
+  bool IsSuspected(request_fingerprint aRequest, instant aNow) const;
+  /** @return until when a suspected request isn't sent because its crashes aren't evaluated yet. */
+  instant HeldUntil(request_fingerprint aRequest) const;
   /** @return time until a request's quarantine ends; zero if it isn't quarantined. */
   duration RemainingQuarantine(request_fingerprint aRequest, instant aNow) const;
   /** @return at how many crashes a request was running, whether they are blamed on it or not. */
@@ -89,6 +112,8 @@
     std::vector<runner_crash> mCrashes;  ///< In order of first report; one per incarnation.
     std::optional<instant> mSuspected;   ///< When it became suspected.
     std::optional<instant> mQuarantined; ///< When its last quarantine began.
+    /** Set while its crashes may be another one's: it isn't sent before then. */
+    std::optional<instant> mDoubtUntil;
   };
   /** An incarnation of a runner that crashed. */
   struct crashed_runner
@@ -108,9 +133,25 @@
   evidence EvidenceOf(request_fingerprint aRequest) const;
   /** @return whether no other request on that runner has as much evidence against it, or more. */
   bool IsBlamed(request_fingerprint aRequest, const crashed_runner& aRunner) const;
-  /** @return how many crashes are blamed on a request. Of crashes that a common failure explains,
-   * one isn't counted. */
+  /** @return how many of a request's crashes pass a filter. Of crashes that a common failure
+   * explains, one isn't counted. */
+  std::uint32_t CountSeparateCrashes(
+    request_fingerprint aRequest,
+    instant aNow,
+    const std::function<bool(const crashed_runner&)>& aFilter) const;
+  /** @return how many crashes are blamed on a request. */
   std::uint32_t CountBlamedCrashes(request_fingerprint aRequest, instant aNow) const;
+  /** @return whether a request was at a crash that nobody else can have caused: all others there
+   * were served since, or another crash of theirs explains it. */
+  bool IsProven(request_fingerprint aRequest) const;
+  /** @return when a runner last crashed since shortly before the request's first crash that ran
+   * neither it nor a quarantined one; nothing if none did. */
+  std::optional<instant> LastOtherCrash(request_fingerprint aRequest, instant aNow) const;
+  /** Updates whether a request's crashes may be those of others.
+   * @param aBlamed enough of them are blamed on it to quarantine it. @return whether they may. */
+  bool UpdateDoubt(request_fingerprint aRequest, bool aBlamed, instant aNow);
+  /** @return whether neither the request nor a quarantined one was running on a runner. */
+  bool IsUnrelated(const crashed_runner& aRunner, request_fingerprint aRequest, instant aNow) const;
   /** @return how many runners crashed around the time between @p aFrom and @p aUntil, within
    * kCommonFailureWindow in all, that ran neither the request nor a quarantined one. */
   std::uint32_t CountOtherCrashes(request_fingerprint aRequest,
--- a/src/quarantine/quarantine_type.h
+++ b/src/quarantine/quarantine_type.h
@@ -28,7 +28,7 @@
 enum class quarantine_status
 {
   eClear,       ///< Nothing is recorded against it.
-  eSuspected,   ///< It was running at two crashes; its completion is sent to the other daemons.
+  eSuspected,   ///< It was running at two crashes; it's sent only as a trial.
   eQuarantined, ///< It isn't sent to any runner.
 };
 
@@ -42,6 +42,65 @@
   auto operator<=>(const quarantine_notice&) const = default;
 };
 
+struct trial_tag;
+/** Identifies the trial of one caller's request. */
+using trial_id = strong_id<trial_tag>;
+
+/** Most runners that a trial uses at once: one reads the prompt, another one generates. */
+inline constexpr std::size_t kMaxTrialRunners = 2;
+
+/** Asks for the right to send a suspected request to runners, keeps that right, or ends it. */
+struct trial_request
+{
+  trial_id mTrial;                         ///< The trial.
+  request_fingerprint mRequest;            ///< The suspected request.
+  std::vector<service_runner_id> mRunners; ///< Where it's to run; empty: the trial has ended.
+  std::uint32_t mRound = 0;                ///< Distinguishes the requests of a daemon.
+
+  auto operator<=>(const trial_request&) const = default;
+};
+
+/** Outcome of a trial request. */
+enum class trial_state
+{
+  eGranted,      ///< The request may be sent to these runners.
+  eNotSuspected, ///< The request isn't suspected, and may be sent to any runner.
+  eHeld,         ///< Another try of it is under way, or its last crash isn't evaluated yet.
+  eRunnerBusy,   ///< Another suspected request is on trial at one of the runners.
+  eNotGranting,  ///< The receiver doesn't grant trials now.
+};
+
+/** @return the outcome's name in the log. */
+inline std::string_view
+TrialStateName(trial_state aState)
+{
+  switch (aState) {
+    case trial_state::eGranted:
+      return "granted";
+    case trial_state::eNotSuspected:
+      return "not_suspected";
+    case trial_state::eHeld:
+      return "held";
+    case trial_state::eRunnerBusy:
+      return "runner_busy";
+    case trial_state::eNotGranting:
+      return "not_granting";
+  }
+  return "unknown";
+}
+
+/** The reply to a trial request. */
+struct trial_reply
+{
+  request_fingerprint mRequest;                   ///< As in the request.
+  std::uint32_t mRound = 0;                       ///< As in the request.
+  trial_state mState = trial_state::eNotGranting; ///< Outcome.
+  duration mWait{ 0 };                            ///< Time before the next request, if held.
+  std::vector<service_runner_id> mBusy;           ///< Those of the runners that are busy.
+
+  auto operator<=>(const trial_reply&) const = default;
+};
+
 /** A message between daemons about crashes and quarantines. */
 struct quarantine_message
 {
@@ -53,6 +112,8 @@
   bool mAlwaysAnswer = false; ///< Answer even if the digests agree: the sender has just started.
   /** The sender has received the quarantines that existed when it started. */
   bool mSenderStateReceived = false;
+  std::optional<trial_request> mTrial;    ///< To the daemon that grants trials.
+  std::optional<trial_reply> mTrialReply; ///< To the receiver's request.
 
   bool operator==(const quarantine_message&) const = default;
 };
--- a/src/state/forward_state.h
+++ b/src/state/forward_state.h
@@ -34,6 +34,9 @@
 /** Gets a permit, or eRunnerRefused if the runner's limit leaves none now. */
 using take_permit_callback = std::function<asio::awaitable<result<send_permit>>(permit_demand)>;
 
+/** Asks the daemon that grants trials of suspected requests. */
+using request_trial_callback = std::function<asio::awaitable<trial_reply>(trial_request)>;
+
 /** The shared state of a forwarding daemon. */
 struct forward_state
 {
@@ -299,6 +302,8 @@
   std::function<void(run_message)> mTellPlacers;          ///< Sends to the daemons that place.
   std::function<void(const crash_report&)> mReportCrash;  ///< Records and sends a crash report.
   std::function<void(request_fingerprint)> mReportServed; ///< Records a completed request.
+  request_trial_callback mRequestTrial;                   ///< Asks for a trial.
+  std::function<void(trial_request)> mKeepTrial;          ///< Tells which runners a trial uses.
   ask_placer_callback mAskPlacer;                         ///< Asks a daemon that places.
   take_permit_callback mTakePermit;                       ///< Gets the right to send to a runner.
   std::function<send_permit(service_runner_id)> mChargePermit; ///< The same for calls that free.
