Fix: [Quarantine] crashes are told apart by address and time, and judged where all of them are known

Cause: three ways in which a daemon judged by part of what was known. - Reports named the runner's incarnation as the sending daemon knew it. Change: a report carries a hash of the runner's address and its age, and belongs to a crash there within 300 ms; reports go to the first two daemons by rank, whatever those answered before, and only these judge, 1.35 s after they became so; progress decides only between a request that had always made some and one that never had. Before and after: quarantine.ASecondCrashOfARunnerCountsBeforeItsNextIncarnationIsKnown counted one crash before.

--- a/src/forward/crash_watch.h
+++ b/src/forward/crash_watch.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "core/hash_func.h"
 #include "forward/upstream_send.h"
 
 namespace dunehook {
@@ -44,7 +45,7 @@
    */
   void ReportConnectionLost(service_runner_id aRunner, bool aProgressed)
   {
-    mState.mReportCrash({ Fingerprint(), aRunner, aProgressed });
+    mState.mReportCrash({ Fingerprint(), SiteOf(aRunner), aProgressed });
   }
   /** Reports that a complete response arrived. */
   void ReportServed()
@@ -62,6 +63,12 @@
   }
 
 private:
+  crash_site SiteOf(service_runner_id aRunner) const
+  {
+    const runner_state* const runner = mState.mRunners.Find(aRunner);
+    return { runner == nullptr ? aRunner.mValue : HashBytes(ToText(runner->mEntry.mAddress)) };
+  }
+
   forward_state& mState;            ///< State shared by the daemon's components.
   const caller_exchange& mExchange; ///< The caller's connection and request.
   const request_facts& mFacts;      ///< Parsed from the request's head.
--- a/src/links/quarantine_link.cpp
+++ b/src/links/quarantine_link.cpp
@@ -49,20 +49,52 @@
   }
   run_message message;
   message.mQuarantine.emplace().mServed.push_back(aRequest);
-  mState.mTellPlacers(std::move(message));
+  SendToJudges(std::move(message));
 }
 
 asio::awaitable<void>
 quarantine_link::Tick()
 {
   for (;;) {
+    const instant slept = mState.Now();
     co_await Sleep(kEvaluationInterval);
-    JudgeAndBroadcast();
+    UpdateJudging(mState.Now() - slept > kReportWindow);
+    if (mJudgingSince && mState.Now() - *mJudgingSince >= kJudgeWarmUp) {
+      JudgeAndBroadcast();
+    }
     SendCrashes();
     BroadcastServed();
   }
 }
 
+void
+quarantine_link::UpdateJudging(bool aLate)
+{
+  const std::vector<const member_info*> ranked = mLink.Members().RankedServing();
+  const auto end =
+    ranked.begin() + static_cast<std::ptrdiff_t>(std::min(ranked.size(), kMaxCrashJudges));
+  const bool judges = std::find(ranked.begin(), end, &mLink.Members().Self()) != end;
+  if (!judges || aLate) {
+    mJudgingSince.reset();
+  }
+  if (judges && !mJudgingSince) {
+    mJudgingSince = mState.Now();
+  }
+}
+
+void
+quarantine_link::SendToJudges(run_message aMessage)
+{
+  std::vector<endpoint> to;
+  const std::vector<const member_info*> ranked = mLink.Members().RankedServing();
+  for (std::size_t i = 0; i < std::min(ranked.size(), kMaxCrashJudges); ++i) {
+    if (ranked[i] != &mLink.Members().Self()) {
+      to.push_back(RunEndpointOf(ranked[i]->mAddress));
+    }
+  }
+  mLink.SendToEach(std::move(aMessage), to);
+}
+
 void
 quarantine_link::JudgeAndBroadcast()
 {
@@ -146,13 +178,14 @@
     const bool due = crash.mSentAt == instant{ 0 } || now - crash.mSentAt >= kCrashResendInterval;
     if (due) {
       sent.mCrashes.push_back(crash.mReport);
+      sent.mCrashes.back().mAge = now - crash.mAt;
       crash.mSentAt = now;
     }
   }
   if (!sent.mCrashes.empty()) {
     run_message message;
     message.mQuarantine = std::move(sent);
-    mState.mTellPlacers(std::move(message));
+    SendToJudges(std::move(message));
   }
 }
 
--- a/src/links/quarantine_link.h
+++ b/src/links/quarantine_link.h
@@ -1,9 +1,10 @@
 /**
  * @file quarantine_link.h
- * Exchanges information on requests that crash runners. Crashes are sent to the placers, which
- * therefore know of all of them; decisions are broadcast at once. Each daemon also compares its
- * quarantines with a randomly picked one at intervals, so that no daemon stays behind for long
- * after a lost datagram, a network partition or a stall, however large the group is.
+ * Exchanges information on requests that crash runners. Crashes are sent to the first two daemons
+ * by RanksBefore(), which therefore know of all of them and judge; decisions are broadcast at once.
+ * Each daemon also compares its quarantines with a randomly picked one at intervals, so that no
+ * daemon stays behind for long after a lost datagram, a network partition or a stall, however large
+ * the group is.
  */
 #pragma once
 
@@ -24,6 +25,11 @@
  * changing at that moment. */
 inline constexpr duration kCrashResendPeriod = std::chrono::milliseconds(3500);
 inline constexpr duration kCrashResendInterval = std::chrono::milliseconds(1000);
+/** Daemons that are told of all crashes and judge. */
+inline constexpr std::size_t kMaxCrashJudges = 2;
+/** A daemon judges only after it has been one of them for this long: earlier crashes have been sent
+ * to it again by then. */
+inline constexpr duration kJudgeWarmUp = kCrashResendInterval + kReportWindow + kEvaluationInterval;
 /** Maximum number of quarantine notices in one datagram. */
 inline constexpr std::size_t kMaxNoticesPerDatagram = 64;
 /** Maximum number of this daemon's own crashes that are sent again. */
@@ -67,6 +73,10 @@
 
   asio::awaitable<void> Tick();
   asio::awaitable<void> Compare();
+  /** Updates since when this daemon is told of all crashes. @param aLate it was suspended. */
+  void UpdateJudging(bool aLate);
+  /** Sends a message to the daemons that judge. */
+  void SendToJudges(run_message aMessage);
   /** Judges the requests that are due and broadcasts changed decisions. */
   void JudgeAndBroadcast();
   /** Queues a newly suspected request to be sent to all daemons. */
@@ -85,6 +95,7 @@
   daemon_link& mLink;                   ///< Sends messages to the other daemons.
   std::deque<own_crash> mRecentCrashes; ///< This daemon's crashes to send again, oldest first; at
                                         ///< most kMaxCrashesResent.
+  std::optional<instant> mJudgingSince; ///< When it became one that judges.
   std::vector<quarantine_notice> mNewlySuspected;          ///< To be sent to all daemons.
   std::vector<request_fingerprint> mServedSuspects;        ///< Likewise; served by this daemon.
   std::function<void(request_fingerprint)> mOnQuarantined; ///< May be empty.
--- a/src/messages/run_message.cpp
+++ b/src/messages/run_message.cpp
@@ -21,6 +21,8 @@
 /** Index of the quarantine, and of the permits, in a message. */
 constexpr std::size_t kQuarantineIndex = 14;
 constexpr std::size_t kPermitsIndex = 15;
+/** Crashes are reported for a shorter time than this. */
+constexpr duration kMaxReportAge = std::chrono::minutes(1);
 /** Index of a trial request, followed by the reply to one, in a quarantine. */
 constexpr std::size_t kTrialIndex = 6;
 
@@ -220,7 +222,8 @@
 {
   json crashes = json::array();
   for (const crash_report& report : aMessage.mCrashes) {
-    crashes.push_back({ report.mRequest.mValue, report.mRunner.mValue, report.mProgressed });
+    crashes.push_back(
+      { report.mRequest.mValue, report.mSite.mValue, report.mProgressed, report.mAge.count() });
   }
   json served = json::array();
   for (const request_fingerprint request : aMessage.mServed) {
@@ -252,6 +255,15 @@
            duration(std::max<std::int64_t>(0, aItem.at(2).get<std::int64_t>())) };
 }
 
+/** @return the age of a crash; zero if its daemon is of a version that doesn't send it. */
+duration
+AgeFrom(const json& aCrash)
+{
+  constexpr std::size_t kAgeIndex = 3;
+  const std::int64_t age = aCrash.size() > kAgeIndex ? aCrash.at(kAgeIndex).get<std::int64_t>() : 0;
+  return std::min<duration>(duration(std::max<std::int64_t>(0, age)), kMaxReportAge);
+}
+
 quarantine_message
 DecodeQuarantine(const json& aItem)
 {
@@ -259,7 +271,8 @@
   for (const json& crash : aItem.at(0)) {
     message.mCrashes.push_back({ { crash.at(0).get<std::uint64_t>() },
                                  { crash.at(1).get<std::uint64_t>() },
-                                 crash.at(2).get<bool>() });
+                                 crash.at(2).get<bool>(),
+                                 AgeFrom(crash) });
   }
   for (const json& served : aItem.at(1)) {
     message.mServed.push_back({ served.get<std::uint64_t>() });
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -15,8 +15,8 @@
 bool
 crash_ledger::NoteCrash(const crash_report& aReport, instant aNow)
 {
-  crashed_runner& runner =
-    mCrashedRunners.try_emplace(aReport.mRunner, crashed_runner{ aNow, {} }).first->second;
+  const crash_id crash = FindCrash(aReport.mSite, aNow - aReport.mAge);
+  crashed_runner& runner = mCrashedRunners.at(crash);
   auto& requests = runner.mRequests;
   if (std::find(requests.begin(), requests.end(), aReport.mRequest) != requests.end()) {
     return false;
@@ -26,7 +26,7 @@
     return false;
   }
   tracked_request& row = mRequests[aReport.mRequest];
-  row.mCrashes.push_back({ aReport.mRunner, aNow, aReport.mProgressed });
+  row.mCrashes.push_back({ crash, aNow, aReport.mProgressed });
   mDueEvaluations[aNow + kReportWindow].push_back(aReport.mRequest);
   const bool isNew = !row.mSuspected && !IsQuarantined(row, aNow) &&
                      row.mCrashes.size() + 1 >= kCrashesToQuarantine &&
@@ -38,6 +38,20 @@
   return isNew;
 }
 
+crash_ledger::crash_id
+crash_ledger::FindCrash(crash_site aSite, instant aAt)
+{
+  for (const auto& [id, crash] : mCrashedRunners) {
+    if (crash.mSite == aSite && aAt < crash.mAt + kSameCrashTime &&
+        aAt > crash.mAt - kSameCrashTime) {
+      return id;
+    }
+  }
+  const crash_id fresh{ ++mLastCrash };
+  mCrashedRunners[fresh] = { aSite, aAt, {} };
+  return fresh;
+}
+
 bool
 crash_ledger::NoteServed(request_fingerprint aRequest)
 {
@@ -72,7 +86,8 @@
     mDueEvaluations.erase(mDueEvaluations.begin());
     for (const request_fingerprint request : due) {
       const auto found = mRequests.find(request);
-      if (found == mRequests.end() || IsQuarantined(found->second, aNow)) {
+      if (found == mRequests.end() || IsQuarantined(found->second, aNow) ||
+          found->second.mCrashes.empty()) {
         continue;
       }
       tracked_request& row = found->second;
@@ -118,10 +133,18 @@
   return std::none_of(
     aRunner.mRequests.begin(), aRunner.mRequests.end(), [&](request_fingerprint aOther) {
       const evidence other = EvidenceOf(aOther);
-      return other > own || (inDoubt && other == own && aOther != aRequest);
+      const bool weaker = own.IsStrongerThan(other);
+      return other.IsStrongerThan(own) || (inDoubt && !weaker && aOther != aRequest);
     });
 }
 
+bool
+crash_ledger::evidence::IsStrongerThan(const evidence& aOther) const
+{
+  const bool progressDiffers = mBeforeProgress == mCrashes && aOther.mBeforeProgress == 0;
+  return mCrashes > aOther.mCrashes || (mCrashes == aOther.mCrashes && progressDiffers);
+}
+
 bool
 crash_ledger::IsExplained(request_fingerprint aRequest,
                           const crashed_runner& aRunner,
@@ -141,7 +164,7 @@
   const std::vector<runner_crash> explained = mRequests.at(aQuarantined).mCrashes;
   std::set<request_fingerprint> bystanders;
   for (const runner_crash& crash : explained) {
-    const auto runner = mCrashedRunners.find(crash.mRunner);
+    const auto runner = mCrashedRunners.find(crash.mCrash);
     if (runner == mCrashedRunners.end()) {
       continue;
     }
@@ -158,7 +181,7 @@
     }
     std::erase_if(row->second.mCrashes, [&](const runner_crash& aCrash) {
       return std::any_of(explained.begin(), explained.end(), [&](const runner_crash& aOther) {
-        return aOther.mRunner == aCrash.mRunner;
+        return aOther.mCrash == aCrash.mCrash;
       });
     });
   }
@@ -168,27 +191,27 @@
 crash_ledger::IsProven(request_fingerprint aRequest) const
 {
   const auto& crashes = mRequests.at(aRequest).mCrashes;
-  const auto wasAt = [&](request_fingerprint aOther, service_runner_id aRunner) {
+  const auto wasAt = [&](request_fingerprint aOther, crash_id aIn) {
     const auto row = mRequests.find(aOther);
     return row != mRequests.end() &&
            std::any_of(row->second.mCrashes.begin(),
                        row->second.mCrashes.end(),
-                       [&](const runner_crash& aCrash) { return aCrash.mRunner == aRunner; });
+                       [&](const runner_crash& aCrash) { return aCrash.mCrash == aIn; });
   };
   // One that was at all of its crashes is compared by IsBlamed().
-  const auto mayHaveCaused = [&](request_fingerprint aOther, service_runner_id aRunner) {
-    return aOther != aRequest && wasAt(aOther, aRunner) &&
+  const auto mayHaveCaused = [&](request_fingerprint aOther, crash_id aIn) {
+    return aOther != aRequest && wasAt(aOther, aIn) &&
            !std::all_of(crashes.begin(), crashes.end(), [&](const runner_crash& aCrash) {
-             return wasAt(aOther, aCrash.mRunner);
+             return wasAt(aOther, aCrash.mCrash);
            });
   };
   return std::any_of(crashes.begin(), crashes.end(), [&](const runner_crash& aCrash) {
-    const auto runner = mCrashedRunners.find(aCrash.mRunner);
+    const auto runner = mCrashedRunners.find(aCrash.mCrash);
     return runner != mCrashedRunners.end() &&
            std::none_of(
              runner->second.mRequests.begin(),
              runner->second.mRequests.end(),
-             [&](request_fingerprint aOther) { return mayHaveCaused(aOther, aCrash.mRunner); });
+             [&](request_fingerprint aOther) { return mayHaveCaused(aOther, aCrash.mCrash); });
   });
 }
 
@@ -246,7 +269,7 @@
     groupSize = 0;
   };
   for (const runner_crash& crash : mRequests.at(aRequest).mCrashes) {
-    const auto runner = mCrashedRunners.find(crash.mRunner);
+    const auto runner = mCrashedRunners.find(crash.mCrash);
     if (runner == mCrashedRunners.end() || !aFilter(runner->second)) {
       continue;
     }
@@ -398,6 +421,8 @@
 void
 crash_ledger::Prune(instant aNow)
 {
+  mDueEvaluations.erase(mDueEvaluations.begin(),
+                        mDueEvaluations.lower_bound(aNow - kCrashRetention));
   std::erase_if(mCrashedRunners,
                 [&](const auto& aRow) { return aNow - aRow.second.mAt >= kCrashRetention; });
   for (auto& [request, row] : mRequests) {
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -4,7 +4,7 @@
  * quarantined. It does no I/O: the caller passes in crash reports, completed requests and the time.
  *
  * A crash breaks all runs on its runner, of which at most one caused it. It's blamed on the request
- * that was running at the most crashes; among equals, on those that had made no progress, and on
+ * that was running at the most crashes; among equals, on those that had never made progress, and on
  * none while several are left. A request on which enough crashes are blamed is quarantined; that
  * explains its crashes, so they no longer count against those that were at fewer of them. If many
  * runners crash at once and a request was running on only a few of them, those crashes are no
@@ -33,6 +33,9 @@
 /** Requests that were running at the same crashes, or are in doubt, are quarantined once these are
  * more than this many: the next crash usually tells. */
 inline constexpr std::size_t kMaxCrashesInDoubt = 3;
+/** Reports on one runner belong to the same crash if the connections broke within this time: it
+ * isn't back and crashed again so soon. */
+inline constexpr duration kSameCrashTime = std::chrono::milliseconds(300);
 /** Length of a quarantine. After it, a single further crash quarantines the request again. */
 inline constexpr duration kQuarantineDuration = std::chrono::minutes(10);
 /** Crashes are kept for this long. */
@@ -99,37 +102,45 @@
   std::uint64_t Digest(instant aNow) const;
 
 private:
+  struct crash_tag;
+  /** Numbers the crashes known to this daemon. */
+  using crash_id = strong_id<crash_tag>;
   /** A crash of a runner while it ran a request. */
   struct runner_crash
   {
-    service_runner_id mRunner; ///< The runner's incarnation.
-    instant mAt{ 0 };          ///< When it was first reported.
-    bool mProgressed = false;  ///< See crash_report.
+    crash_id mCrash;          ///< The crash.
+    instant mAt{ 0 };         ///< When it was first reported.
+    bool mProgressed = false; ///< See crash_report.
   };
   /** Crashes and status of a request. */
   struct tracked_request
   {
-    std::vector<runner_crash> mCrashes;  ///< In order of first report; one per incarnation.
+    std::vector<runner_crash> mCrashes;  ///< In order of first report.
     std::optional<instant> mSuspected;   ///< When it became suspected.
     std::optional<instant> mQuarantined; ///< When its last quarantine began.
     /** Set while its crashes may be another one's: it isn't sent before then. */
     std::optional<instant> mDoubtUntil;
   };
-  /** An incarnation of a runner that crashed. */
+  /** A crash of a runner. */
   struct crashed_runner
   {
-    instant mAt{ 0 };                           ///< When it was first reported.
+    crash_site mSite;                           ///< The runner.
+    instant mAt{ 0 };                           ///< When it crashed, as first reported.
     std::vector<request_fingerprint> mRequests; ///< Those that were running there.
   };
-  /** Evidence against a request. The request with the largest value is blamed. */
+  /** Evidence against a request. The request with the strongest one is blamed. */
   struct evidence
   {
     std::size_t mCrashes = 0;        ///< Crashes at which it was running.
     std::size_t mBeforeProgress = 0; ///< Those of them at which it had made no progress.
 
-    auto operator<=>(const evidence&) const = default;
+    /** @return whether it weighs more. Progress counts only where one of the two had always made
+     * some and the other one never: a request may crash its runner after its first events. */
+    bool IsStrongerThan(const evidence& aOther) const;
   };
 
+  /** @return the crash that a report is about; a new one if none is known at that time. */
+  crash_id FindCrash(crash_site aSite, instant aAt);
   evidence EvidenceOf(request_fingerprint aRequest) const;
   /** @return whether no other request on that runner has as much evidence against it, or more. */
   bool IsBlamed(request_fingerprint aRequest, const crashed_runner& aRunner) const;
@@ -169,9 +180,9 @@
   void EvictOldest();
 
   std::unordered_map<request_fingerprint, tracked_request>
-    mRequests; ///< At most kMaxTrackedRequests.
-  std::map<service_runner_id, crashed_runner>
-    mCrashedRunners; ///< At most kMaxCrashedRunners; by incarnation.
+    mRequests;                                        ///< At most kMaxTrackedRequests.
+  std::map<crash_id, crashed_runner> mCrashedRunners; ///< At most kMaxCrashedRunners.
+  std::uint64_t mLastCrash = 0;                       ///< Number of the last crash.
   std::map<instant, std::vector<request_fingerprint>> mDueEvaluations; ///< By due time.
 };
 
--- a/src/quarantine/quarantine_type.h
+++ b/src/quarantine/quarantine_type.h
@@ -14,12 +14,18 @@
 
 namespace dunehook {
 
+struct crash_site_tag;
+/** Where a runner crashed: a hash of its address. Daemons learn of its next incarnation at
+ * different times, so an incarnation doesn't tell which of its crashes is meant. */
+using crash_site = strong_id<crash_site_tag>;
+
 /** A report that the connection to a runner broke while it ran a request. */
 struct crash_report
 {
   request_fingerprint mRequest; ///< The request.
-  service_runner_id mRunner;    ///< The incarnation of the runner.
+  crash_site mSite;             ///< The runner.
   bool mProgressed = false;     ///< The caller had received part of this run's answer.
+  duration mAge{ 0 };           ///< Time since the connection broke.
 
   auto operator<=>(const crash_report&) const = default;
 };
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -78,6 +78,18 @@
   LONGS_EQUAL(1, mLedger.CountCrashes(kPoison));
 }
 
+TEST(quarantine, ASecondCrashOfARunnerCountsBeforeItsNextIncarnationIsKnown)
+{
+  constexpr crash_site kSite{ 77 };
+  mLedger.NoteCrash({ kPoison, kSite, false }, mNow);
+  mNow += seconds(1);
+  mLedger.NoteCrash({ kPoison, kSite, false }, mNow);
+  LONGS_EQUAL(2, mLedger.CountCrashes(kPoison));
+  mNow += seconds(1);
+  mLedger.NoteCrash({ kPoison, kSite, false, seconds(1) }, mNow); // Reported again.
+  LONGS_EQUAL(2, mLedger.CountCrashes(kPoison));
+}
+
 TEST(quarantine, CrashesOfOneRequestInQuickSuccessionAllCount)
 {
   for (int i = 0; i < 7; ++i) {
--- a/tests/unit/suspect_trial_test.cpp
+++ b/tests/unit/suspect_trial_test.cpp
@@ -113,8 +113,8 @@
   constexpr std::uint64_t kRequests = 300;
   for (std::uint64_t failure = 0; failure < 2; ++failure) {
     for (std::uint64_t request = 0; request < kRequests; ++request) {
-      const service_runner_id runner{ 1 + failure * kRunners + request % kRunners };
-      mLedger.NoteCrash({ { 5000 + request }, runner, false }, mNow);
+      const crash_site site{ 1 + request % kRunners };
+      mLedger.NoteCrash({ { 5000 + request }, site, false }, mNow);
     }
     mNow += seconds(5);
     mLedger.EvaluateDue(mNow);
@@ -283,7 +283,7 @@
     for (caller& one : mCallers) {
       if (one.mRunner == aRunner) {
         const bool progressed = mNow - one.mBeganAt > milliseconds(10);
-        const crash_report report{ one.mRequest, mRunners[aRunner].mId, progressed };
+        const crash_report report{ one.mRequest, { aRunner + 1 }, progressed, kDelay };
         mReports.push_back({ mNow + kDelay, report, one.mTrial });
         one.mStartsAt = mNow + mSettings.mReturns + milliseconds(Draw(10));
         EndRun(one);
