Fix: [Quarantine] trials name runners by address, as crash reports do

Cause: trials named the runner's incarnation as the asking daemon knew it. After a restart two daemons name the same runner differently for a while, so two suspected requests were granted it at once. Change: trial requests and replies carry the hash of the address; one type for both, runner_site.

--- a/src/forward/crash_watch.h
+++ b/src/forward/crash_watch.h
@@ -54,6 +54,12 @@
       mState.mReportServed(Fingerprint());
     }
   }
+  /** @return where a runner is. */
+  runner_site SiteOf(service_runner_id aRunner) const
+  {
+    const runner_state* const runner = mState.mRunners.Find(aRunner);
+    return { runner == nullptr ? aRunner.mValue : HashBytes(ToText(runner->mEntry.mAddress)) };
+  }
   request_fingerprint Fingerprint()
   {
     if (!mFingerprint) {
@@ -63,12 +69,6 @@
   }
 
 private:
-  crash_site SiteOf(service_runner_id aRunner) const
-  {
-    const runner_state* const runner = mState.mRunners.Find(aRunner);
-    return { runner == nullptr ? aRunner.mValue : HashBytes(ToText(runner->mEntry.mAddress)) };
-  }
-
   forward_state& mState;            ///< State shared by the daemon's components.
   const caller_exchange& mExchange; ///< The caller's connection and request.
   const request_facts& mFacts;      ///< Parsed from the request's head.
--- a/src/forward/suspect_trial.h
+++ b/src/forward/suspect_trial.h
@@ -38,7 +38,10 @@
     if (!mTrial) {
       mTrial = { mState.mRandom() | 1U };
     }
-    trial_request request{ mTrial, mWatch.Fingerprint(), std::move(aRunners), 0 };
+    trial_request request{ mTrial, mWatch.Fingerprint(), {}, 0 };
+    for (const service_runner_id runner : aRunners) {
+      request.mRunners.push_back(mWatch.SiteOf(runner));
+    }
     const trial_reply reply = co_await mState.mRequestTrial(std::move(request));
     mUnderWay = reply.mState == trial_state::eGranted;
     const bool maySend = mUnderWay || reply.mState == trial_state::eNotSuspected;
@@ -50,7 +53,7 @@
                { "wait_ms", reply.mWait.count() / 1000 } });
     if (!maySend) {
       mDenied = reply;
-      mBusy.insert(reply.mBusy.begin(), reply.mBusy.end());
+      NoteBusy(aRunners, reply.mBusy);
     }
     co_return maySend;
   }
@@ -59,7 +62,7 @@
   void KeepOnly(service_runner_id aRunner)
   {
     if (mUnderWay) {
-      mState.mKeepTrial({ mTrial, mWatch.Fingerprint(), { aRunner }, 0 });
+      mState.mKeepTrial({ mTrial, mWatch.Fingerprint(), { mWatch.SiteOf(aRunner) }, 0 });
     }
   }
 
@@ -100,16 +103,26 @@
   const std::set<service_runner_id>& Busy() const { return mBusy; }
 
 private:
+  void NoteBusy(const std::vector<service_runner_id>& aRunners,
+                const std::vector<runner_site>& aBusy)
+  {
+    for (const service_runner_id runner : aRunners) {
+      if (std::find(aBusy.begin(), aBusy.end(), mWatch.SiteOf(runner)) != aBusy.end()) {
+        mBusy.insert(runner);
+      }
+    }
+  }
+
   /** Shortest time before a trial is asked for again. */
   static constexpr duration kMinWait = std::chrono::milliseconds(10);
 
-  forward_state& mState;               ///< State shared by the daemon's components.
-  crash_watch& mWatch;                 ///< Tells whether the request is suspected.
-  trial_id mTrial;                     ///< Set once a trial was asked for.
-  bool mUnderWay = false;              ///< A trial was granted, and hasn't ended.
-  std::optional<trial_reply> mDenied;  ///< Last reply, if it was a denial.
-  std::set<service_runner_id> mBusy;   ///< See Busy().
-  duration mWaited{ 0 };               ///< Time waited for trials so far.
+  forward_state& mState;              ///< State shared by the daemon's components.
+  crash_watch& mWatch;                ///< Tells whether the request is suspected.
+  trial_id mTrial;                    ///< Set once a trial was asked for.
+  bool mUnderWay = false;             ///< A trial was granted, and hasn't ended.
+  std::optional<trial_reply> mDenied; ///< Last reply, if it was a denial.
+  std::set<service_runner_id> mBusy;  ///< See Busy().
+  duration mWaited{ 0 };              ///< Time waited for trials so far.
 };
 
 } // namespace dunehook
--- a/src/links/trial_link.cpp
+++ b/src/links/trial_link.cpp
@@ -10,10 +10,9 @@
   : mState(aState)
   , mLink(aLink)
 {
-  aQuarantines.SetTrialHandler(
-    [this](const quarantine_message& aMessage, const endpoint& aFrom) {
-      HandleMessage(aMessage, aFrom);
-    });
+  aQuarantines.SetTrialHandler([this](const quarantine_message& aMessage, const endpoint& aFrom) {
+    HandleMessage(aMessage, aFrom);
+  });
   mState.mRequestTrial = [this](trial_request aRequest) { return Request(std::move(aRequest)); };
   mState.mKeepTrial = [this](trial_request aRequest) { Keep(std::move(aRequest)); };
 }
@@ -47,8 +46,8 @@
 trial_link::Answer(const trial_request& aRequest)
 {
   const instant now = mState.Now();
-  const bool grants = mGrantorSince && now - *mGrantorSince >= kTrialWarmUp &&
-                      Grantor() == &mLink.Members().Self();
+  const bool grants =
+    mGrantorSince && now - *mGrantorSince >= kTrialWarmUp && Grantor() == &mLink.Members().Self();
   if (grants) {
     return mTrials.Answer(aRequest, mState.mCrashes, now);
   }
--- a/src/links/trial_link.h
+++ b/src/links/trial_link.h
@@ -1,8 +1,8 @@
 /**
  * @file trial_link.h
  * Asks for trials of suspected requests, and grants them if this daemon is the one that does: the
- * first of the serving daemons by RanksBefore(). Crashes are reported to that one, so it knows which
- * requests are suspected and which crashes aren't evaluated yet.
+ * first of the serving daemons by RanksBefore(). Crashes are reported to that one, so it knows
+ * which requests are suspected and which crashes aren't evaluated yet.
  */
 #pragma once
 
--- a/src/messages/run_message.cpp
+++ b/src/messages/run_message.cpp
@@ -172,12 +172,32 @@
   }
 }
 
+json
+SitesOf(const std::vector<runner_site>& aSites)
+{
+  json items = json::array();
+  for (const runner_site site : aSites) {
+    items.push_back(site.mValue);
+  }
+  return items;
+}
+
+std::vector<runner_site>
+SitesFrom(const json& aItems)
+{
+  std::vector<runner_site> sites;
+  for (const json& item : aItems) {
+    sites.push_back({ item.get<std::uint64_t>() });
+  }
+  return sites;
+}
+
 json
 EncodeTrial(const trial_request& aRequest)
 {
   return json::array({ aRequest.mTrial.mValue,
                        aRequest.mRequest.mValue,
-                       IdsOf(aRequest.mRunners),
+                       SitesOf(aRequest.mRunners),
                        aRequest.mRound });
 }
 
@@ -187,7 +207,7 @@
   trial_request request;
   request.mTrial = { aItem.at(0).get<std::uint64_t>() };
   request.mRequest = { aItem.at(1).get<std::uint64_t>() };
-  request.mRunners = IdsFrom(aItem.at(2));
+  request.mRunners = SitesFrom(aItem.at(2));
   request.mRunners.resize(std::min(request.mRunners.size(), kMaxTrialRunners));
   request.mRound = aItem.at(3).get<std::uint32_t>();
   return request;
@@ -200,7 +220,7 @@
                        aReply.mRound,
                        static_cast<int>(aReply.mState),
                        aReply.mWait.count(),
-                       IdsOf(aReply.mBusy) });
+                       SitesOf(aReply.mBusy) });
 }
 
 trial_reply
@@ -213,7 +233,7 @@
   const bool known = state >= 0 && state <= static_cast<int>(trial_state::eNotGranting);
   reply.mState = known ? static_cast<trial_state>(state) : trial_state::eNotGranting;
   reply.mWait = duration(std::max<std::int64_t>(0, aItem.at(3).get<std::int64_t>()));
-  reply.mBusy = IdsFrom(aItem.at(4));
+  reply.mBusy = SitesFrom(aItem.at(4));
   return reply;
 }
 
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -39,7 +39,7 @@
 }
 
 crash_ledger::crash_id
-crash_ledger::FindCrash(crash_site aSite, instant aAt)
+crash_ledger::FindCrash(runner_site aSite, instant aAt)
 {
   for (const auto& [id, crash] : mCrashedRunners) {
     if (crash.mSite == aSite && aAt < crash.mAt + kSameCrashTime &&
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -124,7 +124,7 @@
   /** A crash of a runner. */
   struct crashed_runner
   {
-    crash_site mSite;                           ///< The runner.
+    runner_site mSite;                          ///< The runner.
     instant mAt{ 0 };                           ///< When it crashed, as first reported.
     std::vector<request_fingerprint> mRequests; ///< Those that were running there.
   };
@@ -140,7 +140,7 @@
   };
 
   /** @return the crash that a report is about; a new one if none is known at that time. */
-  crash_id FindCrash(crash_site aSite, instant aAt);
+  crash_id FindCrash(runner_site aSite, instant aAt);
   evidence EvidenceOf(request_fingerprint aRequest) const;
   /** @return whether no other request on that runner has as much evidence against it, or more. */
   bool IsBlamed(request_fingerprint aRequest, const crashed_runner& aRunner) const;
--- a/src/quarantine/quarantine_type.h
+++ b/src/quarantine/quarantine_type.h
@@ -14,16 +14,16 @@
 
 namespace dunehook {
 
-struct crash_site_tag;
-/** Where a runner crashed: a hash of its address. Daemons learn of its next incarnation at
- * different times, so an incarnation doesn't tell which of its crashes is meant. */
-using crash_site = strong_id<crash_site_tag>;
+struct runner_site_tag;
+/** Where a runner is: a hash of its address. Daemons learn of its next incarnation at different
+ * times, so an incarnation doesn't tell two daemons that they mean the same runner. */
+using runner_site = strong_id<runner_site_tag>;
 
 /** A report that the connection to a runner broke while it ran a request. */
 struct crash_report
 {
   request_fingerprint mRequest; ///< The request.
-  crash_site mSite;             ///< The runner.
+  runner_site mSite;            ///< The runner.
   bool mProgressed = false;     ///< The caller had received part of this run's answer.
   duration mAge{ 0 };           ///< Time since the connection broke.
 
@@ -58,10 +58,10 @@
 /** Asks for the right to send a suspected request to runners, keeps that right, or ends it. */
 struct trial_request
 {
-  trial_id mTrial;                         ///< The trial.
-  request_fingerprint mRequest;            ///< The suspected request.
-  std::vector<service_runner_id> mRunners; ///< Where it's to run; empty: the trial has ended.
-  std::uint32_t mRound = 0;                ///< Distinguishes the requests of a daemon.
+  trial_id mTrial;                   ///< The trial.
+  request_fingerprint mRequest;      ///< The suspected request.
+  std::vector<runner_site> mRunners; ///< Where it's to run; empty: the trial has ended.
+  std::uint32_t mRound = 0;          ///< Distinguishes the requests of a daemon.
 
   auto operator<=>(const trial_request&) const = default;
 };
@@ -102,7 +102,7 @@
   std::uint32_t mRound = 0;                       ///< As in the request.
   trial_state mState = trial_state::eNotGranting; ///< Outcome.
   duration mWait{ 0 };                            ///< Time before the next request, if held.
-  std::vector<service_runner_id> mBusy;           ///< Those of the runners that are busy.
+  std::vector<runner_site> mBusy;                 ///< Those of the runners that are busy.
 
   auto operator<=>(const trial_reply&) const = default;
 };
--- a/src/quarantine/trial_table.cpp
+++ b/src/quarantine/trial_table.cpp
@@ -21,12 +21,12 @@
   return mTrials.size();
 }
 
-std::vector<service_runner_id>
+std::vector<runner_site>
 trial_table::BusyRunners(const trial_request& aRequest) const
 {
-  std::vector<service_runner_id> busy;
+  std::vector<runner_site> busy;
   for (const auto& [trial, row] : mTrials) {
-    for (const service_runner_id runner : row.mRunners) {
+    for (const runner_site runner : row.mRunners) {
       const bool wanted = std::find(aRequest.mRunners.begin(), aRequest.mRunners.end(), runner) !=
                           aRequest.mRunners.end();
       if (trial != aRequest.mTrial && wanted) {
--- a/src/quarantine/trial_table.h
+++ b/src/quarantine/trial_table.h
@@ -1,7 +1,7 @@
 /**
  * @file trial_table.h
- * Grants trials of suspected requests. One daemon does so for all. It does no I/O: the caller passes
- * in requests of the daemons and the time.
+ * Grants trials of suspected requests. One daemon does so for all. It does no I/O: the caller
+ * passes in requests of the daemons and the time.
  *
  * A suspected request runs once at a time in the whole fleet, and only on runners without another
  * suspected one, beside requests that aren't suspected. So a further crash has one suspect, and
@@ -44,14 +44,14 @@
   /** A trial under way. */
   struct trial_row
   {
-    request_fingerprint mRequest;            ///< The suspected request.
-    std::vector<service_runner_id> mRunners; ///< Where it runs.
-    instant mUntil{ 0 };                     ///< End of its lease.
+    request_fingerprint mRequest;      ///< The suspected request.
+    std::vector<runner_site> mRunners; ///< Where it runs.
+    instant mUntil{ 0 };               ///< End of its lease.
   };
 
   void Prune(instant aNow);
   /** @return those of the runners on which another trial is under way. */
-  std::vector<service_runner_id> BusyRunners(const trial_request& aRequest) const;
+  std::vector<runner_site> BusyRunners(const trial_request& aRequest) const;
   /** @return whether another trial of the same request is under way. */
   bool IsOnTrial(const trial_request& aRequest) const;
 
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -80,7 +80,7 @@
 
 TEST(quarantine, ASecondCrashOfARunnerCountsBeforeItsNextIncarnationIsKnown)
 {
-  constexpr crash_site kSite{ 77 };
+  constexpr runner_site kSite{ 77 };
   mLedger.NoteCrash({ kPoison, kSite, false }, mNow);
   mNow += seconds(1);
   mLedger.NoteCrash({ kPoison, kSite, false }, mNow);
--- a/tests/unit/suspect_trial_test.cpp
+++ b/tests/unit/suspect_trial_test.cpp
@@ -19,8 +19,8 @@
 
 constexpr request_fingerprint kSuspect{ 1001 };
 constexpr request_fingerprint kOther{ 1003 };
-constexpr service_runner_id kRunner{ 11 };
-constexpr service_runner_id kOtherRunner{ 12 };
+constexpr runner_site kRunner{ 11 };
+constexpr runner_site kOtherRunner{ 12 };
 
 } // namespace
 
@@ -39,15 +39,13 @@
     mNow += kVerdictTime;
     mLedger.EvaluateDue(mNow);
   }
-  trial_reply Ask(std::uint64_t aTrial,
-                  request_fingerprint aRequest,
-                  const std::vector<service_runner_id>& aRunners)
+  trial_reply Ask(
+    std::uint64_t aTrial, request_fingerprint aRequest, const std::vector<runner_site>& aRunners)
   {
     return mTrials.Answer({ { aTrial }, aRequest, aRunners, 1 }, mLedger, mNow);
   }
-  trial_state StateOf(std::uint64_t aTrial,
-                      request_fingerprint aRequest,
-                      const std::vector<service_runner_id>& aRunners)
+  trial_state StateOf(
+    std::uint64_t aTrial, request_fingerprint aRequest, const std::vector<runner_site>& aRunners)
   {
     return Ask(aTrial, aRequest, aRunners).mState;
   }
@@ -69,7 +67,7 @@
   CHECK_TRUE(StateOf(1, kSuspect, { kRunner }) == trial_state::eGranted);
   const trial_reply denied = Ask(2, kOther, { kOtherRunner, kRunner });
   CHECK_TRUE(denied.mState == trial_state::eRunnerBusy);
-  CHECK_TRUE(denied.mBusy == std::vector<service_runner_id>{ kRunner });
+  CHECK_TRUE(denied.mBusy == std::vector<runner_site>{ kRunner });
   CHECK_TRUE(StateOf(2, kOther, { kOtherRunner }) == trial_state::eGranted);
 }
 
@@ -113,7 +111,7 @@
   constexpr std::uint64_t kRequests = 300;
   for (std::uint64_t failure = 0; failure < 2; ++failure) {
     for (std::uint64_t request = 0; request < kRequests; ++request) {
-      const crash_site site{ 1 + request % kRunners };
+      const runner_site site{ 1 + request % kRunners };
       mLedger.NoteCrash({ { 5000 + request }, site, false }, mNow);
     }
     mNow += seconds(5);
@@ -171,7 +169,7 @@
     , mCallers(aSettings.mRequests)
   {
     for (engine& one : mRunners) {
-      one.mId = { ++mIncarnations };
+      one.mSite = { ++mNumbers };
     }
     for (std::size_t i = 0; i < mCallers.size(); ++i) {
       mCallers[i].mRequest = { 2001 + 2 * i };
@@ -217,21 +215,21 @@
   /** An engine. */
   struct engine
   {
-    service_runner_id mId; ///< Its incarnation.
-    instant mUpAt{ 0 };    ///< It's down before.
+    runner_site mSite;  ///< Where it is.
+    instant mUpAt{ 0 }; ///< It's down before.
   };
   /** A caller with one request, which it sends until it's served. */
   struct caller
   {
-    request_fingerprint mRequest;        ///< What it sends.
-    std::size_t mRunner = kNowhere;      ///< Where its run is, if there's one.
-    trial_id mTrial;                     ///< The run's trial, if it's one.
-    instant mStartsAt{ 0 };              ///< When it sends next.
-    instant mBeganAt{ 0 };               ///< When the run began.
-    instant mEndsAt{ 0 };                ///< When the run is complete.
-    std::size_t mCrashes = 0;            ///< Runners that it crashed.
-    bool mServed = false;                ///< It was served once.
-    bool mQuarantined = false;           ///< It was quarantined at some time.
+    request_fingerprint mRequest;   ///< What it sends.
+    std::size_t mRunner = kNowhere; ///< Where its run is, if there's one.
+    trial_id mTrial;                ///< The run's trial, if it's one.
+    instant mStartsAt{ 0 };         ///< When it sends next.
+    instant mBeganAt{ 0 };          ///< When the run began.
+    instant mEndsAt{ 0 };           ///< When the run is complete.
+    std::size_t mCrashes = 0;       ///< Runners that it crashed.
+    bool mServed = false;           ///< It was served once.
+    bool mQuarantined = false;      ///< It was quarantined at some time.
   };
   /** A report under way, followed by the end of the run's trial. */
   struct late_report
@@ -283,13 +281,13 @@
     for (caller& one : mCallers) {
       if (one.mRunner == aRunner) {
         const bool progressed = mNow - one.mBeganAt > milliseconds(10);
-        const crash_report report{ one.mRequest, { aRunner + 1 }, progressed, kDelay };
+        const crash_report report{ one.mRequest, mRunners[aRunner].mSite, progressed, kDelay };
         mReports.push_back({ mNow + kDelay, report, one.mTrial });
         one.mStartsAt = mNow + mSettings.mReturns + milliseconds(Draw(10));
         EndRun(one);
       }
     }
-    mRunners[aRunner] = { { ++mIncarnations }, mNow + kRestartTime };
+    mRunners[aRunner].mUpAt = mNow + kRestartTime;
   }
 
   void DeliverReports()
@@ -320,9 +318,10 @@
       return;
     }
     if (status == quarantine_status::eSuspected) {
-      const trial_id trial{ ++mIncarnations };
+      const trial_id trial{ ++mNumbers };
       const trial_state state =
-        mTrials.Answer({ trial, aCaller.mRequest, { RunnerId(runner) }, 0 }, mLedger, mNow).mState;
+        mTrials.Answer({ trial, aCaller.mRequest, { mRunners[runner].mSite }, 0 }, mLedger, mNow)
+          .mState;
       if (state != trial_state::eGranted && state != trial_state::eNotSuspected) {
         return;
       }
@@ -333,20 +332,18 @@
     aCaller.mEndsAt = mNow + milliseconds(kMinRunMs + Draw(kMaxRunMs));
   }
 
-  service_runner_id RunnerId(std::size_t aRunner) const { return mRunners[aRunner].mId; }
-
   void NoteQuarantined()
   {
     for (caller& one : mCallers) {
-      one.mQuarantined = one.mQuarantined || mLedger.StatusOf(one.mRequest, mNow) ==
-                                               quarantine_status::eQuarantined;
+      one.mQuarantined =
+        one.mQuarantined || mLedger.StatusOf(one.mRequest, mNow) == quarantine_status::eQuarantined;
     }
   }
 
   play_settings mSettings;           ///< What is played.
   std::mt19937 mRandom;              ///< Source of Draw().
   instant mNow{ seconds(100) };      ///< Virtual time.
-  std::uint64_t mIncarnations = 100; ///< Ids given so far.
+  std::uint64_t mNumbers = 100;      ///< Ids given so far.
   std::vector<engine> mRunners;      ///< All engines.
   std::vector<caller> mCallers;      ///< All callers, culprits first.
   std::vector<late_report> mReports; ///< Reports under way, in order.
@@ -357,34 +354,32 @@
 
 } // namespace
 
-TEST_GROUP(crashing_fleet)
-{
-  /** Plays fleets of many sizes, and checks what callers get. */
-  static void CheckPlays(unsigned aFirstSeed, std::size_t aCulprits)
-  {
-    constexpr unsigned kPlays = 150;
-    const std::vector<duration> returns{ milliseconds(0),
-                                         milliseconds(50),
-                                         milliseconds(100),
-                                         milliseconds(350),
-                                         milliseconds(1000) };
-    for (unsigned seed = aFirstSeed; seed < aFirstSeed + kPlays; ++seed) {
-      std::mt19937 random(seed);
-      play_settings settings;
-      settings.mSeed = seed;
-      settings.mRunners = 2 + random() % 11;
-      settings.mCulprits = aCulprits;
-      settings.mRequests = 4 + random() % 61;
-      settings.mReturns = returns[random() % returns.size()];
-      const play_result result = fleet_play(settings).Run();
-      const std::string name = "seed " + std::to_string(seed);
-      LONGS_EQUAL_TEXT(0, result.mWronglyHeld, name.c_str());
-      LONGS_EQUAL_TEXT(0, result.mUnserved, name.c_str());
-      LONGS_EQUAL_TEXT(aCulprits, result.mCulpritsHeld, name.c_str());
-      CHECK_TRUE_TEXT(result.mMaxCrashes <= kCrashesToQuarantine + 1, name.c_str());
-    }
-  }
-};
+TEST_GROUP(crashing_fleet){ /** Plays fleets of many sizes, and checks what callers get. */
+                            static void CheckPlays(unsigned aFirstSeed, std::size_t aCulprits){
+                              constexpr unsigned kPlays = 150;
+const std::vector<duration> returns{ milliseconds(0),
+                                     milliseconds(50),
+                                     milliseconds(100),
+                                     milliseconds(350),
+                                     milliseconds(1000) };
+for (unsigned seed = aFirstSeed; seed < aFirstSeed + kPlays; ++seed) {
+  std::mt19937 random(seed);
+  play_settings settings;
+  settings.mSeed = seed;
+  settings.mRunners = 2 + random() % 11;
+  settings.mCulprits = aCulprits;
+  settings.mRequests = 4 + random() % 61;
+  settings.mReturns = returns[random() % returns.size()];
+  const play_result result = fleet_play(settings).Run();
+  const std::string name = "seed " + std::to_string(seed);
+  LONGS_EQUAL_TEXT(0, result.mWronglyHeld, name.c_str());
+  LONGS_EQUAL_TEXT(0, result.mUnserved, name.c_str());
+  LONGS_EQUAL_TEXT(aCulprits, result.mCulpritsHeld, name.c_str());
+  CHECK_TRUE_TEXT(result.mMaxCrashes <= kCrashesToQuarantine + 1, name.c_str());
+}
+}
+}
+;
 
 TEST(crashing_fleet, ACulpritIsStoppedAndAllOthersAreServed)
 {
