Add: [Test] daemons that hear of no crashes are told of suspects, and judge nothing

Two tests of the links with three daemons: one that is told of no crashes learns that a request is suspected, and that it was served; one that hears of its own crashes only doesn't quarantine a request that was beside another one.

--- a/tests/unit/quarantine_link_test.cpp
+++ b/tests/unit/quarantine_link_test.cpp
@@ -60,6 +60,11 @@
     mState.mSettings.mSeeds = { AddressOf(aOther) };
     mLink.AddSeeds();
   }
+  bool IsSuspected() const
+  {
+    return mState.mCrashes.StatusOf(kCrashingRequest, mState.Now()) ==
+           quarantine_status::eSuspected;
+  }
   bool IsQuarantined() const
   {
     return mState.mCrashes.StatusOf(kCrashingRequest, mState.Now()) ==
@@ -154,6 +159,41 @@
   CHECK_TRUE(RunUntil([&] { return one.mState.mCrashes.Empty(); }, kReportLimit));
 }
 
+TEST(quarantine_link, ADaemonThatIsToldOfNoCrashesLearnsThatARequestIsSuspectedAndThenServed)
+{
+  node one(mIo, 1);
+  node two(mIo, 2);
+  node three(mIo, 3); // The first two by rank are told of crashes.
+  one.Connect(2);
+  one.Connect(3);
+  CHECK_TRUE(RunUntil([&] { return three.mLink.Members().CountServing() == 3; }, kReportLimit));
+  one.mQuarantines.NoteCrash({ kCrashingRequest, { 1 }, false });
+  two.mQuarantines.NoteCrash({ kCrashingRequest, { 2 }, false });
+  CHECK_TRUE(RunUntil([&] { return three.IsSuspected(); }, kReportLimit));
+  two.mQuarantines.NoteServed(kCrashingRequest);
+  CHECK_TRUE(RunUntil([&] { return !three.IsSuspected(); }, kReportLimit));
+}
+
+TEST(quarantine_link, ADaemonThatHearsOnlyOfItsOwnCrashesDoesNotJudge)
+{
+  constexpr request_fingerprint kBystander{ 1003 };
+  node one(mIo, 1);
+  node two(mIo, 2);
+  node three(mIo, 3);
+  one.Connect(2);
+  one.Connect(3);
+  CHECK_TRUE(RunUntil([&] { return three.mLink.Members().CountServing() == 3; }, kReportLimit));
+  RunUntil([] { return false; }, kJudgeWarmUp);
+  for (std::uint64_t site = 1; site <= kCrashesToQuarantine; ++site) {
+    three.mQuarantines.NoteCrash({ kBystander, { site }, false });
+    two.mQuarantines.NoteCrash({ kCrashingRequest, { site }, false });
+  }
+  one.mQuarantines.NoteCrash({ kCrashingRequest, { kCrashesToQuarantine + 1 }, false });
+  CHECK_TRUE(RunUntil([&] { return three.IsQuarantined(); }, kReportLimit));
+  CHECK_TRUE(three.mState.mCrashes.StatusOf(kBystander, three.mState.Now()) !=
+             quarantine_status::eQuarantined);
+}
+
 TEST(quarantine_link, HundredsOfDaemonsLearnInTimeIncludingThoseThatWereCutOff)
 {
   constexpr std::size_t kDaemons = 300;
