--- a/scripts/run_soak.sh
+++ b/scripts/run_soak.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the soak: every seed of soak/seeds.txt, which failed once, and those given. Prints the line of
+# Plays the soak: every seed of soak/seeds.txt, which failed once, with its flags, and those given. Prints the line of
 # each seed that broke a promise, and a count. What KNOWN-RED.txt lists as soak.SEED.PROMISE, or
 # soak.any.PROMISE, is printed and passed over; any other promise broken by the same seed isn't. Usage: scripts/run_soak.sh BUILD [SEED...]; JOBS sets
 # how many seeds at once, EPISODES how many spans of faults each.
@@ -13,7 +13,8 @@
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
 printf '%s\n' "${seeds[@]}" |
-  xargs -P "${JOBS:-2}" -I{} timeout 300 "$build/soak/soak" --seeds={} --episodes="${EPISODES:-5}" >>"$out" 2>&1
+  xargs -P "${JOBS:-2}" -I{} sh -c 'set -- $0; seed=$1; shift
+    exec timeout 300 "$DUNEHOOK_BUILD/soak/soak" --seeds="$seed" --episodes="${EPISODES:-5}" "$@"' {} >>"$out" 2>&1
 played=$(grep -c '"broken":\[\]' "$out" || true)
 grep -v '"broken":\[\]' "$out"
 known=0
--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -1,8 +1,9 @@
 /**
  * @file caller.cpp
  * Load caller: sends practice turns at a steady rate, checks every text, and prints times to the
- * first token. With --prefill and --decode it makes the same calls straight to the engines, for
- * comparison. With --show it prints one answer as it streams.
+ * first token. Calls that are still open after kOpenCallsAfter are printed as they are then. With
+ * --prefill and --decode it makes the same calls straight to the engines, for comparison. With
+ * --show it prints one answer as it streams.
  */
 #include "core/attempt_type.h"
 #include "runners/engine_client.h"
@@ -14,6 +15,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <map>
 
 ABSL_FLAG(std::vector<std::string>, daemons, {}, "callers' addresses of the daemons, by commas");
 ABSL_FLAG(std::string, prefill, "", "call this prefill engine straight");
@@ -30,6 +32,18 @@
 
 using json = nlohmann::json;
 
+/** Time after the start at which open calls are printed; all have usually ended long before. */
+constexpr duration kOpenCallsAfter = std::chrono::seconds(20);
+
+/** How far a call has come. */
+struct open_call
+{
+  std::string mDaemon;       ///< Callers' address of the daemon.
+  instant mSince{ 0 };       ///< When it began.
+  std::string_view mStage;   ///< What it waits for.
+  std::size_t mReceived = 0; ///< Bytes of the answer so far.
+};
+
 /** What became of the calls. */
 struct tally
 {
@@ -39,6 +53,7 @@
   std::uint64_t mRefused = 0;        ///< Refusals.
   std::uint64_t mFailed = 0;         ///< Anything else.
   std::uint64_t mTokens = 0;         ///< Tokens received.
+  std::map<int, open_call> mOpen;    ///< Calls to daemons that haven't ended, by number.
 };
 
 std::string
@@ -87,13 +102,18 @@
     { "max_tokens", tokens },
     { "stream", true }
   }.dump();
+  open_call& open = aTally.mOpen[aCall];
+  open = { ToText(aDaemon), start, "connection", 0 };
   const auto connection = co_await aPool.Acquire(aDaemon, kLimit);
+  open.mStage = "head";
   const result<unsigned> status = connection ? co_await connection.value()->Start(call, kLimit)
                                              : result<unsigned>(connection.error());
   if (!status || status.value() != 200) {
     ++(status ? aTally.mRefused : aTally.mFailed);
+    aTally.mOpen.erase(aCall);
     co_return;
   }
+  open.mStage = "events";
   std::string buffer;
   std::string text;
   bool done = false;
@@ -107,9 +127,11 @@
     if (firstMs == 0 && !buffer.empty()) {
       firstMs = ToSeconds(boot_clock_source().Now() - start) * 1000;
     }
+    open.mReceived += buffer.size() - before;
     TakeEvents(buffer, text, done, aTally.mTokens);
     more = read && read.value();
   }
+  aTally.mOpen.erase(aCall);
   aPool.Release(aDaemon, connection.value());
   if (!done) {
     ++aTally.mFailed;
@@ -166,6 +188,21 @@
   aTally.mFirstTokenMs.push_back(firstMs);
 }
 
+void
+PrintOpenCalls(const tally& aTally)
+{
+  for (const auto& [number, call] : aTally.mOpen) {
+    const duration open = boot_clock_source().Now() - call.mSince;
+    std::cout << json{
+      { "open_call", number },
+      { "daemon", call.mDaemon },
+      { "waits_for", call.mStage },
+      { "received", call.mReceived },
+      { "ms", open.count() / 1000 }
+    }.dump() << std::endl;
+  }
+}
+
 asio::awaitable<void>
 RunAll(asio::io_context& aIo, engine_client& aEngines, http_pool& aPool, tally& aTally, int& aOpen)
 {
@@ -186,8 +223,13 @@
     const std::string& target = daemons[static_cast<std::size_t>(call) % daemons.size()];
     asio::co_spawn(aIo, CallDaemon(aPool, ParseEndpoint(target).value(), call, aTally), finished);
   }
+  bool printed = false;
   while (aOpen > 0) {
     co_await Sleep(std::chrono::milliseconds(5));
+    if (!printed && boot_clock_source().Now() - start >= kOpenCallsAfter) {
+      printed = true;
+      PrintOpenCalls(aTally);
+    }
   }
 }
 
--- a/tests/integration/answers_test.cpp
+++ b/tests/integration/answers_test.cpp
@@ -122,7 +122,11 @@
                  "--tokens=30",
                  "--prompt_bytes=120" },
                bed.Path("load.out"));
-  LONGS_EQUAL(0, load.WaitForExit(30000));
+  const int code = load.WaitForExit(30000);
+  if (code != 0) {
+    UT_PRINT(load.Output().c_str()); // Names the calls that are open.
+  }
+  LONGS_EQUAL(0, code);
   const json summary = json::parse(load.WaitForLine("\"done\""));
   LONGS_EQUAL(0, summary["wrong"].get<int>());
   LONGS_EQUAL(0, summary["failed"].get<int>());
