--- a/src/links/trial_link.cpp
+++ b/src/links/trial_link.cpp
@@ -14,7 +14,7 @@
     HandleMessage(aMessage, aFrom);
   });
   mState.mRequestTrial = [this](trial_request aRequest) { return Request(std::move(aRequest)); };
-  mState.mKeepTrial = [this](trial_request aRequest) { Keep(std::move(aRequest)); };
+  mState.mKeepTrial = [this](const trial_request& aRequest) { Keep(aRequest); };
 }
 
 void
@@ -101,7 +101,7 @@
 }
 
 void
-trial_link::Keep(trial_request aRequest)
+trial_link::Keep(const trial_request& aRequest)
 {
   if (aRequest.mRunners.empty()) {
     mOwnTrials.erase(aRequest.mTrial);
--- a/src/links/trial_link.h
+++ b/src/links/trial_link.h
@@ -41,7 +41,7 @@
   /** Asks for a trial. @return the reply; eNotGranting if none comes in time. */
   asio::awaitable<trial_reply> Request(trial_request aRequest);
   /** Sends the runners that a trial still uses, without waiting for a reply. */
-  void Keep(trial_request aRequest);
+  void Keep(const trial_request& aRequest);
   asio::awaitable<void> RunPasses();
   void HandleMessage(const quarantine_message& aMessage, const endpoint& aFrom);
   /** Answers a request as the daemon that grants. */
--- a/src/state/forward_state.h
+++ b/src/state/forward_state.h
@@ -303,7 +303,7 @@
   std::function<void(const crash_report&)> mReportCrash;  ///< Records and sends a crash report.
   std::function<void(request_fingerprint)> mReportServed; ///< Records a completed request.
   request_trial_callback mRequestTrial;                   ///< Asks for a trial.
-  std::function<void(trial_request)> mKeepTrial;          ///< Tells which runners a trial uses.
+  std::function<void(const trial_request&)> mKeepTrial;   ///< Tells which runners a trial uses.
   ask_placer_callback mAskPlacer;                         ///< Asks a daemon that places.
   take_permit_callback mTakePermit;                       ///< Gets the right to send to a runner.
   std::function<send_permit(service_runner_id)> mChargePermit; ///< The same for calls that free.
