Fix: [Test] beds of two processes don't share ports; what the runs beside load taught

Seen: epochs.ARunnerThatLeftStaysLeftWhereAnOlderStoreListsIt failed 2 of 90 times beside load. Cause: its daemon couldn't bind, since a bed of another process had the same ports (process id modulo 500), and that one's daemon answered as ready. Evidence: the kept folders of the two plays hold one line, start_failed. Change: a bed claims its ports and takes the next ones if they are claimed, and says so if its daemon has ended.

--- a/tests/platform/epoch_test.cpp
+++ b/tests/platform/epoch_test.cpp
@@ -219,6 +219,15 @@
   LONGS_EQUAL(0, CountAt("desk-1"));
 }
 
+TEST(epochs, TwoBedsAtOnceEachReachTheirOwnDaemon)
+{
+  fleet_bed other;
+  other.StartUsual();
+  StartWithStartTimes();
+  CHECK_TRUE(mBed.Callers() != other.Callers());
+  LONGS_EQUAL(kRequestsPerCheck, CountAt("desk-1"));
+}
+
 TEST(epochs, ATermNeverHasTheNumberOfOneThatTheStoreHasForgotten)
 {
   asio::io_context io(1);
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -11,8 +11,10 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <netinet/in.h>
 #include <sstream>
 #include <stdexcept>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <thread>
 #include <unistd.h>
@@ -122,7 +124,7 @@
 {
   char folder[] = "/tmp/dunehook-fleet-XXXXXX";
   mFolder = ::mkdtemp(folder);
-  mPort = kFirstPort + (::getpid() * kPortsOfDaemon) % kPortRange;
+  ClaimPorts();
   mFleet = std::make_unique<process>(
     std::vector<std::string>{ BuildFolder() + "/standins/standin_fleet" }, mFolder + "/fleet.out");
   const std::string line = mFleet->WaitForLine("listening");
@@ -133,8 +135,28 @@
   mStoreAddress = Behind("store", mAddress);
 }
 
+void
+fleet_bed::ClaimPorts()
+{
+  const int slots = kPortRange / kPortsOfDaemon;
+  for (int tried = 0; tried < slots; ++tried) {
+    mPort = kFirstPort + (::getpid() + tried) % slots * kPortsOfDaemon;
+    mPortClaim = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in claimed{};
+    claimed.sin_family = AF_INET;
+    claimed.sin_port = htons(static_cast<std::uint16_t>(mPort + kPortsOfDaemon - 1));
+    claimed.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::bind(mPortClaim, reinterpret_cast<const sockaddr*>(&claimed), sizeof claimed) == 0) {
+      return;
+    }
+    ::close(mPortClaim);
+  }
+  throw std::runtime_error("no free ports for a bed");
+}
+
 fleet_bed::~fleet_bed()
 {
+  ::close(mPortClaim);
   if (mUnread >= 0) {
     ::close(mUnread);
   }
@@ -404,6 +426,9 @@
   if (mOptions.at(aDaemon).mWaitReady && !Eventually([&] { return Readiness(aDaemon) == 200; })) {
     throw std::runtime_error("the daemon isn't ready");
   }
+  if (mOptions.at(aDaemon).mWaitReady && !mDaemons.at(aDaemon)->Running()) {
+    throw std::runtime_error("the daemon has ended; another program answers at its address");
+  }
 }
 
 void
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -146,6 +146,8 @@
   std::uint64_t Terms() const;
 
 private:
+  /** Picks ports that no other bed uses, whichever process it belongs to. */
+  void ClaimPorts();
   json Control(const std::string& aTarget, const std::string& aBody) const;
   void ListAt(const std::string& aId, const runner_options& aOptions, const std::string& aAddress);
   std::string Host(std::size_t aDaemon) const;
@@ -173,6 +175,7 @@
   std::map<std::string, json> mEntries;           ///< Listed runners by id.
   int mUnread = -1;                               ///< Holds a pipe that nobody reads open.
   int mPort = 0;                                  ///< First of the daemons' ports.
+  int mPortClaim = -1;                            ///< Bound, so that no other bed uses these ports.
 };
 
 /** @return a route of repeatable requests, for PutConfig(). */
