Fix: [Quarantine] a trial that is asked for again doesn't leave the former one open

Callers would see: a suspected plain request that was granted a trial, then kept from that runner by its limit, then denied another runner, was held by its own former trial for as long as the daemon ran. Cause: Begin() took the denial of the second request for the end of the first one, so End() gave nothing back, and the daemon went on keeping the lease. Evidence: found by reading the change; caller_trial.ATrialThatIsDeniedForAnotherRunnerDoesNotLeaveTheFormerOneOpen left one trial open before. Change: Begin() gives a former trial back first, and each request for one has its own id.

--- a/src/forward/suspect_trial.h
+++ b/src/forward/suspect_trial.h
@@ -23,10 +23,12 @@
   {
   }
 
-  /** Asks for the right to send the request to some runners. @return whether it may be sent. */
+  /** Asks for the right to send the request to some runners; a former one is given back.
+   * @return whether it may be sent. */
   asio::awaitable<bool> Begin(std::vector<service_runner_id> aRunners)
   {
     mDenied.reset();
+    Release();
     if (!mWatch.Suspected()) {
       co_return true;
     }
@@ -35,9 +37,7 @@
       mDenied = trial_reply{ mWatch.Fingerprint(), 0, trial_state::eHeld, held, {} };
       co_return false;
     }
-    if (!mTrial) {
-      mTrial = { mState.mRandom() | 1U };
-    }
+    mTrial = { mState.mRandom() | 1U };
     trial_request request{ mTrial, mWatch.Fingerprint(), {}, 0 };
     for (const service_runner_id runner : aRunners) {
       request.mRunners.push_back(mWatch.SiteOf(runner));
@@ -69,11 +69,7 @@
   /** Ends the trial. A crash must have been reported before. */
   void End()
   {
-    if (mUnderWay) {
-      mUnderWay = false;
-      mState.mKeepTrial({ mTrial, mWatch.Fingerprint(), {}, 0 });
-    }
-    mTrial = {};
+    Release();
     mBusy.clear();
   }
 
@@ -103,6 +99,14 @@
   const std::set<service_runner_id>& Busy() const { return mBusy; }
 
 private:
+  void Release()
+  {
+    if (mUnderWay) {
+      mUnderWay = false;
+      mState.mKeepTrial({ mTrial, mWatch.Fingerprint(), {}, 0 });
+    }
+  }
+
   void NoteBusy(const std::vector<service_runner_id>& aRunners,
                 const std::vector<runner_site>& aBusy)
   {
@@ -118,7 +122,7 @@
 
   forward_state& mState;              ///< State shared by the daemon's components.
   crash_watch& mWatch;                ///< Tells whether the request is suspected.
-  trial_id mTrial;                    ///< Set once a trial was asked for.
+  trial_id mTrial;                    ///< The last trial that was asked for.
   bool mUnderWay = false;             ///< A trial was granted, and hasn't ended.
   std::optional<trial_reply> mDenied; ///< Last reply, if it was a denial.
   std::set<service_runner_id> mBusy;  ///< See Busy().
--- a/tests/unit/suspect_trial_test.cpp
+++ b/tests/unit/suspect_trial_test.cpp
@@ -3,6 +3,7 @@
  * Trials of suspected requests: the table that grants them, and a fleet in virtual time whose
  * runners crash under some requests.
  */
+#include "forward/suspect_trial.h"
 #include "messages/run_message.h"
 #include "quarantine/trial_table.h"
 
@@ -157,6 +158,65 @@
   CHECK_TRUE(*read == message);
 }
 
+TEST_GROUP(caller_trial)
+{
+  asio::io_context mIo{ 1 };                           ///< Runs the calls.
+  forward_state mState{ mIo, {} };                     ///< Of the daemon that asks.
+  beast::tcp_stream mStream{ mIo };                    ///< Not connected.
+  caller_exchange mExchange{ mStream, {}, {}, false }; ///< The caller's request.
+  request_facts mFacts;                                ///< Of the same.
+  crash_watch mWatch{ mState, mExchange, mFacts };     ///< Finds it suspected.
+  suspect_trial mTrial{ mState, mWatch };              ///< Under test.
+  std::vector<trial_state> mStates;                    ///< Replies to give, the last one first.
+  std::set<trial_id> mOpen;                            ///< Trials granted and not ended.
+
+  void setup() override
+  {
+    mState.mCrashes.ApplyNotice(
+      { mWatch.Fingerprint(), quarantine_status::eSuspected, duration{ 0 } }, mState.Now());
+    mState.mRequestTrial = [this](trial_request aRequest) { return Reply(aRequest); };
+    mState.mKeepTrial = [this](const trial_request& aRequest) {
+      if (aRequest.mRunners.empty()) {
+        mOpen.erase(aRequest.mTrial);
+      }
+    };
+  }
+  asio::awaitable<trial_reply> Reply(trial_request aRequest)
+  {
+    trial_reply reply;
+    reply.mState = mStates.back();
+    mStates.pop_back();
+    if (reply.mState == trial_state::eGranted) {
+      mOpen.insert(aRequest.mTrial);
+    }
+    co_return reply;
+  }
+  /** Asks for a trial. @return whether it was granted. */
+  bool Begin()
+  {
+    std::optional<bool> granted;
+    asio::co_spawn(
+      mIo,
+      [&]() -> asio::awaitable<void> {
+        std::vector<service_runner_id> runners{ { 11 } };
+        granted = co_await mTrial.Begin(std::move(runners));
+      },
+      asio::detached);
+    mIo.restart();
+    mIo.run();
+    return granted.value_or(false);
+  }
+};
+
+TEST(caller_trial, ATrialThatIsDeniedForAnotherRunnerDoesNotLeaveTheFormerOneOpen)
+{
+  mStates = { trial_state::eRunnerBusy, trial_state::eGranted };
+  CHECK_TRUE(Begin());
+  CHECK_FALSE(Begin());
+  mTrial.End();
+  LONGS_EQUAL(0, mOpen.size());
+}
+
 namespace {
 
 /** What is drawn for one play of the fleet. */
