Codechange: [Links] permits and trials wait for their replies with one piece of code

trial_link wrote permit_link's table of requests that wait for a reply, its wait and its delivery again. Both use pending_replies now. No change of behaviour; limit*, permit*, trials, quarantine* pass.

--- a/src/links/permit_link.cpp
+++ b/src/links/permit_link.cpp
@@ -9,6 +9,7 @@
 permit_link::permit_link(forward_state& aState, daemon_link& aLink)
   : mState(aState)
   , mLink(aLink)
+  , mPending(aState.mIo)
 {
   mLink.SetPermitHandler(
     [this](const permit_message& aMessage, std::uint64_t aDaemon, const endpoint& aFrom) {
@@ -120,17 +121,10 @@
   const std::optional<endpoint> to = EndpointOfDaemon(aDaemon);
   std::optional<permit_reply> reply;
   if (to) {
-    const auto pending = std::make_shared<pending_request>(mState.mIo);
-    mPending[request.mRound] = pending;
     run_message message;
     message.mPermits.emplace().mRequest = request;
     mLink.SendTo(std::move(message), *to);
-    const instant until = mState.Now() + kPermitReplyTimeout;
-    while (!pending->mReply && mState.Now() < until) {
-      co_await pending->mReplyArrived.Wait(until - mState.Now());
-    }
-    mPending.erase(request.mRound);
-    reply = pending->mReply;
+    reply = co_await mPending.Wait(request.mRound, kPermitReplyTimeout);
   }
   if (!reply) {
     mState.mPermits.NoteNoReply(aDaemon, request, mState.Now());
@@ -157,11 +151,7 @@
     mState.ApplyLimit(notice);
   }
   if (aMessage.mReply) {
-    const auto pending = mPending.find(aMessage.mReply->mRound);
-    if (pending != mPending.end()) {
-      pending->second->mReply = aMessage.mReply;
-      pending->second->mReplyArrived.Notify();
-    }
+    mPending.Deliver(*aMessage.mReply);
   }
   if (aMessage.mRequest) {
     const permit_reply reply = mState.mPermits.Answer(*aMessage.mRequest, sender, now);
--- a/src/links/permit_link.h
+++ b/src/links/permit_link.h
@@ -9,6 +9,7 @@
 
 #include "limits/permit_broker.h"
 #include "links/daemon_link.h"
+#include "links/pending_replies.h"
 
 namespace dunehook {
 
@@ -38,18 +39,6 @@
   send_permit Charge(service_runner_id aRunner);
 
 private:
-  /** A request that waits for its reply. */
-  struct pending_request
-  {
-    explicit pending_request(asio::io_context& aIo)
-      : mReplyArrived(aIo)
-    {
-    }
-
-    std::optional<permit_reply> mReply; ///< Set once it came.
-    wake_list mReplyArrived;            ///< Woken then.
-  };
-
   asio::awaitable<void> RunPasses();
   asio::awaitable<void> ExchangeLimits();
   asio::awaitable<void> Check(incarnation_id aDaemon);
@@ -66,7 +55,7 @@
 
   forward_state& mState; ///< State shared by the parts of the daemon; the broker among it.
   daemon_link& mLink;    ///< Sends messages to the other daemons.
-  std::map<std::uint32_t, std::shared_ptr<pending_request>> mPending; ///< By round.
+  pending_replies<permit_reply> mPending; ///< Requests of this daemon.
 };
 
 } // namespace dunehook
--- a/src/links/trial_link.cpp
+++ b/src/links/trial_link.cpp
@@ -9,6 +9,7 @@
 trial_link::trial_link(forward_state& aState, daemon_link& aLink, quarantine_link& aQuarantines)
   : mState(aState)
   , mLink(aLink)
+  , mPending(aState.mIo)
 {
   aQuarantines.SetTrialHandler([this](const quarantine_message& aMessage, const endpoint& aFrom) {
     HandleMessage(aMessage, aFrom);
@@ -77,21 +78,16 @@
 trial_link::Request(trial_request aRequest)
 {
   aRequest.mRound = ++mRounds;
-  const auto pending = std::make_shared<pending_trial>(mState.mIo);
-  mPending[aRequest.mRound] = pending;
-  pending->mReply = Send(aRequest);
-  const instant until = mState.Now() + kTrialReplyTimeout;
-  while (!pending->mReply && mState.Now() < until) {
-    co_await pending->mReplyArrived.Wait(until - mState.Now());
+  std::optional<trial_reply> received = Send(aRequest);
+  if (!received) {
+    received = co_await mPending.Wait(aRequest.mRound, kTrialReplyTimeout);
   }
-  mPending.erase(aRequest.mRound);
-  trial_reply reply;
-  reply.mWait = kUngrantedTrialWait;
-  if (pending->mReply) {
-    reply = *pending->mReply;
-  } else { // It may have been granted, and the reply lost.
+  if (!received) { // It may have been granted, and the reply lost.
     Keep({ aRequest.mTrial, aRequest.mRequest, {}, 0 });
   }
+  trial_reply reply;
+  reply.mWait = kUngrantedTrialWait;
+  reply = received.value_or(reply);
   if (reply.mState == trial_state::eGranted) {
     mOwnTrials[aRequest.mTrial] = aRequest;
   } else if (reply.mState == trial_state::eNotSuspected) {
@@ -128,11 +124,7 @@
 trial_link::HandleMessage(const quarantine_message& aMessage, const endpoint& aFrom)
 {
   if (aMessage.mTrialReply) {
-    const auto pending = mPending.find(aMessage.mTrialReply->mRound);
-    if (pending != mPending.end()) {
-      pending->second->mReply = aMessage.mTrialReply;
-      pending->second->mReplyArrived.Notify();
-    }
+    mPending.Deliver(*aMessage.mTrialReply);
   }
   if (aMessage.mTrial) {
     run_message message;
--- a/src/links/trial_link.h
+++ b/src/links/trial_link.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include "links/pending_replies.h"
 #include "links/quarantine_link.h"
 #include "quarantine/trial_table.h"
 
@@ -26,18 +27,6 @@
   void Start();
 
 private:
-  /** A request that waits for its reply. */
-  struct pending_trial
-  {
-    explicit pending_trial(asio::io_context& aIo)
-      : mReplyArrived(aIo)
-    {
-    }
-
-    std::optional<trial_reply> mReply; ///< Set once it came.
-    wake_list mReplyArrived;           ///< Woken then.
-  };
-
   /** Asks for a trial. @return the reply; eNotGranting if none comes in time. */
   asio::awaitable<trial_reply> Request(trial_request aRequest);
   /** Sends the runners that a trial still uses, without waiting for a reply. */
@@ -58,8 +47,8 @@
   trial_table mTrials;                          ///< Trials that this daemon has granted.
   std::optional<instant> mGrantorSince;         ///< When it became the one that grants.
   std::map<trial_id, trial_request> mOwnTrials; ///< Trials of this daemon's callers.
-  std::map<std::uint32_t, std::shared_ptr<pending_trial>> mPending; ///< By round.
-  std::uint32_t mRounds = 0;                                        ///< Requests sent so far.
+  pending_replies<trial_reply> mPending;        ///< Requests of this daemon.
+  std::uint32_t mRounds = 0;                    ///< Requests sent so far.
 };
 
 } // namespace dunehook
