Codechange: [Messages] lists of ids are encoded and decoded by one pair of functions, whatever their type

The trials wrote IdsOf() and IdsFrom() again for runners' addresses; requests that were served and runs that ended had loops of their own. Both functions are templates over the id now. The bytes are the same.

--- a/src/messages/place_message.cpp
+++ b/src/messages/place_message.cpp
@@ -37,7 +37,7 @@
   demand.mPromptTokens = aBody.at(7).get<std::uint32_t>();
   demand.mAnswerTokens = aBody.at(8).get<std::uint32_t>();
   demand.mMostTokens = aBody.at(9).get<std::uint32_t>();
-  demand.mFailed = IdsFrom(aBody.at(10));
+  demand.mFailed = IdsFrom<service_runner_id>(aBody.at(10));
   demand.mReturned = aBody.at(11).get<bool>();
   demand.mEventGap = duration(aBody.at(12).get<std::int64_t>());
   demand.mFirstEventWithin = duration(aBody.at(13).get<std::int64_t>());
@@ -45,7 +45,7 @@
   question.mRank = aBody.at(15).get<std::uint32_t>();
   question.mWait.mNew = duration(aBody.at(16).get<std::int64_t>());
   question.mWait.mReturned = duration(aBody.at(17).get<std::int64_t>());
-  demand.mExcluded = IdsFrom(aBody.at(18));
+  demand.mExcluded = IdsFrom<service_runner_id>(aBody.at(18));
   return question;
 }
 
--- a/src/messages/run_message.cpp
+++ b/src/messages/run_message.cpp
@@ -172,32 +172,12 @@
   }
 }
 
-json
-SitesOf(const std::vector<runner_site>& aSites)
-{
-  json items = json::array();
-  for (const runner_site site : aSites) {
-    items.push_back(site.mValue);
-  }
-  return items;
-}
-
-std::vector<runner_site>
-SitesFrom(const json& aItems)
-{
-  std::vector<runner_site> sites;
-  for (const json& item : aItems) {
-    sites.push_back({ item.get<std::uint64_t>() });
-  }
-  return sites;
-}
-
 json
 EncodeTrial(const trial_request& aRequest)
 {
   return json::array({ aRequest.mTrial.mValue,
                        aRequest.mRequest.mValue,
-                       SitesOf(aRequest.mRunners),
+                       IdsOf(aRequest.mRunners),
                        aRequest.mRound });
 }
 
@@ -207,7 +187,7 @@
   trial_request request;
   request.mTrial = { aItem.at(0).get<std::uint64_t>() };
   request.mRequest = { aItem.at(1).get<std::uint64_t>() };
-  request.mRunners = SitesFrom(aItem.at(2));
+  request.mRunners = IdsFrom<runner_site>(aItem.at(2));
   request.mRunners.resize(std::min(request.mRunners.size(), kMaxTrialRunners));
   request.mRound = aItem.at(3).get<std::uint32_t>();
   return request;
@@ -220,7 +200,7 @@
                        aReply.mRound,
                        static_cast<int>(aReply.mState),
                        aReply.mWait.count(),
-                       SitesOf(aReply.mBusy) });
+                       IdsOf(aReply.mBusy) });
 }
 
 trial_reply
@@ -233,7 +213,7 @@
   const bool known = state >= 0 && state <= static_cast<int>(trial_state::eNotGranting);
   reply.mState = known ? static_cast<trial_state>(state) : trial_state::eNotGranting;
   reply.mWait = duration(std::max<std::int64_t>(0, aItem.at(3).get<std::int64_t>()));
-  reply.mBusy = SitesFrom(aItem.at(4));
+  reply.mBusy = IdsFrom<runner_site>(aItem.at(4));
   return reply;
 }
 
@@ -245,10 +225,6 @@
     crashes.push_back(
       { report.mRequest.mValue, report.mSite.mValue, report.mProgressed, report.mAge.count() });
   }
-  json served = json::array();
-  for (const request_fingerprint request : aMessage.mServed) {
-    served.push_back(request.mValue);
-  }
   json notices = json::array();
   for (const quarantine_notice& notice : aMessage.mNotices) {
     notices.push_back(
@@ -256,7 +232,7 @@
   }
   const json senderDigest = aMessage.mSenderDigest ? json(*aMessage.mSenderDigest) : json();
   return json::array({ std::move(crashes),
-                       std::move(served),
+                       IdsOf(aMessage.mServed),
                        std::move(notices),
                        senderDigest,
                        aMessage.mAlwaysAnswer,
@@ -294,9 +270,7 @@
                                  crash.at(2).get<bool>(),
                                  AgeFrom(crash) });
   }
-  for (const json& served : aItem.at(1)) {
-    message.mServed.push_back({ served.get<std::uint64_t>() });
-  }
+  message.mServed = IdsFrom<request_fingerprint>(aItem.at(1));
   for (const json& notice : aItem.at(2)) {
     message.mNotices.push_back(DecodeNotice(notice));
   }
@@ -413,10 +387,7 @@
                       run.mGeneratedTokens,
                       (aNow - run.mSeen).count() });
   }
-  json ended = json::array();
-  for (const run_id run : aMessage.mEnded) {
-    ended.push_back(run.mValue);
-  }
+  json ended = IdsOf(aMessage.mEnded);
   json refused = json::array();
   for (const refused_prompt& prompt : aMessage.mRefused) {
     refused.push_back({ prompt.mKey, prompt.mPromptTokens, prompt.mAnswerTokens });
@@ -470,10 +441,8 @@
         message.mBegun.push_back(DecodeRun(item, message.mDaemon, aNow));
       }
     }
-    for (const json& item : body.at(3)) {
-      message.mEnded.push_back({ item.get<std::uint64_t>() });
-    }
-    message.mOrdered = IdsFrom(body.at(4));
+    message.mEnded = IdsFrom<run_id>(body.at(3));
+    message.mOrdered = IdsFrom<service_runner_id>(body.at(4));
     for (const json& item : body.at(5)) {
       message.mRefused.push_back({ item.at(0).get<std::uint64_t>(),
                                    item.at(1).get<std::uint32_t>(),
@@ -489,8 +458,8 @@
     }
     message.mStoreSilent = body.at(8).get<bool>();
     DecodeReports(body, message);
-    message.mFull = IdsFrom(body.at(12));
-    message.mLeaving = IdsFrom(body.at(13));
+    message.mFull = IdsFrom<service_runner_id>(body.at(12));
+    message.mLeaving = IdsFrom<service_runner_id>(body.at(13));
     const bool hasQuarantine =
       body.size() > kQuarantineIndex && !body.at(kQuarantineIndex).is_null();
     if (hasQuarantine) { // Daemons of the version before the quarantine don't send the item.
--- a/src/runners/id_list_func.h
+++ b/src/runners/id_list_func.h
@@ -1,10 +1,10 @@
 /**
  * @file id_list_func.h
- * Encodes and decodes lists of runner ids in messages between daemons.
+ * Encodes and decodes lists of ids in messages between daemons.
  */
 #pragma once
 
-#include "runners/runner_type.h"
+#include "core/strong_id.h"
 
 #include <nlohmann/json.hpp>
 
@@ -13,21 +13,23 @@
 namespace dunehook {
 
 /** @return the ids as a JSON array of numbers. */
-inline nlohmann::json
-IdsOf(const std::vector<service_runner_id>& aIds)
+template<typename Tag>
+nlohmann::json
+IdsOf(const std::vector<strong_id<Tag>>& aIds)
 {
   nlohmann::json items = nlohmann::json::array();
-  for (const service_runner_id id : aIds) {
+  for (const strong_id<Tag> id : aIds) {
     items.push_back(id.mValue);
   }
   return items;
 }
 
 /** @return the ids of a JSON array; throws json::exception if it isn't one of numbers. */
-inline std::vector<service_runner_id>
+template<typename Id>
+std::vector<Id>
 IdsFrom(const nlohmann::json& aItems)
 {
-  std::vector<service_runner_id> ids;
+  std::vector<Id> ids;
   for (const nlohmann::json& item : aItems) {
     ids.push_back({ item.get<std::uint64_t>() });
   }
