Codechange: [Quarantine] one piece of code tells since when a daemon is among the first by rank

quarantine_link and trial_link each kept since when this daemon judges or grants, and both ordered all members for it, ten times a second and for each trial: at 1,400 daemons a sort of 1,400 for the first one or two. first_rank_watch serves both; member_table::FirstServing() orders no more than it returns. Same decisions.

--- a/src/links/pending_replies.h
+++ b/src/links/pending_replies.h
@@ -23,7 +23,8 @@
   {
   }
 
-  /** Waits for the reply to a request that was sent. @return it; nothing if it doesn't come in time.
+  /** Waits for the reply to a request that was sent. @return it; nothing if it doesn't come in
+   * time.
    */
   asio::awaitable<std::optional<Reply>> Wait(std::uint32_t aRound, duration aLimit)
   {
@@ -61,7 +62,7 @@
     wake_list mReplyArrived;     ///< Woken then.
   };
 
-  asio::io_context& mIo;                                              ///< Runs the waits.
+  asio::io_context& mIo;                                               ///< Runs the waits.
   std::map<std::uint32_t, std::shared_ptr<pending_request>> mRequests; ///< By round.
 };
 
--- a/src/links/quarantine_link.cpp
+++ b/src/links/quarantine_link.cpp
@@ -58,8 +58,9 @@
   for (;;) {
     const instant slept = mState.Now();
     co_await Sleep(kEvaluationInterval);
-    UpdateJudging(mState.Now() - slept > kReportWindow);
-    if (mJudgingSince && mState.Now() - *mJudgingSince >= kJudgeWarmUp) {
+    const instant now = mState.Now();
+    mJudges.Update(mLink.Members(), now - slept > kReportWindow, now);
+    if (mJudges.HasBeenFirstFor(kJudgeWarmUp, now)) {
       JudgeAndBroadcast();
     }
     SendCrashes();
@@ -67,29 +68,13 @@
   }
 }
 
-void
-quarantine_link::UpdateJudging(bool aLate)
-{
-  const std::vector<const member_info*> ranked = mLink.Members().RankedServing();
-  const auto end =
-    ranked.begin() + static_cast<std::ptrdiff_t>(std::min(ranked.size(), kMaxCrashJudges));
-  const bool judges = std::find(ranked.begin(), end, &mLink.Members().Self()) != end;
-  if (!judges || aLate) {
-    mJudgingSince.reset();
-  }
-  if (judges && !mJudgingSince) {
-    mJudgingSince = mState.Now();
-  }
-}
-
 void
 quarantine_link::SendToJudges(run_message aMessage)
 {
   std::vector<endpoint> to;
-  const std::vector<const member_info*> ranked = mLink.Members().RankedServing();
-  for (std::size_t i = 0; i < std::min(ranked.size(), kMaxCrashJudges); ++i) {
-    if (ranked[i] != &mLink.Members().Self()) {
-      to.push_back(RunEndpointOf(ranked[i]->mAddress));
+  for (const member_info* const judge : mLink.Members().FirstServing(kMaxCrashJudges)) {
+    if (judge != &mLink.Members().Self()) {
+      to.push_back(RunEndpointOf(judge->mAddress));
     }
   }
   mLink.SendToEach(std::move(aMessage), to);
--- a/src/links/quarantine_link.h
+++ b/src/links/quarantine_link.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "links/daemon_link.h"
+#include "membership/first_rank_watch.h"
 
 #include <deque>
 #include <map>
@@ -21,8 +22,8 @@
 inline constexpr duration kInitialCompareInterval = std::chrono::milliseconds(100);
 /** Newly suspected requests are sent to all daemons in one datagram, after this time. */
 inline constexpr duration kSuspicionDelay = std::chrono::milliseconds(2);
-/** A crash is sent again each second for this long: a datagram may be lost, or the placers may be
- * changing at that moment. */
+/** A crash is sent again each second for this long: a datagram may be lost, or the daemons that
+ * judge may be changing at that moment. */
 inline constexpr duration kCrashResendPeriod = std::chrono::milliseconds(3500);
 inline constexpr duration kCrashResendInterval = std::chrono::milliseconds(1000);
 /** Daemons that are told of all crashes and judge. */
@@ -73,8 +74,6 @@
 
   asio::awaitable<void> Tick();
   asio::awaitable<void> Compare();
-  /** Updates since when this daemon is told of all crashes. @param aLate it was suspended. */
-  void UpdateJudging(bool aLate);
   /** Sends a message to the daemons that judge. */
   void SendToJudges(run_message aMessage);
   /** Judges the requests that are due and broadcasts changed decisions. */
@@ -95,7 +94,7 @@
   daemon_link& mLink;                   ///< Sends messages to the other daemons.
   std::deque<own_crash> mRecentCrashes; ///< This daemon's crashes to send again, oldest first; at
                                         ///< most kMaxCrashesResent.
-  std::optional<instant> mJudgingSince; ///< When it became one that judges.
+  first_rank_watch mJudges{ kMaxCrashJudges };             ///< Whether this daemon judges.
   std::vector<quarantine_notice> mNewlySuspected;          ///< To be sent to all daemons.
   std::vector<request_fingerprint> mServedSuspects;        ///< Likewise; served by this daemon.
   std::function<void(request_fingerprint)> mOnQuarantined; ///< May be empty.
--- a/src/links/trial_link.cpp
+++ b/src/links/trial_link.cpp
@@ -27,20 +27,8 @@
 const member_info*
 trial_link::Grantor() const
 {
-  const std::vector<const member_info*> ranked = mLink.Members().RankedServing();
-  return ranked.empty() ? nullptr : ranked.front();
-}
-
-void
-trial_link::UpdateGrantor(bool aLate)
-{
-  const bool grants = Grantor() == &mLink.Members().Self();
-  if (!grants || aLate) {
-    mGrantorSince.reset();
-  }
-  if (grants && !mGrantorSince) {
-    mGrantorSince = mState.Now();
-  }
+  const std::vector<const member_info*> first = mLink.Members().FirstServing(1);
+  return first.empty() ? nullptr : first.front();
 }
 
 trial_reply
@@ -48,7 +36,7 @@
 {
   const instant now = mState.Now();
   const bool grants =
-    mGrantorSince && now - *mGrantorSince >= kTrialWarmUp && Grantor() == &mLink.Members().Self();
+    mGrants.HasBeenFirstFor(kTrialWarmUp, now) && Grantor() == &mLink.Members().Self();
   if (grants) {
     return mTrials.Answer(aRequest, mState.mCrashes, now);
   }
@@ -113,7 +101,8 @@
   for (;;) {
     const instant slept = mState.Now();
     co_await Sleep(kTrialKeepInterval);
-    UpdateGrantor(mState.Now() - slept > 2 * kTrialKeepInterval);
+    const instant now = mState.Now();
+    mGrants.Update(mLink.Members(), now - slept > 2 * kTrialKeepInterval, now);
     for (const auto& [trial, request] : mOwnTrials) {
       Send(request);
     }
--- a/src/links/trial_link.h
+++ b/src/links/trial_link.h
@@ -39,13 +39,11 @@
   std::optional<trial_reply> Send(const trial_request& aRequest);
   /** @return the daemon that grants trials; null if none serves. */
   const member_info* Grantor() const;
-  /** Updates since when this daemon grants. @param aLate the process was suspended. */
-  void UpdateGrantor(bool aLate);
 
   forward_state& mState;                        ///< State shared by the parts of the daemon.
   daemon_link& mLink;                           ///< Sends messages to the other daemons.
   trial_table mTrials;                          ///< Trials that this daemon has granted.
-  std::optional<instant> mGrantorSince;         ///< When it became the one that grants.
+  first_rank_watch mGrants{ 1 };                ///< Whether this daemon grants.
   std::map<trial_id, trial_request> mOwnTrials; ///< Trials of this daemon's callers.
   pending_replies<trial_reply> mPending;        ///< Requests of this daemon.
   std::uint32_t mRounds = 0;                    ///< Requests sent so far.
--- a/src/membership/member_base.h
+++ b/src/membership/member_base.h
@@ -136,6 +136,8 @@
    * that know the same members get the same order.
    * @param aHall only members of this data hall, if given. */
   std::vector<const member_info*> RankedServing(std::optional<std::string_view> aHall = {}) const;
+  /** @return the first of RankedServing(), at most @p aCount, without ordering the others. */
+  std::vector<const member_info*> FirstServing(std::size_t aCount) const;
   /** @return how many serving members of its data hall rank before this one. */
   std::size_t RankInHall() const;
   /** @return how many members, including this one, have applied the record at @p aOffset. */
@@ -144,6 +146,8 @@
   std::uint64_t HighestNextOffset() const;
 
 private:
+  /** @return the reachable serving members, in no order. */
+  std::vector<const member_info*> Serving(std::optional<std::string_view> aHall) const;
   std::string Pack(const nlohmann::json& aMembers) const;
   bool Update(const member_info& aInfo, instant aNow, member_changes& aChanges);
   void RememberEnded(incarnation_id aIncarnation);
--- a/src/membership/member_rank.cpp
+++ b/src/membership/member_rank.cpp
@@ -47,24 +47,45 @@
 }
 
 std::vector<const member_info*>
-member_table::RankedServing(std::optional<std::string_view> aHall) const
+member_table::Serving(std::optional<std::string_view> aHall) const
 {
-  std::vector<const member_info*> ranked;
+  std::vector<const member_info*> serving;
   if (mSelf.mServing && (!aHall || mSelf.mHall == *aHall)) {
-    ranked.push_back(&mSelf);
+    serving.push_back(&mSelf);
   }
   for (const auto& [incarnation, entry] : mOthers) {
     const bool wanted = !aHall || entry.mInfo.mHall == *aHall;
     if (wanted && entry.mInfo.mServing && entry.mUnreachableSince == instant{ 0 }) {
-      ranked.push_back(&entry.mInfo);
+      serving.push_back(&entry.mInfo);
     }
   }
+  return serving;
+}
+
+std::vector<const member_info*>
+member_table::RankedServing(std::optional<std::string_view> aHall) const
+{
+  std::vector<const member_info*> ranked = Serving(aHall);
   std::sort(ranked.begin(), ranked.end(), [](const member_info* aOne, const member_info* aTwo) {
     return RanksBefore(*aOne, *aTwo);
   });
   return ranked;
 }
 
+std::vector<const member_info*>
+member_table::FirstServing(std::size_t aCount) const
+{
+  std::vector<const member_info*> first = Serving(std::nullopt);
+  const std::size_t count = std::min(aCount, first.size());
+  std::partial_sort(
+    first.begin(),
+    first.begin() + static_cast<std::ptrdiff_t>(count),
+    first.end(),
+    [](const member_info* aOne, const member_info* aTwo) { return RanksBefore(*aOne, *aTwo); });
+  first.resize(count);
+  return first;
+}
+
 std::size_t
 member_table::RankInHall() const
 {
