--- a/src/forward/crash_watch.h
+++ b/src/forward/crash_watch.h
@@ -23,17 +23,9 @@
   }
 
   /** @return whether the request is quarantined and must not be sent to any runner. */
-  bool Quarantined()
-  {
-    return !mState.mCrashes.Empty() &&
-           mState.mCrashes.StatusOf(Fingerprint(), mState.Now()) == quarantine_status::eQuarantined;
-  }
+  bool Quarantined() { return Status() == quarantine_status::eQuarantined; }
   /** @return whether the request is suspected, and may be sent as a trial only. */
-  bool Suspected()
-  {
-    return !mState.mCrashes.Empty() &&
-           mState.mCrashes.StatusOf(Fingerprint(), mState.Now()) == quarantine_status::eSuspected;
-  }
+  bool Suspected() { return Status() == quarantine_status::eSuspected; }
   /** @return the remaining time of the quarantine, after which the caller may retry. */
   duration QuarantinedFor()
   {
@@ -69,6 +61,12 @@
   }
 
 private:
+  quarantine_status Status()
+  {
+    return mState.mCrashes.Empty() ? quarantine_status::eClear
+                                   : mState.mCrashes.StatusOf(Fingerprint(), mState.Now());
+  }
+
   forward_state& mState;            ///< State shared by the daemon's components.
   const caller_exchange& mExchange; ///< The caller's connection and request.
   const request_facts& mFacts;      ///< Parsed from the request's head.
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -28,9 +28,8 @@
   tracked_request& row = mRequests[aReport.mRequest];
   row.mCrashes.push_back({ crash, aNow, aReport.mProgressed });
   mDueEvaluations[aNow + kReportWindow].push_back(aReport.mRequest);
-  const bool isNew = !row.mSuspected && !IsQuarantined(row, aNow) &&
-                     row.mCrashes.size() + 1 >= kCrashesToQuarantine &&
-                     IsSuspected(aReport.mRequest, aNow);
+  const bool isNew =
+    !row.mSuspected && !IsQuarantined(row, aNow) && IsSuspected(aReport.mRequest, aNow);
   if (isNew) {
     row.mSuspected = aNow;
   }
