Codechange: [Quarantine] one queue for what all daemons are told of suspects, verdicts and served suspects

Suspicions and served suspects each had a queue, a delay and a way to split datagrams; verdicts had a third one, which dropped those beyond 64. Now one queue, sent after 2 ms. So a served suspect is cleared elsewhere after 2 ms instead of 100 ms at most, verdicts after 2 ms instead of at once, and none is dropped. EvaluateDue() returns what it quarantines: the status it returned beside that had become constant.

--- a/src/links/quarantine_link.cpp
+++ b/src/links/quarantine_link.cpp
@@ -6,6 +6,21 @@
 
 namespace dunehook {
 
+namespace {
+
+/** Removes the first elements of a list, at most @p aCount. @return them. */
+template<typename Element>
+std::vector<Element>
+TakeFirst(std::vector<Element>& aList, std::size_t aCount)
+{
+  const auto end = aList.begin() + static_cast<std::ptrdiff_t>(std::min(aList.size(), aCount));
+  std::vector<Element> taken(aList.begin(), end);
+  aList.erase(aList.begin(), end);
+  return taken;
+}
+
+} // namespace
+
 quarantine_link::quarantine_link(forward_state& aState, daemon_link& aLink)
   : mState(aState)
   , mLink(aLink)
@@ -45,7 +60,10 @@
     return;
   }
   if (suspected) {
-    mServedSuspects.push_back(aRequest);
+    std::erase_if(mToBroadcast.mNotices,
+                  [&](const quarantine_notice& aNotice) { return aNotice.mRequest == aRequest; });
+    mToBroadcast.mServed.push_back(aRequest);
+    ScheduleBroadcast();
   }
   run_message message;
   message.mQuarantine.emplace().mServed.push_back(aRequest);
@@ -61,10 +79,9 @@
     const instant now = mState.Now();
     mJudges.Update(mLink.Members(), now - slept > kReportWindow, now);
     if (mJudges.HasBeenFirstFor(kJudgeWarmUp, now)) {
-      JudgeAndBroadcast();
+      Judge();
     }
     SendCrashes();
-    BroadcastServed();
   }
 }
 
@@ -81,33 +98,20 @@
 }
 
 void
-quarantine_link::JudgeAndBroadcast()
+quarantine_link::Judge()
 {
-  const std::vector<quarantine_notice> changed = mState.mCrashes.EvaluateDue(mState.Now());
-  if (changed.empty()) {
-    return;
-  }
-  quarantine_message sent;
-  for (const quarantine_notice& notice : changed) {
-    const bool quarantined = notice.mStatus == quarantine_status::eQuarantined;
-    if (sent.mNotices.size() < kMaxNoticesPerDatagram) {
-      sent.mNotices.push_back(notice);
-    }
-    if (!quarantined) {
-      continue;
-    }
+  for (const request_fingerprint request : mState.mCrashes.EvaluateDue(mState.Now())) {
     mState.mMetrics.CountQuarantine("judged");
-    LogEvent(log_level::eWarning,
-             "request_quarantined",
-             { { "fingerprint", notice.mRequest.mValue },
-               { "crashes", mState.mCrashes.CountCrashes(notice.mRequest) } });
+    LogEvent(
+      log_level::eWarning,
+      "request_quarantined",
+      { { "fingerprint", request.mValue }, { "crashes", mState.mCrashes.CountCrashes(request) } });
+    mToBroadcast.mNotices.push_back({ request, quarantine_status::eQuarantined, duration{ 0 } });
+    ScheduleBroadcast();
     if (mOnQuarantined) {
-      mOnQuarantined(notice.mRequest);
+      mOnQuarantined(request);
     }
   }
-  run_message message;
-  message.mQuarantine = std::move(sent);
-  mLink.Broadcast(std::move(message));
 }
 
 void
@@ -115,40 +119,31 @@
 {
   mState.mMetrics.CountQuarantine("suspected");
   LogEvent(log_level::eInfo, "request_suspected", { { "fingerprint", aRequest.mValue } });
-  if (mNewlySuspected.empty()) {
-    SpawnGuarded(mState.mIo, SendSuspected());
-  }
-  mNewlySuspected.push_back({ aRequest, quarantine_status::eSuspected, duration{ 0 } });
+  mToBroadcast.mNotices.push_back({ aRequest, quarantine_status::eSuspected, duration{ 0 } });
+  ScheduleBroadcast();
 }
 
-asio::awaitable<void>
-quarantine_link::SendSuspected()
+void
+quarantine_link::ScheduleBroadcast()
 {
-  co_await Sleep(kSuspicionDelay);
-  std::vector<quarantine_notice> notices = std::exchange(mNewlySuspected, {});
-  for (std::size_t from = 0; from < notices.size(); from += kMaxNoticesPerDatagram) {
-    const std::size_t until = std::min(notices.size(), from + kMaxNoticesPerDatagram);
-    run_message message;
-    message.mQuarantine.emplace().mNotices = { notices.begin() + static_cast<std::ptrdiff_t>(from),
-                                               notices.begin() +
-                                                 static_cast<std::ptrdiff_t>(until) };
-    mLink.Broadcast(std::move(message));
+  if (!mBroadcastScheduled) {
+    mBroadcastScheduled = true;
+    SpawnGuarded(mState.mIo, BroadcastQueued());
   }
 }
 
-void
-quarantine_link::BroadcastServed()
+asio::awaitable<void>
+quarantine_link::BroadcastQueued()
 {
-  if (mServedSuspects.empty()) {
-    return;
+  co_await Sleep(kBroadcastDelay);
+  mBroadcastScheduled = false;
+  while (!mToBroadcast.mNotices.empty() || !mToBroadcast.mServed.empty()) {
+    run_message message;
+    quarantine_message& sent = message.mQuarantine.emplace();
+    sent.mNotices = TakeFirst(mToBroadcast.mNotices, kMaxNoticesPerDatagram);
+    sent.mServed = TakeFirst(mToBroadcast.mServed, kMaxNoticesPerDatagram);
+    mLink.Broadcast(std::move(message));
   }
-  const auto until =
-    mServedSuspects.begin() +
-    static_cast<std::ptrdiff_t>(std::min(mServedSuspects.size(), kMaxNoticesPerDatagram));
-  run_message message;
-  message.mQuarantine.emplace().mServed = { mServedSuspects.begin(), until };
-  mServedSuspects.erase(mServedSuspects.begin(), until);
-  mLink.Broadcast(std::move(message));
 }
 
 void
--- a/src/links/quarantine_link.h
+++ b/src/links/quarantine_link.h
@@ -20,8 +20,8 @@
 inline constexpr duration kCompareInterval = std::chrono::milliseconds(500);
 /** The same for a daemon that has just started, until it has received the state of another one. */
 inline constexpr duration kInitialCompareInterval = std::chrono::milliseconds(100);
-/** Newly suspected requests are sent to all daemons in one datagram, after this time. */
-inline constexpr duration kSuspicionDelay = std::chrono::milliseconds(2);
+/** What all daemons are told of within this time goes into as few datagrams as it takes. */
+inline constexpr duration kBroadcastDelay = std::chrono::milliseconds(2);
 /** A crash is sent again each second for this long: a datagram may be lost, or the daemons that
  * judge may be changing at that moment. */
 inline constexpr duration kCrashResendPeriod = std::chrono::milliseconds(3500);
@@ -76,13 +76,13 @@
   asio::awaitable<void> Compare();
   /** Sends a message to the daemons that judge. */
   void SendToJudges(run_message aMessage);
-  /** Judges the requests that are due and broadcasts changed decisions. */
-  void JudgeAndBroadcast();
+  /** Judges the requests that are due. */
+  void Judge();
   /** Queues a newly suspected request to be sent to all daemons. */
   void TellSuspected(request_fingerprint aRequest);
-  asio::awaitable<void> SendSuspected();
-  /** Sends to all daemons which suspected requests were served. */
-  void BroadcastServed();
+  /** Has mToBroadcast sent to all daemons soon. */
+  void ScheduleBroadcast();
+  asio::awaitable<void> BroadcastQueued();
   /** Sends the crashes of this daemon that are due to be sent or sent again. */
   void SendCrashes();
   void HandleMessage(const quarantine_message& aMessage, const endpoint& aFrom);
@@ -94,9 +94,9 @@
   daemon_link& mLink;                   ///< Sends messages to the other daemons.
   std::deque<own_crash> mRecentCrashes; ///< This daemon's crashes to send again, oldest first; at
                                         ///< most kMaxCrashesResent.
-  first_rank_watch mJudges{ kMaxCrashJudges };             ///< Whether this daemon judges.
-  std::vector<quarantine_notice> mNewlySuspected;          ///< To be sent to all daemons.
-  std::vector<request_fingerprint> mServedSuspects;        ///< Likewise; served by this daemon.
+  first_rank_watch mJudges{ kMaxCrashJudges }; ///< Whether this daemon judges.
+  quarantine_message mToBroadcast;  ///< Conclusions and served suspects that all are to be told of.
+  bool mBroadcastScheduled = false; ///< mToBroadcast is sent soon.
   std::function<void(request_fingerprint)> mOnQuarantined; ///< May be empty.
   /** Called with messages on trials; may be empty. */
   std::function<void(const quarantine_message&, const endpoint&)> mTrialHandler;
--- a/src/membership/first_rank_watch.h
+++ b/src/membership/first_rank_watch.h
@@ -1,7 +1,7 @@
 /**
  * @file first_rank_watch.h
- * Tells since when a daemon has been among the first ones by rank, which act for the others. It does
- * no I/O: the caller passes in the members and the time.
+ * Tells since when a daemon has been among the first ones by rank, which act for the others. It
+ * does no I/O: the caller passes in the members and the time.
  */
 #pragma once
 
@@ -21,8 +21,8 @@
   {
   }
 
-  /** To be called several times a second. @param aLate the process was suspended: it may have missed
-   * what was sent to the first ones. */
+  /** To be called several times a second. @param aLate the process was suspended: it may have
+   * missed what was sent to the first ones. */
   void Update(const member_table& aMembers, bool aLate, instant aNow)
   {
     const std::vector<const member_info*> first = aMembers.FirstServing(mCount);
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -76,10 +76,10 @@
   return isNew;
 }
 
-std::vector<quarantine_notice>
+std::vector<request_fingerprint>
 crash_ledger::EvaluateDue(instant aNow)
 {
-  std::vector<quarantine_notice> changed;
+  std::vector<request_fingerprint> quarantined;
   while (!mDueEvaluations.empty() && mDueEvaluations.begin()->first <= aNow) {
     const std::vector<request_fingerprint> due = std::move(mDueEvaluations.begin()->second);
     mDueEvaluations.erase(mDueEvaluations.begin());
@@ -108,10 +108,10 @@
       }
       row.mQuarantined = aNow;
       ClearBystanders(request);
-      changed.push_back({ request, quarantine_status::eQuarantined, duration{ 0 } });
+      quarantined.push_back(request);
     }
   }
-  return changed;
+  return quarantined;
 }
 
 crash_ledger::evidence
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -73,8 +73,8 @@
   /** Applies the status that another daemon sent. @return whether it was new here. */
   bool ApplyNotice(const quarantine_notice& aNotice, instant aNow);
   /** Evaluates the requests whose crashes are at least kReportWindow old and not evaluated yet.
-   * @return those whose status has changed by it. */
-  std::vector<quarantine_notice> EvaluateDue(instant aNow);
+   * @return those that it puts into quarantine. */
+  std::vector<request_fingerprint> EvaluateDue(instant aNow);
   /** Drops a suspicion that the daemon which grants trials doesn't share. */
   void ClearSuspicion(request_fingerprint aRequest);
   /** Removes expired crashes and quarantines; to be called periodically. */
