Codechange: [Test] one class claims ports for beds and for unit tests with sockets

quarantine_link and store_contact picked ports by the process id as the beds did before, so that two processes could meet there too. port_claim serves all three. epochs.TwoBedsAtOnceEachReachTheirOwnDaemon fails with the bed of (both beds have the same address) and passes.

--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -11,10 +11,8 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <netinet/in.h>
 #include <sstream>
 #include <stdexcept>
-#include <sys/socket.h>
 #include <sys/stat.h>
 #include <thread>
 #include <unistd.h>
@@ -120,11 +118,11 @@
 }
 
 fleet_bed::fleet_bed(bool aProxied)
-  : mProxied(aProxied)
+  : mPorts(kFirstPort, kPortRange, kPortsOfDaemon)
+  , mProxied(aProxied)
 {
   char folder[] = "/tmp/dunehook-fleet-XXXXXX";
   mFolder = ::mkdtemp(folder);
-  ClaimPorts();
   mFleet = std::make_unique<process>(
     std::vector<std::string>{ BuildFolder() + "/standins/standin_fleet" }, mFolder + "/fleet.out");
   const std::string line = mFleet->WaitForLine("listening");
@@ -135,28 +133,8 @@
   mStoreAddress = Behind("store", mAddress);
 }
 
-void
-fleet_bed::ClaimPorts()
-{
-  const int slots = kPortRange / kPortsOfDaemon;
-  for (int tried = 0; tried < slots; ++tried) {
-    mPort = kFirstPort + (::getpid() + tried) % slots * kPortsOfDaemon;
-    mPortClaim = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in claimed{};
-    claimed.sin_family = AF_INET;
-    claimed.sin_port = htons(static_cast<std::uint16_t>(mPort + kPortsOfDaemon - 1));
-    claimed.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (::bind(mPortClaim, reinterpret_cast<const sockaddr*>(&claimed), sizeof claimed) == 0) {
-      return;
-    }
-    ::close(mPortClaim);
-  }
-  throw std::runtime_error("no free ports for a bed");
-}
-
 fleet_bed::~fleet_bed()
 {
-  ::close(mPortClaim);
   if (mUnread >= 0) {
     ::close(mUnread);
   }
@@ -381,13 +359,14 @@
 std::string
 fleet_bed::Callers(std::size_t aDaemon) const
 {
-  return Host(aDaemon) + ":" + std::to_string(mPort + 4);
+  return Host(aDaemon) + ":" + std::to_string(mPorts.Port() + 4);
 }
 
 unsigned
 fleet_bed::Readiness(std::size_t aDaemon) const
 {
-  return Call(Host(aDaemon) + ":" + std::to_string(mPort + 5), "GET", "/ready", "", {}, 1000)
+  return Call(
+           Host(aDaemon) + ":" + std::to_string(mPorts.Port() + 5), "GET", "/ready", "", {}, 1000)
     .mStatus;
 }
 
@@ -445,7 +424,7 @@
 std::string
 fleet_bed::Metrics(std::size_t aDaemon) const
 {
-  return Host(aDaemon) + ":" + std::to_string(mPort + 6);
+  return Host(aDaemon) + ":" + std::to_string(mPorts.Port() + 6);
 }
 
 std::size_t
@@ -494,10 +473,10 @@
     options.mOwnStoreLink ? mProxies.at(StoreLink(aDaemon)).mProxy : mStoreAddress;
   std::ostringstream settings;
   settings << "node-name = \"entry-" << aDaemon << "\"\nip = \"" << Host(aDaemon) << "\"\nzone = \""
-           << options.mHall << "\"\ninternal-ports = [" << mPort << ", " << mPort + 3
-           << "]\nseeds = [\"" << Host(0) << ":1\", \"" << Host(1) << ":1\"]\n[listen]\nfront = \""
-           << Callers(aDaemon) << "\"\nready = \"" << Host(aDaemon) << ":" << mPort + 5
-           << "\"\n[platform]\naddress = \"" << store
+           << options.mHall << "\"\ninternal-ports = [" << mPorts.Port() << ", "
+           << mPorts.Port() + 3 << "]\nseeds = [\"" << Host(0) << ":1\", \"" << Host(1)
+           << ":1\"]\n[listen]\nfront = \"" << Callers(aDaemon) << "\"\nready = \"" << Host(aDaemon)
+           << ":" << mPorts.Port() + 5 << "\"\n[platform]\naddress = \"" << store
            << "\"\n[bounds]\ngrace-s = 8\nretry-budget-ratio = 0.2\n"
            << "budget-window-s = 10\nretry-budget-slack = 60\nlease-ms = 1000\n";
   return settings.str();
@@ -510,7 +489,7 @@
   return std::make_unique<process>(
     std::vector<std::string>{ BuildFolder() + "/src/dunehookd",
                               "--platform",
-                              "--metrics_port=" + std::to_string(mPort + 6) },
+                              "--metrics_port=" + std::to_string(mPorts.Port() + 6) },
     aOutput);
 }
 
@@ -606,7 +585,7 @@
   using udp = asio::ip::udp;
   udp::socket socket(io, udp::v4());
   const udp::endpoint at(asio::ip::make_address(Host(aDaemon)),
-                         static_cast<std::uint16_t>(mPort + aPort));
+                         static_cast<std::uint16_t>(mPorts.Port() + aPort));
   socket.send_to(asio::buffer(aBytes), at);
 }
 
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "messages/run_message.h"
+#include "tests/support/port_claim.h"
 #include "tests/support/testbed.h"
 
 namespace dunehook::test {
@@ -146,8 +147,6 @@
   std::uint64_t Terms() const;
 
 private:
-  /** Picks ports that no other bed uses, whichever process it belongs to. */
-  void ClaimPorts();
   json Control(const std::string& aTarget, const std::string& aBody) const;
   void ListAt(const std::string& aId, const runner_options& aOptions, const std::string& aAddress);
   std::string Host(std::size_t aDaemon) const;
@@ -168,14 +167,13 @@
   std::unique_ptr<process> mFleet;                ///< The stand-in.
   std::string mAddress;                           ///< Where it listens.
   std::string mStoreAddress;                      ///< Where daemons reach the store.
+  port_claim mPorts;                              ///< The daemons' ports.
   bool mProxied;                                  ///< Runners and the store are behind proxies.
   std::map<std::string, standin> mProxies;        ///< By the name of what is behind.
   std::vector<std::unique_ptr<process>> mDaemons; ///< In the order of their start.
   std::vector<platform_daemon_options> mOptions;  ///< How each daemon was started.
   std::map<std::string, json> mEntries;           ///< Listed runners by id.
   int mUnread = -1;                               ///< Holds a pipe that nobody reads open.
-  int mPort = 0;                                  ///< First of the daemons' ports.
-  int mPortClaim = -1;                            ///< Bound, so that no other bed uses these ports.
 };
 
 /** @return a route of repeatable requests, for PutConfig(). */
--- a/tests/unit/quarantine_link_test.cpp
+++ b/tests/unit/quarantine_link_test.cpp
@@ -5,9 +5,9 @@
  */
 #include "links/quarantine_link.h"
 
-#include <CppUTest/TestHarness.h>
+#include "tests/support/port_claim.h"
 
-#include <unistd.h>
+#include <CppUTest/TestHarness.h>
 
 using namespace dunehook;
 
@@ -19,7 +19,7 @@
 constexpr request_fingerprint kCrashingRequest{ 1001 };
 /** Time within which connected daemons must know of a third crash. */
 constexpr duration kReportLimit = milliseconds(3000);
-/** Port range of the daemons; each test process uses its own ports. */
+/** Port range of the daemons; each test process claims its own ports. */
 constexpr int kFirstPort = 42000;
 constexpr int kPorts = 2000;
 constexpr int kPortsPerProcess = 4;
@@ -27,7 +27,8 @@
 std::uint16_t
 PortOfProcess()
 {
-  return static_cast<std::uint16_t>(kFirstPort + (::getpid() * kPortsPerProcess) % kPorts);
+  static const test::port_claim claim(kFirstPort, kPorts, kPortsPerProcess);
+  return static_cast<std::uint16_t>(claim.Port());
 }
 
 /** A daemon without callers. */
--- a/tests/unit/store_contact_test.cpp
+++ b/tests/unit/store_contact_test.cpp
@@ -5,9 +5,9 @@
 #include "links/store_contact.h"
 #include "tests/support/fake_boot_time.h"
 
-#include <CppUTest/TestHarness.h>
+#include "tests/support/port_claim.h"
 
-#include <unistd.h>
+#include <CppUTest/TestHarness.h>
 
 using namespace dunehook;
 
@@ -17,7 +17,7 @@
 
 /** Time within which the two daemons must know each other. */
 constexpr duration kHeardLimit = milliseconds(3000);
-/** Port range of the daemons; each test process uses its own ports. */
+/** Port range of the daemons; each test process claims its own ports. */
 constexpr int kFirstPort = 44000;
 constexpr int kPorts = 2000;
 constexpr int kPortsPerProcess = 4;
@@ -31,8 +31,8 @@
 gateway_settings
 SettingsOf(int aNumber)
 {
-  const auto port =
-    static_cast<std::uint16_t>(kFirstPort + (::getpid() * kPortsPerProcess) % kPorts);
+  static const test::port_claim claim(kFirstPort, kPorts, kPortsPerProcess);
+  const auto port = static_cast<std::uint16_t>(claim.Port());
   gateway_settings settings;
   settings.mName = "entry-" + std::to_string(aNumber);
   settings.mHall = "hall-a";
