Fix: [Quarantine] the time that replies take counts as waiting for a trial

Callers of suspected requests waited for longer than the half second that was meant: only the pauses between requests for a trial were added up, not the replies, which take up to 100 ms each where the daemon that grants is silent. caller_trial.TheTimeThatRepliesTakeCountsAsWaiting failed before by reading (sum of pauses only) and passes.

--- a/src/forward/suspect_trial.h
+++ b/src/forward/suspect_trial.h
@@ -32,6 +32,9 @@
     if (!mWatch.Suspected()) {
       co_return true;
     }
+    if (!mWaitsSince) {
+      mWaitsSince = mState.Now();
+    }
     const duration held = mState.mCrashes.HeldUntil(mWatch.Fingerprint()) - mState.Now();
     if (held > duration{ 0 }) {
       mDenied = trial_reply{ mWatch.Fingerprint(), 0, trial_state::eHeld, held, {} };
@@ -51,7 +54,9 @@
              { { "fingerprint", reply.mRequest.mValue },
                { "state", TrialStateName(reply.mState) },
                { "wait_ms", reply.mWait.count() / 1000 } });
-    if (!maySend) {
+    if (maySend) {
+      mWaitsSince.reset();
+    } else {
       mDenied = reply;
       NoteBusy(aRunners, reply.mBusy);
     }
@@ -78,10 +83,10 @@
   asio::awaitable<bool> WaitForRetry(duration aTimeLeft)
   {
     const duration wait = Wait();
-    if (mWaited + wait > std::min(kMaxTrialWait, aTimeLeft)) {
+    const duration waited = mState.Now() - mWaitsSince.value_or(mState.Now());
+    if (wait > std::min(kMaxTrialWait - waited, aTimeLeft)) {
       co_return false;
     }
-    mWaited += wait;
     co_await Sleep(wait);
     co_return true;
   }
@@ -126,7 +131,7 @@
   bool mUnderWay = false;             ///< A trial was granted, and hasn't ended.
   std::optional<trial_reply> mDenied; ///< Last reply, if it was a denial.
   std::set<service_runner_id> mBusy;  ///< See Busy().
-  duration mWaited{ 0 };              ///< Time waited for trials so far.
+  std::optional<instant> mWaitsSince; ///< When a trial was first asked for since the last one.
 };
 
 } // namespace dunehook
--- a/tests/platform/crash_test.cpp
+++ b/tests/platform/crash_test.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t kCrashLimit = 3;
 /** Time within which all daemons must know of the third crash, in ms. */
 constexpr int kPropagationMs = 3000;
+/** Time within which requests are served again after the loss of a daemon, in ms. */
+constexpr int kRecoveryMs = 12000;
 /** Longest time to the refusal of a quarantined request, in ms: a quarter of the latency target of
  * 0.3 s, and an allowance for the delays of a busy machine. */
 constexpr std::int64_t kMaxRefusalMs = 175;
@@ -202,6 +204,29 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(aMs));
   }
 
+  /** Has the request suspected after two crashes; from then on it crashes no runner. */
+  void SuspectHarmless()
+  {
+    Wait(kPropagationMs); // The daemons know each other for long.
+    for (int i = 0; i < 6 && CrashCount() < kCrashLimit - 1; ++i) {
+      Generate(kPoison, 1);
+    }
+    LONGS_EQUAL(kCrashLimit - 1, CrashCount());
+    for (int i = 1; i <= 6; ++i) {
+      mBed.SetRunner("decode-" + std::to_string(i), { { "crashes_on", "" } });
+    }
+  }
+
+  /** Checks that the request is served by a daemon that isn't the first one by rank. */
+  void CheckServedWithin(int aLimitMs)
+  {
+    const std::int64_t until = NowMs() + aLimitMs;
+    while (Generate(kPoison, 1).mStatus != 200 && NowMs() < until) {
+      Wait(kRestartMs / 4);
+    }
+    CHECK_TRUE(NowMs() < until);
+  }
+
   /** @return how many of @p aRequests, each with its own body, are served at the first or second
    * attempt. */
   int CountServed(int aRequests)
@@ -418,6 +443,38 @@
   LONGS_EQUAL(1, mBed.QuarantineReads());
 }
 
+TEST(crashes, ASuspectedRequestIsServedSoonAfterTheDaemonThatGrantsTrialsWasKilled)
+{
+  StartFleet(3);
+  SuspectHarmless();
+  mBed.Daemon(0).Signal(SIGKILL); // The first by rank.
+  CheckServedWithin(kRecoveryMs);
+}
+
+TEST(crashes, ASuspectedRequestIsServedSoonAfterTheDaemonThatGrantsTrialsWasSuspended)
+{
+  StartFleet(3);
+  SuspectHarmless();
+  mBed.Daemon(0).Signal(SIGSTOP);
+  CheckServedWithin(kRecoveryMs);
+  mBed.Daemon(0).Signal(SIGCONT);
+}
+
+TEST(crashes, ACulpritCrashesNoFifthEngineWhileDaemonsThatGrantTrialsAreKilled)
+{
+  StartFleet(4);
+  for (int i = 0; i < 24; ++i) {
+    if (i == 2 || i == 8) { // After the second crash, and later the daemon that took over.
+      mBed.Daemon(i == 2 ? 0 : 1).Signal(SIGKILL);
+    }
+    Generate(kPoison, static_cast<std::size_t>(2 + i % 2));
+    Wait(kRestartMs / 4);
+  }
+  Wait(kPropagationMs);
+  CHECK_TRUE(CrashCount() >= kCrashLimit);
+  CHECK_TRUE(CrashCount() <= kCrashLimit + 1);
+}
+
 TEST(crashes, APromptThatCrashedThreePrefillEnginesReachesNoOther)
 {
   const json faults{ { "crashes_on", kPoison },
--- a/tests/unit/suspect_trial_test.cpp
+++ b/tests/unit/suspect_trial_test.cpp
@@ -168,43 +168,50 @@
   crash_watch mWatch{ mState, mExchange, mFacts };     ///< Finds it suspected.
   suspect_trial mTrial{ mState, mWatch };              ///< Under test.
   std::vector<trial_state> mStates;                    ///< Replies to give, the last one first.
+  duration mReplyTime{ 0 };                            ///< Time that each takes.
   std::set<trial_id> mOpen;                            ///< Trials granted and not ended.
 
   void setup() override
   {
     mState.mCrashes.ApplyNotice(
       { mWatch.Fingerprint(), quarantine_status::eSuspected, duration{ 0 } }, mState.Now());
-    mState.mRequestTrial = [this](trial_request aRequest) { return Reply(aRequest); };
+    mState.mRequestTrial = [this](const trial_request& aRequest) { return Reply(aRequest.mTrial); };
     mState.mKeepTrial = [this](const trial_request& aRequest) {
       if (aRequest.mRunners.empty()) {
         mOpen.erase(aRequest.mTrial);
       }
     };
   }
-  asio::awaitable<trial_reply> Reply(trial_request aRequest)
+  asio::awaitable<trial_reply> Reply(trial_id aTrial)
   {
+    co_await Sleep(mReplyTime);
     trial_reply reply;
     reply.mState = mStates.back();
     mStates.pop_back();
     if (reply.mState == trial_state::eGranted) {
-      mOpen.insert(aRequest.mTrial);
+      mOpen.insert(aTrial);
     }
     co_return reply;
   }
-  /** Asks for a trial. @return whether it was granted. */
-  bool Begin()
+  /** Runs a call to its end. @return its result. */
+  bool Run(asio::awaitable<bool> aCall)
   {
-    std::optional<bool> granted;
+    bool result = false;
     asio::co_spawn(
-      mIo,
-      [&]() -> asio::awaitable<void> {
-        std::vector<service_runner_id> runners{ { 11 } };
-        granted = co_await mTrial.Begin(std::move(runners));
-      },
-      asio::detached);
+      mIo, std::move(aCall), [&](const std::exception_ptr&, bool aResult) { result = aResult; });
     mIo.restart();
     mIo.run();
-    return granted.value_or(false);
+    return result;
+  }
+  /** Asks for a trial. @return whether it was granted. */
+  bool Begin()
+  {
+    std::vector<service_runner_id> runners{ { 11 } };
+    return Run(mTrial.Begin(std::move(runners)));
+  }
+  bool WaitForRetry()
+  {
+    return Run(mTrial.WaitForRetry(std::chrono::seconds(5)));
   }
 };
 
@@ -217,6 +224,16 @@
   LONGS_EQUAL(0, mOpen.size());
 }
 
+TEST(caller_trial, TheTimeThatRepliesTakeCountsAsWaiting)
+{
+  mReplyTime = kMaxTrialWait / 4;
+  mStates.assign(100, trial_state::eNotGranting);
+  const instant began = mState.Now();
+  while (!Begin() && WaitForRetry()) {
+  }
+  CHECK_TRUE(mState.Now() - began <= kMaxTrialWait + mReplyTime);
+}
+
 namespace {
 
 /** What is drawn for one play of the fleet. */
