Fix: [Quarantine] a daemon that begins to judge blames nobody for crashes before that

What callers saw: a request that was only beside others that crash runners was refused as quarantined for ten minutes, after the first daemons by rank had changed (a planned stop is enough).

Cause: reports go to the first two daemons by rank. A daemon that becomes one of them knows of earlier crashes by its own callers alone, for ten minutes; what else was running there, it was never told. Each of these requests looked like the only one at its crashes, and the daemon quarantined it once its warm-up of 1.35 s was over. Requests that had been served by other daemons since were among them.

Evidence: quarantine_link.ADaemonThatBeginsToJudgeDoesNotBlameByItsOwnReportsOfEarlierCrashes failed before (request_quarantined by the third daemon 1.4 s after the first one left), and passes.

Change: crashes count as evidence only if the daemon has been told of all since before them. It works because the other of the two daemons that judge has known all for longer, and goes on judging.

--- a/src/links/quarantine_link.cpp
+++ b/src/links/quarantine_link.cpp
@@ -78,6 +78,9 @@
     co_await Sleep(kEvaluationInterval);
     const instant now = mState.Now();
     mJudges.Update(mLink.Members(), now - slept > kReportWindow, now);
+    if (!ReceivesAllReports() || now - slept > kMaxMissedReports) {
+      mState.mCrashes.SetCompleteSince(now);
+    }
     if (mJudges.HasBeenFirstFor(kJudgeWarmUp, now)) {
       Judge();
     }
@@ -85,6 +88,14 @@
   }
 }
 
+bool
+quarantine_link::ReceivesAllReports() const
+{
+  const std::vector<const member_info*> first = mLink.Members().FirstServing(kMaxCrashJudges);
+  const member_info* const self = &mLink.Members().Self();
+  return first.empty() || std::find(first.begin(), first.end(), self) != first.end();
+}
+
 void
 quarantine_link::SendToJudges(run_message aMessage)
 {
--- a/src/links/quarantine_link.h
+++ b/src/links/quarantine_link.h
@@ -26,6 +26,8 @@
  * judge may be changing at that moment. */
 inline constexpr duration kCrashResendPeriod = std::chrono::milliseconds(3500);
 inline constexpr duration kCrashResendInterval = std::chrono::milliseconds(1000);
+/** A daemon that was suspended for longer has missed reports for good. */
+inline constexpr duration kMaxMissedReports = kCrashResendPeriod - kCrashResendInterval;
 /** Daemons that are told of all crashes and judge. */
 inline constexpr std::size_t kMaxCrashJudges = 2;
 /** A daemon judges only after it has been one of them for this long: earlier crashes have been sent
@@ -76,6 +78,8 @@
   asio::awaitable<void> Compare();
   /** Sends a message to the daemons that judge. */
   void SendToJudges(run_message aMessage);
+  /** @return whether other daemons send their crashes to this one, if there are any. */
+  bool ReceivesAllReports() const;
   /** Judges the requests that are due. */
   void Judge();
   /** Queues a newly suspected request to be sent to all daemons. */
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -211,7 +211,7 @@
   };
   return std::any_of(crashes.begin(), crashes.end(), [&](const runner_crash& aCrash) {
     const auto runner = mCrashedRunners.find(aCrash.mCrash);
-    return runner != mCrashedRunners.end() &&
+    return runner != mCrashedRunners.end() && IsComplete(runner->second) &&
            std::none_of(
              runner->second.mRequests.begin(),
              runner->second.mRequests.end(),
@@ -252,8 +252,9 @@
 std::uint32_t
 crash_ledger::CountBlamedCrashes(request_fingerprint aRequest, instant aNow) const
 {
-  return CountSeparateCrashes(
-    aRequest, aNow, [&](const crashed_runner& aRunner) { return IsBlamed(aRequest, aRunner); });
+  return CountSeparateCrashes(aRequest, aNow, [&](const crashed_runner& aRunner) {
+    return IsComplete(aRunner) && IsBlamed(aRequest, aRunner);
+  });
 }
 
 std::uint32_t
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -14,6 +14,9 @@
  * next crash tells the suspected requests apart. If other runners crash at the time without it, its
  * crashes may be theirs: unless it's proven by a crash at which no other is left, it's held until
  * they have ended, and judged by one more trial.
+ *
+ * Only crashes of which all reports come in are evidence: where some are missing, a bystander looks
+ * like the only request that was running there.
  */
 #pragma once
 
@@ -75,6 +78,9 @@
   /** Evaluates the requests whose crashes are at least kReportWindow old and not evaluated yet.
    * @return those that it puts into quarantine. */
   std::vector<request_fingerprint> EvaluateDue(instant aNow);
+  /** Sets since when this daemon has received the reports of all daemons. Nothing is blamed for
+   * crashes before that. */
+  void SetCompleteSince(instant aSince) { mCompleteSince = aSince; }
   /** Drops a suspicion that the daemon which grants trials doesn't share. */
   void ClearSuspicion(request_fingerprint aRequest);
   /** Removes expired crashes and quarantines; to be called periodically. */
@@ -170,6 +176,8 @@
                                   instant aUntil,
                                   instant aNow) const;
   bool IsQuarantined(const tracked_request& aRow, instant aNow) const;
+  /** @return whether all reports of a crash have come in. */
+  bool IsComplete(const crashed_runner& aRunner) const { return aRunner.mAt >= mCompleteSince; }
   /** @return whether a quarantined request that was at more crashes explains that of a runner. */
   bool IsExplained(request_fingerprint aRequest, const crashed_runner& aRunner, instant aNow) const;
   /** Clears requests that were at fewer crashes than a quarantined one of those that it explains.
@@ -183,6 +191,7 @@
     mRequests;                                        ///< At most kMaxTrackedRequests.
   std::map<crash_id, crashed_runner> mCrashedRunners; ///< At most kMaxCrashedRunners.
   std::uint64_t mLastCrash = 0;                       ///< Number of the last crash.
+  instant mCompleteSince{ 0 };                        ///< See SetCompleteSince().
   std::map<instant, std::vector<request_fingerprint>> mDueEvaluations; ///< By due time.
 };
 
--- a/tests/unit/quarantine_link_test.cpp
+++ b/tests/unit/quarantine_link_test.cpp
@@ -42,7 +42,7 @@
     mState.mTellDaemons = [this](run_message aMessage) { mLink.Broadcast(std::move(aMessage)); };
     mState.mTellPlacers = mState.mTellDaemons;
     CHECK_TRUE(mLink.Open().has_value());
-    mLink.Start([] { return true; });
+    mLink.Start([this] { return mServing; });
     mQuarantines.Start();
   }
 
@@ -74,6 +74,7 @@
            quarantine_status::eQuarantined;
   }
 
+  bool mServing = true;         ///< As the daemon tells the others.
   forward_state mState;         ///< State of the daemon.
   daemon_link mLink;            ///< Messages to the other daemon.
   quarantine_link mQuarantines; ///< Under test.
@@ -199,6 +200,29 @@
              quarantine_status::eQuarantined);
 }
 
+TEST(quarantine_link, ADaemonThatBeginsToJudgeDoesNotBlameByItsOwnReportsOfEarlierCrashes)
+{
+  constexpr request_fingerprint kBystander{ 1003 };
+  node one(mIo, 1);
+  node two(mIo, 2);
+  node three(mIo, 3);
+  one.Connect(2);
+  one.Connect(3);
+  CHECK_TRUE(
+    RunUntil([&] { return one.Knows(3) && two.Knows(3) && three.Knows(3); }, kReportLimit));
+  for (std::uint64_t site = 1; site <= kCrashesToQuarantine; ++site) {
+    three.mQuarantines.NoteCrash({ kBystander, { site }, false });
+    two.mQuarantines.NoteCrash({ { 2001 + 2 * site }, { site }, false }); // Each is the culprit.
+  }
+  RunUntil([] { return false; }, kCrashResendPeriod + kCrashResendInterval);
+  CHECK_FALSE(two.mState.mCrashes.StatusOf(kBystander, two.mState.Now()) ==
+              quarantine_status::eQuarantined);
+  one.mServing = false; // The third daemon is one of the first two then.
+  RunUntil([] { return false; }, kReportLimit + kJudgeWarmUp);
+  CHECK_FALSE(three.mState.mCrashes.StatusOf(kBystander, three.mState.Now()) ==
+              quarantine_status::eQuarantined);
+}
+
 TEST(quarantine_link, HundredsOfDaemonsLearnInTimeIncludingThoseThatWereCutOff)
 {
   constexpr std::size_t kDaemons = 300;
