Fix: [Callers] a request that is read after its caller has left isn't passed on

What callers saw: nothing, but runners began to work for callers that had left up to seconds before: where a daemon reads a request late (it was busy, suspended, or starting), the request went to a runner before the daemon looked whether its caller was still there. The look is a coroutine that first runs when the handler waits, and a plain request with an open connection to its runner is sent without a wait.

Evidence: provoked by a daemon suspended while 20 callers send and leave: gateway.ARequestThatIsReadAfterItsCallerHasLeftReachesNoRunner failed before (the first of them had run), and passes.

Change: the connection is looked at once more when the request is whole, before anything is decided.

--- a/src/forward/caller_session.cpp
+++ b/src/forward/caller_session.cpp
@@ -393,6 +393,11 @@
     mState.mBodyBytes -= held;
     co_return false;
   }
+  if (!ReadAvailable(aStream.socket(), aBuffer)) { // The daemon was busy or suspended meanwhile.
+    LogEvent(log_level::eInfo, "caller_left_unread", {});
+    mState.mBodyBytes -= held;
+    co_return false;
+  }
   const auto watch = std::make_shared<disconnect_watch>();
   watch->mExchange = exchange;
   SpawnGuarded(mIo, WatchForDisconnect(aStream, aBuffer, watch));
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -389,6 +389,32 @@
   CHECK_EQUAL(0, first.value("holds", 0) + second.value("holds", 0));
 }
 
+TEST(gateway, ARequestThatIsReadAfterItsCallerHasLeftReachesNoRunner)
+{
+  mBed.StartUsual();
+  for (int i = 0; i < 6; ++i) { // Leaves open connections to the runners.
+    const std::string id = "r" + std::to_string(i);
+    CHECK_EQUAL(200U, Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders(id)).mStatus);
+  }
+  mBed.Daemon().Signal(SIGSTOP);
+  for (int i = 0; i < 20; ++i) { // The system takes the connections for the daemon.
+    const std::string id = "left" + std::to_string(i);
+    const bool page = i % 2 == 0;
+    Call(mBed.Callers(),
+         page ? "GET" : "POST",
+         page ? "/pages/a" : "/turns/a",
+         page ? "" : "prompt",
+         page ? CallerHeaders(id) : GenerationHeaders(id, 2000, 10),
+         10);
+  }
+  mBed.Daemon().Signal(SIGCONT);
+  CHECK_EQUAL(200U, Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders("last")).mStatus);
+  std::this_thread::sleep_for(std::chrono::milliseconds(kLeftMs));
+  for (int i = 0; i < 20; ++i) {
+    LONGS_EQUAL(0, mBed.Seen("left" + std::to_string(i)).size());
+  }
+}
+
 TEST(gateway, ACallersLeaveIsNotBlamedOnTheEngine)
 {
   mBed.StartUsual();
