Fix: [Quarantine] a daemon doesn't ask for trials in an endless loop

Cause: once a trial had been denied because of another suspected request at a runner, each later denial for another reason (held, another try under way) looked like that one too, and the next runner was asked for at once. Where the daemon itself grants trials and places, nothing in that loop waits.

Change: another runner is asked for at once only if the reply names a busy runner that wasn't known, which happens once for each runner.

--- a/src/forward/suspect_trial.h
+++ b/src/forward/suspect_trial.h
@@ -28,6 +28,7 @@
   asio::awaitable<bool> Begin(std::vector<service_runner_id> aRunners)
   {
     mDenied.reset();
+    mFoundBusy = false;
     Release();
     if (!mWatch.Suspected()) {
       co_return true;
@@ -58,7 +59,7 @@
       mWaitsSince.reset();
     } else {
       mDenied = reply;
-      NoteBusy(aRunners, reply.mBusy);
+      mFoundBusy = NoteBusy(aRunners, reply);
     }
     co_return maySend;
   }
@@ -75,7 +76,7 @@
   void End()
   {
     Release();
-    mBusy.clear();
+    ForgetBusy();
   }
 
   /** Waits until a denied trial may be asked for again, unless that takes too long.
@@ -94,10 +95,14 @@
   /** @return whether the last request for a trial was denied. */
   bool WasDenied() const { return mDenied.has_value(); }
   /** @return whether it was denied because of other suspected requests at the runners, which
-   * Busy() contains. */
-  bool WasBusy() const { return WasDenied() && !mBusy.empty(); }
+   * Busy() contains now and didn't before: other runners may be asked for at once. */
+  bool WasBusy() const { return mFoundBusy; }
   /** Lets the runners of Busy() be asked for again. */
-  void ForgetBusy() { mBusy.clear(); }
+  void ForgetBusy()
+  {
+    mBusy.clear();
+    mFoundBusy = false;
+  }
   /** @return time until the trial may be granted, after it was denied. */
   duration Wait() const { return mDenied ? std::max(mDenied->mWait, kMinWait) : duration{ 0 }; }
   /** @return runners at which other suspected requests are on trial. */
@@ -112,25 +117,29 @@
     }
   }
 
-  void NoteBusy(const std::vector<service_runner_id>& aRunners,
-                const std::vector<runner_site>& aBusy)
+  /** @return whether the reply names busy runners that weren't known to be. */
+  bool NoteBusy(const std::vector<service_runner_id>& aRunners, const trial_reply& aReply)
   {
+    const std::size_t known = mBusy.size();
     for (const service_runner_id runner : aRunners) {
-      if (std::find(aBusy.begin(), aBusy.end(), mWatch.SiteOf(runner)) != aBusy.end()) {
+      const auto& busy = aReply.mBusy;
+      if (std::find(busy.begin(), busy.end(), mWatch.SiteOf(runner)) != busy.end()) {
         mBusy.insert(runner);
       }
     }
+    return aReply.mState == trial_state::eRunnerBusy && mBusy.size() > known;
   }
 
   /** Shortest time before a trial is asked for again. */
   static constexpr duration kMinWait = std::chrono::milliseconds(10);
 
-  forward_state& mState;              ///< State shared by the daemon's components.
-  crash_watch& mWatch;                ///< Tells whether the request is suspected.
-  trial_id mTrial;                    ///< The last trial that was asked for.
+  forward_state& mState; ///< State shared by the daemon's components.
+  crash_watch& mWatch;   ///< Tells whether the request is suspected.
+  trial_id mTrial;       ///< The last trial that was asked for.
   bool mUnderWay = false;             ///< A trial was granted, and hasn't ended.
   std::optional<trial_reply> mDenied; ///< Last reply, if it was a denial.
   std::set<service_runner_id> mBusy;  ///< See Busy().
+  bool mFoundBusy = false;            ///< See WasBusy().
   std::optional<instant> mWaitsSince; ///< When a trial was first asked for since the last one.
 };
 
--- a/tests/unit/suspect_trial_test.cpp
+++ b/tests/unit/suspect_trial_test.cpp
@@ -170,23 +170,32 @@
   std::vector<trial_state> mStates;                    ///< Replies to give, the last one first.
   duration mReplyTime{ 0 };                            ///< Time that each takes.
   std::set<trial_id> mOpen;                            ///< Trials granted and not ended.
+  std::vector<runner_site> mAsked;                     ///< Runners that were named last.
 
   void setup() override
   {
     mState.mCrashes.ApplyNotice(
       { mWatch.Fingerprint(), quarantine_status::eSuspected, duration{ 0 } }, mState.Now());
-    mState.mRequestTrial = [this](const trial_request& aRequest) { return Reply(aRequest.mTrial); };
+    mState.mRequestTrial = [this](const trial_request& aRequest) {
+      return Reply(aRequest.mTrial, aRequest.mRunners);
+    };
     mState.mKeepTrial = [this](const trial_request& aRequest) {
       if (aRequest.mRunners.empty()) {
         mOpen.erase(aRequest.mTrial);
+      } else {
+        mAsked = aRequest.mRunners;
       }
     };
   }
-  asio::awaitable<trial_reply> Reply(trial_id aTrial)
+  asio::awaitable<trial_reply> Reply(trial_id aTrial, std::vector<runner_site> aRunners)
   {
+    mAsked = aRunners;
     co_await Sleep(mReplyTime);
     trial_reply reply;
     reply.mState = mStates.back();
+    if (reply.mState == trial_state::eRunnerBusy) {
+      reply.mBusy = std::move(aRunners);
+    }
     mStates.pop_back();
     if (reply.mState == trial_state::eGranted) {
       mOpen.insert(aTrial);
@@ -206,7 +215,11 @@
   /** Asks for a trial. @return whether it was granted. */
   bool Begin()
   {
-    std::vector<service_runner_id> runners{ { 11 } };
+    return BeginAt({ 11 });
+  }
+  bool BeginAt(service_runner_id aRunner)
+  {
+    std::vector<service_runner_id> runners{ aRunner };
     return Run(mTrial.Begin(std::move(runners)));
   }
   bool WaitForRetry()
@@ -224,6 +237,17 @@
   LONGS_EQUAL(0, mOpen.size());
 }
 
+TEST(caller_trial, ADenialThatNamesNoOtherRunnerIsNoReasonToAskAgainAtOnce)
+{
+  mStates = { trial_state::eRunnerBusy, trial_state::eHeld, trial_state::eRunnerBusy };
+  CHECK_FALSE(Begin());
+  CHECK_TRUE(mTrial.WasBusy());
+  CHECK_FALSE(Begin()); // Held.
+  CHECK_FALSE(mTrial.WasBusy());
+  CHECK_FALSE(Begin()); // The runner is known to be busy.
+  CHECK_FALSE(mTrial.WasBusy());
+}
+
 TEST(caller_trial, TheTimeThatRepliesTakeCountsAsWaiting)
 {
   mReplyTime = kMaxTrialWait / 4;
