Fix: [Quarantine] crash reports name the runner's address at the send, not at the crash

Cause: a report looked the runner's address up when the connection broke. Where the runner's row had been replaced meanwhile (it had crashed before and was listed anew 75 ms earlier, under a run that began before that), no row was found, and the report named the incarnation. It was taken for a crash of its own, at which nobody else was, so the request was proven guilty.

Change: reports take the address that the request was sent to; a trial keeps the sites that it was asked for.

--- a/src/forward/crash_watch.h
+++ b/src/forward/crash_watch.h
@@ -33,11 +33,12 @@
   }
   /**
    * Reports that the connection to a runner was lost while a response was awaited.
+   * @param aRunner its address; its row may have been replaced since the request was sent.
    * @param aProgressed the caller had received part of this run's response.
    */
-  void ReportConnectionLost(service_runner_id aRunner, bool aProgressed)
+  void ReportConnectionLost(const endpoint& aRunner, bool aProgressed)
   {
-    mState.mReportCrash({ Fingerprint(), SiteOf(aRunner), aProgressed });
+    mState.mReportCrash({ Fingerprint(), SiteAt(aRunner), aProgressed });
   }
   /** Reports that a complete response arrived. */
   void ReportServed()
@@ -46,11 +47,11 @@
       mState.mReportServed(Fingerprint());
     }
   }
-  /** @return where a runner is. */
+  /** @return where a runner is that is about to be used. */
   runner_site SiteOf(service_runner_id aRunner) const
   {
     const runner_state* const runner = mState.mRunners.Find(aRunner);
-    return { runner == nullptr ? aRunner.mValue : HashBytes(ToText(runner->mEntry.mAddress)) };
+    return runner == nullptr ? runner_site{ aRunner.mValue } : SiteAt(runner->mEntry.mAddress);
   }
   request_fingerprint Fingerprint()
   {
@@ -61,6 +62,8 @@
   }
 
 private:
+  static runner_site SiteAt(const endpoint& aRunner) { return { HashBytes(ToText(aRunner)) }; }
+
   quarantine_status Status()
   {
     return mState.mCrashes.Empty() ? quarantine_status::eClear
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -199,7 +199,7 @@
     }
     mPrefillFailed = end != read_outcome::eRead;
     if (end == read_outcome::eConnectionLost) {
-      mCrashWatch.ReportConnectionLost(*mPlace.Choice().mPrefill, false);
+      mCrashWatch.ReportConnectionLost(mPromptRead.EngineAddress(), false);
     }
     if (mPrefillFailed) {
       mDemand.mFailed.push_back(*mPlace.Choice().mPrefill);
@@ -435,7 +435,7 @@
     }
     mState.NoteEngine(mPlace.Choice().mDecode, send_outcome::eFailed);
     if (aBroke) {
-      mCrashWatch.ReportConnectionLost(mPlace.Choice().mDecode, aProgressed);
+      mCrashWatch.ReportConnectionLost(mPlace.DecodeAddress(), aProgressed);
     }
     mDemand.mFailed.push_back(mPlace.Choice().mDecode);
     mMayHaveRun = true;
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -247,7 +247,7 @@
     if (aAnswer.mSendStatus == send_status::eNotRun) {
       again = co_await HandleRefusal(aRunner, aAnswer);
     } else if (aAnswer.mSendStatus == send_status::eUnknown) {
-      again = co_await HandleLostResponse(aRunner, aAnswer);
+      again = co_await HandleLostResponse(aRunner, aAddress, aAnswer);
     } else {
       again = co_await ForwardResponse(aRunner, aAnswer, body);
     }
@@ -273,11 +273,12 @@
    * @return whether to try another runner.
    */
   asio::awaitable<bool> HandleLostResponse(service_runner_id aRunner,
+                                           endpoint aAddress,
                                            const upstream_response& aAnswer)
   {
     NoteOutcome(aRunner, OutcomeOf(aAnswer));
     if (aAnswer.mConnectionLost) {
-      mCrashWatch.ReportConnectionLost(aRunner, false);
+      mCrashWatch.ReportConnectionLost(aAddress, false);
     }
     mState.LogDecision(log_level::eWarning,
                        "answer_lost",
--- a/src/forward/prompt_read.h
+++ b/src/forward/prompt_read.h
@@ -129,6 +129,8 @@
   const std::string& ResultLocation() const { return mResultLocation; }
   /** @return id of the engine that was asked last. */
   const std::string& EngineName() const { return mEngineName; }
+  /** @return address of the engine that was asked last. */
+  const endpoint& EngineAddress() const { return mEngineAddress; }
   /** A decode engine has taken the result. */
   void MarkConsumed() { mResultLocation.clear(); }
 
--- a/src/forward/suspect_trial.h
+++ b/src/forward/suspect_trial.h
@@ -43,8 +43,10 @@
     }
     mTrial = { mState.mRandom() | 1U };
     trial_request request{ mTrial, mWatch.Fingerprint(), {}, 0 };
+    mSites.clear();
     for (const service_runner_id runner : aRunners) {
-      request.mRunners.push_back(mWatch.SiteOf(runner));
+      mSites[runner] = mWatch.SiteOf(runner);
+      request.mRunners.push_back(mSites[runner]);
     }
     const trial_reply reply = co_await mState.mRequestTrial(std::move(request));
     mUnderWay = reply.mState == trial_state::eGranted;
@@ -68,7 +70,7 @@
   void KeepOnly(service_runner_id aRunner)
   {
     if (mUnderWay) {
-      mState.mKeepTrial({ mTrial, mWatch.Fingerprint(), { mWatch.SiteOf(aRunner) }, 0 });
+      mState.mKeepTrial({ mTrial, mWatch.Fingerprint(), { mSites.at(aRunner) }, 0 });
     }
   }
 
@@ -123,7 +125,7 @@
     const std::size_t known = mBusy.size();
     for (const service_runner_id runner : aRunners) {
       const auto& busy = aReply.mBusy;
-      if (std::find(busy.begin(), busy.end(), mWatch.SiteOf(runner)) != busy.end()) {
+      if (std::find(busy.begin(), busy.end(), mSites.at(runner)) != busy.end()) {
         mBusy.insert(runner);
       }
     }
@@ -136,6 +138,8 @@
   forward_state& mState; ///< State shared by the daemon's components.
   crash_watch& mWatch;   ///< Tells whether the request is suspected.
   trial_id mTrial;       ///< The last trial that was asked for.
+  /** The runners it was asked for: their rows may be replaced while it's under way. */
+  std::map<service_runner_id, runner_site> mSites;
   bool mUnderWay = false;             ///< A trial was granted, and hasn't ended.
   std::optional<trial_reply> mDenied; ///< Last reply, if it was a denial.
   std::set<service_runner_id> mBusy;  ///< See Busy().
--- a/tests/unit/suspect_trial_test.cpp
+++ b/tests/unit/suspect_trial_test.cpp
@@ -237,6 +237,25 @@
   LONGS_EQUAL(0, mOpen.size());
 }
 
+TEST(caller_trial, ATrialNamesItsRunnerAsBeforeOnceTheRunnersRowIsReplaced)
+{
+  runner_entry entry;
+  entry.mName = "decode-1";
+  entry.mBorn = 1;
+  entry.mAddress = { "127.0.0.1", 9 };
+  mState.mRunners.Apply({ { entry }, { 0, 1 } }, mState.Now(), false);
+  const service_runner_id former = RunnerIdOf(entry.mName, entry.mBorn);
+  mStates = { trial_state::eGranted };
+  CHECK_TRUE(BeginAt(former));
+  const std::vector<runner_site> asked = mAsked;
+  entry.mBorn = 2;
+  mState.mRunners.Apply({ { entry }, { 0, 2 } }, mState.Now(), false);
+  mState.mRunners.RemoveGone(mState.Now(), false);
+  POINTERS_EQUAL(nullptr, mState.mRunners.Find(former));
+  mTrial.KeepOnly(former);
+  CHECK_TRUE(mAsked == asked);
+}
+
 TEST(caller_trial, ADenialThatNamesNoOtherRunnerIsNoReasonToAskAgainAtOnce)
 {
   mStates = { trial_state::eRunnerBusy, trial_state::eHeld, trial_state::eRunnerBusy };
