Fix: [Quarantine] a request whose caller leaves just before the runner crashes is reported, too

Cause: a daemon reports the runs that break with a connection. If the caller has left, it has closed the connection itself, and reports nothing, but a runner that is about to crash does so all the same.

Change: a daemon remembers abandoned runs for 300 ms. The first daemon by rank tells all of a crash with its first report (one datagram a daemon for all crashes within 2 ms), and each adds its abandoned runs there. Telling of each abandoned run instead would be some 800 datagrams a second to a judge at 16,000 requests a second.

--- a/src/forward/crash_watch.h
+++ b/src/forward/crash_watch.h
@@ -40,6 +40,12 @@
   {
     mState.mReportCrash({ Fingerprint(), SiteAt(aRunner), aProgressed });
   }
+  /** Reports that the caller left while a response was awaited: the runner may crash yet. The
+   * arguments are those of ReportConnectionLost(). */
+  void ReportAbandoned(const endpoint& aRunner, bool aProgressed)
+  {
+    mState.mReportAbandoned({ Fingerprint(), SiteAt(aRunner), aProgressed });
+  }
   /** Reports that a complete response arrived. */
   void ReportServed()
   {
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -83,6 +83,9 @@
     mState.mReportCrash = [this](const crash_report& aReport) {
       mQuarantines.Link().NoteCrash(aReport);
     };
+    mState.mReportAbandoned = [this](const crash_report& aRun) {
+      mQuarantines.Link().NoteAbandoned(aRun);
+    };
     mState.mReportServed = [this](request_fingerprint aRequest) {
       mQuarantines.Link().NoteServed(aRequest);
     };
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -194,6 +194,7 @@
         return TakeReplacementBudget(1.0);
       });
     if (mExchange->Disconnected()) {
+      mCrashWatch.ReportAbandoned(mPromptRead.EngineAddress(), false);
       mPromptRead.Discard("caller_left");
       co_return false;
     }
@@ -258,6 +259,7 @@
       if (answer.mConnection) {
         answer.mConnection->Abort();
       }
+      mCrashWatch.ReportAbandoned(mPlace.DecodeAddress(), false);
       mPromptRead.Discard("caller_left");
       co_return false;
     }
@@ -372,6 +374,7 @@
         const bool open = co_await SendEvents(aAnswer, events);
         if (!open) {
           upstream.Abort();
+          mCrashWatch.ReportAbandoned(mPlace.DecodeAddress(), true);
           co_return false;
         }
       }
@@ -429,6 +432,7 @@
   {
     if (mExchange->Disconnected()) { // The run ended because the caller disconnected, not because
                                      // of the engine.
+      mCrashWatch.ReportAbandoned(mPlace.DecodeAddress(), aProgressed);
       mPromptRead.Discard("caller_left");
       mState.mRunners.NoteOutcome(mPlace.Choice().mDecode, send_outcome::eAbandoned, mState.Now());
       co_return false;
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -213,6 +213,7 @@
   {
     if (mExchange->Disconnected()) {
       NoteOutcome(aRunner, send_outcome::eAbandoned);
+      mCrashWatch.ReportAbandoned(aAddress, false);
       co_return false;
     }
     if (aAnswer.mSendStatus == send_status::eNotSent) {
@@ -237,6 +238,7 @@
     }
     if (mExchange->Disconnected()) {
       NoteOutcome(aRunner, send_outcome::eAbandoned);
+      mCrashWatch.ReportAbandoned(aAddress, false);
       co_return false;
     }
     const bool success = aAnswer.mFacts.mStatus < 300;
--- a/src/links/quarantine_link.cpp
+++ b/src/links/quarantine_link.cpp
@@ -41,16 +41,63 @@
 quarantine_link::NoteCrash(const crash_report& aReport)
 {
   const instant now = mState.Now();
-  if (mState.mCrashes.NoteCrash(aReport, now)) {
-    TellSuspected(aReport.mRequest);
-  }
-  mRecentCrashes.push_back({ aReport, now, instant{ 0 } });
+  RecordCrash(aReport, now);
+  mRecentCrashes.push_back({ aReport, now - aReport.mAge, instant{ 0 } });
   if (mRecentCrashes.size() > kMaxCrashesResent) {
     mRecentCrashes.pop_front();
   }
   SendCrashes();
 }
 
+void
+quarantine_link::NoteAbandoned(const crash_report& aRun)
+{
+  mAbandonedRuns.push_back({ aRun, mState.Now() });
+  if (mAbandonedRuns.size() > kMaxAbandonedRuns) {
+    mAbandonedRuns.pop_front();
+  }
+}
+
+void
+quarantine_link::RecordCrash(const crash_report& aReport, instant aNow)
+{
+  const bool isFirstReport = !mState.mCrashes.KnowsCrash(aReport.mSite, aNow - aReport.mAge);
+  if (mState.mCrashes.NoteCrash(aReport, aNow)) {
+    TellSuspected(aReport.mRequest);
+  }
+  if (!isFirstReport) {
+    return;
+  }
+  const crash_notice crash{ aReport.mSite, aReport.mAge };
+  const std::vector<const member_info*> first = mLink.Members().FirstServing(1);
+  if (!first.empty() && first.front() == &mLink.Members().Self()) {
+    mToBroadcast.mRunnersCrashed.push_back(crash);
+    ScheduleBroadcast();
+  }
+  ReportAbandoned(crash, aNow);
+}
+
+void
+quarantine_link::ReportAbandoned(const crash_notice& aCrash, instant aNow)
+{
+  const instant crashedAt = aNow - aCrash.mAge;
+  const auto mayHaveCaused = [&](const abandoned_run& aRun) {
+    return aRun.mRun.mSite == aCrash.mSite && crashedAt < aRun.mAt + kAbandonedRunTime &&
+           aRun.mAt < crashedAt + kSameCrashTime;
+  };
+  std::vector<crash_report> reports;
+  for (const abandoned_run& run : mAbandonedRuns) {
+    if (mayHaveCaused(run)) {
+      reports.push_back(run.mRun);
+      reports.back().mAge = aCrash.mAge;
+    }
+  }
+  std::erase_if(mAbandonedRuns, mayHaveCaused);
+  for (const crash_report& report : reports) {
+    NoteCrash(report);
+  }
+}
+
 void
 quarantine_link::NoteServed(request_fingerprint aRequest)
 {
@@ -148,11 +195,13 @@
 {
   co_await Sleep(kBroadcastDelay);
   mBroadcastScheduled = false;
-  while (!mToBroadcast.mNotices.empty() || !mToBroadcast.mServed.empty()) {
+  while (!mToBroadcast.mNotices.empty() || !mToBroadcast.mServed.empty() ||
+         !mToBroadcast.mRunnersCrashed.empty()) {
     run_message message;
     quarantine_message& sent = message.mQuarantine.emplace();
     sent.mNotices = TakeFirst(mToBroadcast.mNotices, kMaxNoticesPerDatagram);
     sent.mServed = TakeFirst(mToBroadcast.mServed, kMaxNoticesPerDatagram);
+    sent.mRunnersCrashed = TakeFirst(mToBroadcast.mRunnersCrashed, kMaxNoticesPerDatagram);
     mLink.Broadcast(std::move(message));
   }
 }
@@ -203,9 +252,10 @@
 {
   const instant now = mState.Now();
   for (const crash_report& report : aMessage.mCrashes) {
-    if (mState.mCrashes.NoteCrash(report, now)) {
-      TellSuspected(report.mRequest);
-    }
+    RecordCrash(report, now);
+  }
+  for (const crash_notice& crash : aMessage.mRunnersCrashed) {
+    ReportAbandoned(crash, now);
   }
   for (const request_fingerprint request : aMessage.mServed) {
     mState.mCrashes.NoteServed(request);
--- a/src/links/quarantine_link.h
+++ b/src/links/quarantine_link.h
@@ -33,6 +33,10 @@
 /** A daemon judges only after it has been one of them for this long: earlier crashes have been sent
  * to it again by then. */
 inline constexpr duration kJudgeWarmUp = kCrashResendInterval + kReportWindow + kEvaluationInterval;
+/** A runner may go on with a run for this long after its caller left. */
+inline constexpr duration kAbandonedRunTime = std::chrono::milliseconds(300);
+/** Maximum number of this daemon's abandoned runs that are remembered. */
+inline constexpr std::size_t kMaxAbandonedRuns = 256;
 /** Maximum number of quarantine notices in one datagram. */
 inline constexpr std::size_t kMaxNoticesPerDatagram = 64;
 /** Maximum number of this daemon's own crashes that are sent again. */
@@ -48,6 +52,9 @@
   void Start();
   /** Records that a request was running at a runner whose connection broke. */
   void NoteCrash(const crash_report& aReport);
+  /** Records that a caller left while its request was running at a runner. If the runner crashes
+   * soon after, the request was running there. */
+  void NoteAbandoned(const crash_report& aRun);
   /** Records that a request was served completely. */
   void NoteServed(request_fingerprint aRequest);
   /** @return whether this daemon has received the quarantines that existed when it started. */
@@ -66,6 +73,13 @@
   }
 
 private:
+  /** A run whose caller left. */
+  struct abandoned_run
+  {
+    crash_report mRun; ///< As reported if the runner crashes.
+    instant mAt{ 0 };  ///< When the caller left.
+  };
+
   /** A crash that this daemon observed. */
   struct own_crash
   {
@@ -89,6 +103,11 @@
   asio::awaitable<void> BroadcastQueued();
   /** Sends the crashes of this daemon that are due to be sent or sent again. */
   void SendCrashes();
+  /** Adds a report to the ledger; the first daemon by rank tells all of a crash that it's the first
+   * report of. */
+  void RecordCrash(const crash_report& aReport, instant aNow);
+  /** Reports the runs that were abandoned at a runner shortly before it crashed. */
+  void ReportAbandoned(const crash_notice& aCrash, instant aNow);
   void HandleMessage(const quarantine_message& aMessage, const endpoint& aFrom);
   /** Answers a comparison: sends the quarantines if the digests differ or the sender asks for them.
    */
@@ -98,8 +117,10 @@
   daemon_link& mLink;                   ///< Sends messages to the other daemons.
   std::deque<own_crash> mRecentCrashes; ///< This daemon's crashes to send again, oldest first; at
                                         ///< most kMaxCrashesResent.
+  std::deque<abandoned_run> mAbandonedRuns;    ///< Oldest first; at most kMaxAbandonedRuns.
   first_rank_watch mJudges{ kMaxCrashJudges }; ///< Whether this daemon judges.
-  quarantine_message mToBroadcast;  ///< Conclusions and served suspects that all are to be told of.
+  quarantine_message mToBroadcast;  ///< Conclusions, served suspects and crashed runners that all
+                                    ///< are to be told of.
   bool mBroadcastScheduled = false; ///< mToBroadcast is sent soon.
   std::function<void(request_fingerprint)> mOnQuarantined; ///< May be empty.
   /** Called with messages on trials; may be empty. */
--- a/src/messages/run_message.cpp
+++ b/src/messages/run_message.cpp
@@ -25,6 +25,10 @@
 constexpr duration kMaxReportAge = std::chrono::minutes(1);
 /** Index of a trial request, followed by the reply to one, in a quarantine. */
 constexpr std::size_t kTrialIndex = 6;
+/** Index of the age, in a crash report. */
+constexpr std::size_t kReportAgeIndex = 3;
+/** Index of the runners that crashed, in a quarantine. */
+constexpr std::size_t kRunnersCrashedIndex = 8;
 
 /** Limit on runs decoded from one datagram; a valid datagram can't hold as many. */
 constexpr std::size_t kMaxRuns = 2000;
@@ -230,6 +234,10 @@
     notices.push_back(
       { notice.mRequest.mValue, static_cast<int>(notice.mStatus), notice.mAge.count() });
   }
+  json runnersCrashed = json::array();
+  for (const crash_notice& crash : aMessage.mRunnersCrashed) {
+    runnersCrashed.push_back({ crash.mSite.mValue, crash.mAge.count() });
+  }
   const json senderDigest = aMessage.mSenderDigest ? json(*aMessage.mSenderDigest) : json();
   return json::array({ std::move(crashes),
                        IdsOf(aMessage.mServed),
@@ -238,7 +246,8 @@
                        aMessage.mAlwaysAnswer,
                        aMessage.mSenderStateReceived,
                        aMessage.mTrial ? EncodeTrial(*aMessage.mTrial) : json(),
-                       aMessage.mTrialReply ? EncodeTrialReply(*aMessage.mTrialReply) : json() });
+                       aMessage.mTrialReply ? EncodeTrialReply(*aMessage.mTrialReply) : json(),
+                       std::move(runnersCrashed) });
 }
 
 quarantine_notice
@@ -253,10 +262,9 @@
 
 /** @return the age of a crash; zero if its daemon is of a version that doesn't send it. */
 duration
-AgeFrom(const json& aCrash)
+AgeFrom(const json& aCrash, std::size_t aIndex)
 {
-  constexpr std::size_t kAgeIndex = 3;
-  const std::int64_t age = aCrash.size() > kAgeIndex ? aCrash.at(kAgeIndex).get<std::int64_t>() : 0;
+  const std::int64_t age = aCrash.size() > aIndex ? aCrash.at(aIndex).get<std::int64_t>() : 0;
   return std::min<duration>(duration(std::max<std::int64_t>(0, age)), kMaxReportAge);
 }
 
@@ -268,7 +276,7 @@
     message.mCrashes.push_back({ { crash.at(0).get<std::uint64_t>() },
                                  { crash.at(1).get<std::uint64_t>() },
                                  crash.at(2).get<bool>(),
-                                 AgeFrom(crash) });
+                                 AgeFrom(crash, kReportAgeIndex) });
   }
   message.mServed = IdsFrom<request_fingerprint>(aItem.at(1));
   for (const json& notice : aItem.at(2)) {
@@ -286,6 +294,12 @@
     message.mTrial = trial.is_null() ? std::nullopt : std::optional(DecodeTrial(trial));
     message.mTrialReply = reply.is_null() ? std::nullopt : std::optional(DecodeTrialReply(reply));
   }
+  if (aItem.size() > kRunnersCrashedIndex) { // As above, of the version before this item.
+    for (const json& crash : aItem.at(kRunnersCrashedIndex)) {
+      message.mRunnersCrashed.push_back(
+        { { crash.at(0).get<std::uint64_t>() }, AgeFrom(crash, 1) });
+    }
+  }
   return message;
 }
 
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -15,7 +15,7 @@
 bool
 crash_ledger::NoteCrash(const crash_report& aReport, instant aNow)
 {
-  const crash_id crash = FindCrash(aReport.mSite, aNow - aReport.mAge);
+  const crash_id crash = FindOrAddCrash(aReport.mSite, aNow - aReport.mAge);
   crashed_runner& runner = mCrashedRunners.at(crash);
   auto& requests = runner.mRequests;
   if (std::find(requests.begin(), requests.end(), aReport.mRequest) != requests.end()) {
@@ -37,8 +37,8 @@
   return isNew;
 }
 
-crash_ledger::crash_id
-crash_ledger::FindCrash(runner_site aSite, instant aAt)
+std::optional<crash_ledger::crash_id>
+crash_ledger::FindCrash(runner_site aSite, instant aAt) const
 {
   for (const auto& [id, crash] : mCrashedRunners) {
     if (crash.mSite == aSite && aAt < crash.mAt + kSameCrashTime &&
@@ -46,6 +46,21 @@
       return id;
     }
   }
+  return std::nullopt;
+}
+
+bool
+crash_ledger::KnowsCrash(runner_site aSite, instant aAt) const
+{
+  return FindCrash(aSite, aAt).has_value();
+}
+
+crash_ledger::crash_id
+crash_ledger::FindOrAddCrash(runner_site aSite, instant aAt)
+{
+  if (const std::optional<crash_id> known = FindCrash(aSite, aAt)) {
+    return *known;
+  }
   const crash_id fresh{ ++mLastCrash };
   mCrashedRunners[fresh] = { aSite, aAt, {} };
   return fresh;
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -70,6 +70,8 @@
   /** Records that a runner crashed while it ran a request. Repeated reports count once.
    * @return whether the request is suspected because of it, and wasn't before. */
   bool NoteCrash(const crash_report& aReport, instant aNow);
+  /** @return whether a runner is known to have crashed at a time. */
+  bool KnowsCrash(runner_site aSite, instant aAt) const;
   /** Records that a request was completed, so it doesn't crash runners, and drops its crashes.
    * @return whether anything was recorded against it. */
   bool NoteServed(request_fingerprint aRequest);
@@ -145,8 +147,10 @@
     bool IsStrongerThan(const evidence& aOther) const;
   };
 
+  /** @return the crash of a runner that is known around a time. */
+  std::optional<crash_id> FindCrash(runner_site aSite, instant aAt) const;
   /** @return the crash that a report is about; a new one if none is known at that time. */
-  crash_id FindCrash(runner_site aSite, instant aAt);
+  crash_id FindOrAddCrash(runner_site aSite, instant aAt);
   evidence EvidenceOf(request_fingerprint aRequest) const;
   /** @return whether no other request on that runner has as much evidence against it, or more. */
   bool IsBlamed(request_fingerprint aRequest, const crashed_runner& aRunner) const;
--- a/src/quarantine/quarantine_type.h
+++ b/src/quarantine/quarantine_type.h
@@ -30,6 +30,15 @@
   auto operator<=>(const crash_report&) const = default;
 };
 
+/** A crash of a runner, whatever was running there. */
+struct crash_notice
+{
+  runner_site mSite;  ///< The runner.
+  duration mAge{ 0 }; ///< Time since its connections broke.
+
+  auto operator<=>(const crash_notice&) const = default;
+};
+
 /** Whether a request may be sent to runners. */
 enum class quarantine_status
 {
@@ -118,8 +127,9 @@
   bool mAlwaysAnswer = false; ///< Answer even if the digests agree: the sender has just started.
   /** The sender has received the quarantines that existed when it started. */
   bool mSenderStateReceived = false;
-  std::optional<trial_request> mTrial;    ///< To the daemon that grants trials.
-  std::optional<trial_reply> mTrialReply; ///< To the receiver's request.
+  std::optional<trial_request> mTrial;       ///< To the daemon that grants trials.
+  std::optional<trial_reply> mTrialReply;    ///< To the receiver's request.
+  std::vector<crash_notice> mRunnersCrashed; ///< First reported to the sender just now.
 
   bool operator==(const quarantine_message&) const = default;
 };
--- a/src/state/forward_state.h
+++ b/src/state/forward_state.h
@@ -294,18 +294,19 @@
   instant mPeerStorePositionAt{ 0 }; ///< When mPeerStorePosition was reported.
   instant mPeerStoreSilentAt{ 0 };   ///< When another daemon last reported the store as silent.
   bool mStoreRecentlyUnavailable = false; ///< The store was unavailable to this daemon lately.
-  std::size_t mMaxDaemonsHeard = kMinBudgetDaemons;       ///< At least kMinBudgetDaemons.
-  std::size_t mDaemons = 1;                               ///< Known daemons that serve callers.
-  bool mStopping = false;                                 ///< A graceful stop is in progress.
-  instant mStopDeadline{ 0 };                             ///< Time limit of the graceful stop.
-  std::function<void(run_message)> mTellDaemons;          ///< Sends to all other daemons.
-  std::function<void(run_message)> mTellPlacers;          ///< Sends to the daemons that place.
-  std::function<void(const crash_report&)> mReportCrash;  ///< Records and sends a crash report.
-  std::function<void(request_fingerprint)> mReportServed; ///< Records a completed request.
-  request_trial_callback mRequestTrial;                   ///< Asks for a trial.
-  std::function<void(const trial_request&)> mKeepTrial;   ///< Tells which runners a trial uses.
-  ask_placer_callback mAskPlacer;                         ///< Asks a daemon that places.
-  take_permit_callback mTakePermit;                       ///< Gets the right to send to a runner.
+  std::size_t mMaxDaemonsHeard = kMinBudgetDaemons;          ///< At least kMinBudgetDaemons.
+  std::size_t mDaemons = 1;                                  ///< Known daemons that serve callers.
+  bool mStopping = false;                                    ///< A graceful stop is in progress.
+  instant mStopDeadline{ 0 };                                ///< Time limit of the graceful stop.
+  std::function<void(run_message)> mTellDaemons;             ///< Sends to all other daemons.
+  std::function<void(run_message)> mTellPlacers;             ///< Sends to the daemons that place.
+  std::function<void(const crash_report&)> mReportCrash;     ///< Records and sends a crash report.
+  std::function<void(const crash_report&)> mReportAbandoned; ///< Records a run whose caller left.
+  std::function<void(request_fingerprint)> mReportServed;    ///< Records a completed request.
+  request_trial_callback mRequestTrial;                      ///< Asks for a trial.
+  std::function<void(const trial_request&)> mKeepTrial;      ///< Tells which runners a trial uses.
+  ask_placer_callback mAskPlacer;                            ///< Asks a daemon that places.
+  take_permit_callback mTakePermit; ///< Gets the right to send to a runner.
   std::function<send_permit(service_runner_id)> mChargePermit; ///< The same for calls that free.
   /** Tells other daemons of a limit that has changed. */
   std::function<void(service_runner_id, limit_change)> mTellLimit;
--- a/tests/unit/quarantine_link_test.cpp
+++ b/tests/unit/quarantine_link_test.cpp
@@ -223,6 +223,42 @@
               quarantine_status::eQuarantined);
 }
 
+TEST(quarantine_link, ARequestWhoseCallerLeftJustBeforeTheCrashIsReportedByItsDaemon)
+{
+  constexpr request_fingerprint kBystander{ 1003 };
+  constexpr runner_site kSite{ 1 };
+  node one(mIo, 1);
+  node two(mIo, 2);
+  node three(mIo, 3);
+  one.Connect(2);
+  one.Connect(3);
+  CHECK_TRUE(
+    RunUntil([&] { return one.Knows(3) && two.Knows(3) && three.Knows(3); }, kReportLimit));
+  for (node* const each : { &one, &two, &three }) { // Whichever is the first by rank.
+    each->mQuarantines.NoteAbandoned(
+      { { kCrashingRequest.mValue + 2 * each->mState.mSettings.mName.back() }, kSite, false });
+  }
+  two.mQuarantines.NoteCrash({ kBystander, kSite, false });
+  const auto known = [&](node& aNode) {
+    std::size_t count = 0;
+    for (const char number : { '1', '2', '3' }) {
+      count += aNode.mState.mCrashes.CountCrashes({ kCrashingRequest.mValue + 2 * number });
+    }
+    return count;
+  };
+  CHECK_TRUE(RunUntil([&] { return known(one) == 3 || known(two) == 3 || known(three) == 3; },
+                      kReportWindow));
+}
+
+TEST(quarantine_link, ARequestWhoseCallerLeftLongBeforeTheCrashIsNotReported)
+{
+  node one(mIo, 1);
+  one.mQuarantines.NoteAbandoned({ kCrashingRequest, { 1 }, false });
+  RunUntil([] { return false; }, kAbandonedRunTime + milliseconds(50));
+  one.mQuarantines.NoteCrash({ { 1003 }, { 1 }, false });
+  LONGS_EQUAL(0, one.mState.mCrashes.CountCrashes(kCrashingRequest));
+}
+
 TEST(quarantine_link, HundredsOfDaemonsLearnInTimeIncludingThoseThatWereCutOff)
 {
   constexpr std::size_t kDaemons = 300;
--- a/tests/unit/suspect_trial_test.cpp
+++ b/tests/unit/suspect_trial_test.cpp
@@ -150,6 +150,7 @@
   run_message message;
   message.mDaemon = 5;
   quarantine_message& sent = message.mQuarantine.emplace();
+  sent.mRunnersCrashed = { { kRunner, milliseconds(3) }, { kOtherRunner, milliseconds(0) } };
   sent.mTrial = trial_request{ { 3 }, kSuspect, { kRunner, kOtherRunner }, 7 };
   sent.mTrialReply =
     trial_reply{ kOther, 8, trial_state::eRunnerBusy, milliseconds(50), { kRunner } };
