Fix: [Quarantine] a fourth crash decides only if no other suspect was at it

Cause: from the fourth crash on a request was blamed whatever else had run there. The third of these culprits ran on two engines at once, so that at its trial the bystander was beside a request that had been at three crashes itself.

Change: the request stays in doubt (held until others are calm, ten seconds at most) if another request with three crashes or more, which was not at all of its crashes, was at the last one.

--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -206,31 +206,46 @@
   }
 }
 
+bool
+crash_ledger::WasAt(request_fingerprint aRequest, crash_id aCrash) const
+{
+  const auto row = mRequests.find(aRequest);
+  return row != mRequests.end() &&
+         std::any_of(row->second.mCrashes.begin(),
+                     row->second.mCrashes.end(),
+                     [&](const runner_crash& aOne) { return aOne.mCrash == aCrash; });
+}
+
+bool
+crash_ledger::HasOtherSuspectAt(request_fingerprint aRequest,
+                                crash_id aCrash,
+                                std::size_t aMinCrashes) const
+{
+  const auto runner = mCrashedRunners.find(aCrash);
+  if (runner == mCrashedRunners.end()) {
+    return false;
+  }
+  const auto& crashes = mRequests.at(aRequest).mCrashes;
+  const auto& running = runner->second.mRequests;
+  return std::any_of(running.begin(), running.end(), [&](request_fingerprint aOther) {
+    // One that was at all of the request's crashes is compared by IsBlamed().
+    const bool wasAtAll =
+      std::all_of(crashes.begin(), crashes.end(), [&](const runner_crash& aOne) {
+        return WasAt(aOther, aOne.mCrash);
+      });
+    return aOther != aRequest && WasAt(aOther, aCrash) && !wasAtAll &&
+           EvidenceOf(aOther).mCrashes >= aMinCrashes;
+  });
+}
+
 bool
 crash_ledger::IsProven(request_fingerprint aRequest) const
 {
   const auto& crashes = mRequests.at(aRequest).mCrashes;
-  const auto wasAt = [&](request_fingerprint aOther, crash_id aIn) {
-    const auto row = mRequests.find(aOther);
-    return row != mRequests.end() &&
-           std::any_of(row->second.mCrashes.begin(),
-                       row->second.mCrashes.end(),
-                       [&](const runner_crash& aCrash) { return aCrash.mCrash == aIn; });
-  };
-  // One that was at all of its crashes is compared by IsBlamed().
-  const auto mayHaveCaused = [&](request_fingerprint aOther, crash_id aIn) {
-    return aOther != aRequest && wasAt(aOther, aIn) &&
-           !std::all_of(crashes.begin(), crashes.end(), [&](const runner_crash& aCrash) {
-             return wasAt(aOther, aCrash.mCrash);
-           });
-  };
   return std::any_of(crashes.begin(), crashes.end(), [&](const runner_crash& aCrash) {
     const auto runner = mCrashedRunners.find(aCrash.mCrash);
     return runner != mCrashedRunners.end() && IsComplete(runner->second) &&
-           std::none_of(
-             runner->second.mRequests.begin(),
-             runner->second.mRequests.end(),
-             [&](request_fingerprint aOther) { return mayHaveCaused(aOther, aCrash.mCrash); });
+           !HasOtherSuspectAt(aRequest, aCrash.mCrash, 1);
   });
 }
 
@@ -253,8 +268,10 @@
   tracked_request& row = mRequests.at(aRequest);
   row.mDoubtUntil.reset();
   const std::size_t crashes = row.mCrashes.size();
-  const bool mayDoubt = crashes >= kCrashesToQuarantine && !row.mQuarantined &&
-                        (!aBlamed || crashes <= kMaxCrashesInDoubt);
+  const bool isDecided =
+    aBlamed && crashes > kMaxCrashesInDoubt &&
+    !HasOtherSuspectAt(aRequest, row.mCrashes.back().mCrash, kCrashesToQuarantine);
+  const bool mayDoubt = crashes >= kCrashesToQuarantine && !row.mQuarantined && !isDecided;
   const bool inDoubt = mayDoubt && !IsProven(aRequest);
   if (inDoubt) {
     const instant own = row.mCrashes.back().mAt;
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -13,7 +13,8 @@
  * A request that was at two crashes is suspected. It's sent only as trial_table allows, so that the
  * next crash tells the suspected requests apart. If other runners crash at the time without it, its
  * crashes may be theirs: unless it's proven by a crash at which no other is left, it's held until
- * they have ended, and judged by one more trial.
+ * they have ended, and judged by one more trial, unless another request that was at as many crashes
+ * ran beside that trial as well.
  *
  * Only crashes of which all reports come in are evidence: where some are missing, a bystander looks
  * like the only request that was running there.
@@ -162,6 +163,12 @@
     const std::function<bool(const crashed_runner&)>& aFilter) const;
   /** @return how many crashes are blamed on a request. */
   std::uint32_t CountBlamedCrashes(request_fingerprint aRequest, instant aNow) const;
+  bool WasAt(request_fingerprint aRequest, crash_id aCrash) const;
+  /** @return whether a crash may be that of another request, which was at some of the request's
+   * crashes only, and at so many in all. */
+  bool HasOtherSuspectAt(request_fingerprint aRequest,
+                         crash_id aCrash,
+                         std::size_t aMinCrashes) const;
   /** @return whether a request was at a crash that nobody else can have caused: all others there
    * were served since, or another crash of theirs explains it. */
   bool IsProven(request_fingerprint aRequest) const;
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -67,6 +67,32 @@
   CHECK_TRUE(mLedger.RemainingQuarantine(kPoison, mNow) > kQuarantineDuration - 2 * kCrashSpacing);
 }
 
+TEST(quarantine, ARequestBesideACulpritThatCrashesTwoRunnersAtOnceStaysClear)
+{
+  const request_fingerprint bystander = OtherRequest(1);
+  const request_fingerprint first = OtherRequest(2); // Three culprits, one after the other.
+  const request_fingerprint second = OtherRequest(3);
+  CrashRunner({ first }, { bystander });
+  AdvanceTime(milliseconds(45));
+  CrashRunner({ first, bystander });
+  AdvanceTime(milliseconds(1258));
+  CrashRunner({ second }, { bystander });
+  AdvanceTime(milliseconds(45));
+  CrashRunner({ second, kPoison });
+  AdvanceTime(milliseconds(891));
+  CrashRunner({ kPoison });
+  AdvanceTime(milliseconds(15));
+  CrashRunner({ kPoison }, { bystander }); // It ran on two runners at once.
+  for (int i = 0; i < 20; ++i) {
+    AdvanceTime(kEvaluationInterval);
+    CHECK_FALSE(IsQuarantined(bystander));
+  }
+  CrashRunner({ kPoison }); // Its next trial.
+  AdvanceTime(kVerdictTime);
+  CHECK_TRUE(IsQuarantined(kPoison));
+  CHECK_FALSE(IsQuarantined(bystander));
+}
+
 TEST(quarantine, RepeatedReportsOfOneCrashCountOnce)
 {
   ++mIncarnation;
