--- a/tests/unit/quarantine_link_test.cpp
+++ b/tests/unit/quarantine_link_test.cpp
@@ -9,6 +9,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <array>
+
 using namespace dunehook;
 
 namespace {
@@ -234,20 +236,20 @@
   one.Connect(3);
   CHECK_TRUE(
     RunUntil([&] { return one.Knows(3) && two.Knows(3) && three.Knows(3); }, kReportLimit));
-  for (node* const each : { &one, &two, &three }) { // Whichever is the first by rank.
-    each->mQuarantines.NoteAbandoned(
-      { { kCrashingRequest.mValue + 2 * each->mState.mSettings.mName.back() }, kSite, false });
+  const std::array<node*, 3> daemons{ &one, &two, &three }; // Whichever is the first by rank.
+  for (std::size_t i = 0; i < daemons.size(); ++i) {
+    daemons.at(i)->mQuarantines.NoteAbandoned({ { 2001 + 2 * i }, kSite, false });
   }
   two.mQuarantines.NoteCrash({ kBystander, kSite, false });
-  const auto known = [&](node& aNode) {
-    std::size_t count = 0;
-    for (const char number : { '1', '2', '3' }) {
-      count += aNode.mState.mCrashes.CountCrashes({ kCrashingRequest.mValue + 2 * number });
+  const auto knowsAll = [&](const node* aNode) {
+    std::size_t known = 0;
+    for (std::size_t i = 0; i < daemons.size(); ++i) {
+      known += aNode->mState.mCrashes.CountCrashes({ 2001 + 2 * i });
     }
-    return count;
+    return known == daemons.size();
   };
-  CHECK_TRUE(RunUntil([&] { return known(one) == 3 || known(two) == 3 || known(three) == 3; },
-                      kReportWindow));
+  CHECK_TRUE(
+    RunUntil([&] { return std::any_of(daemons.begin(), daemons.end(), knowsAll); }, kReportWindow));
 }
 
 TEST(quarantine_link, ARequestWhoseCallerLeftLongBeforeTheCrashIsNotReported)
