Fix: [Quarantine] a runner that resets each connection for a while has crashed once

Cause: connections that broke more than 300 ms after the first were taken for a further crash of the same runner. A runner that resets each connection 'crashed' anew with every third try, and with each trial of a suspect, which comes 350 ms after the last crash.

Change: reports within 500 ms of the latest one belong to the same crash, so a span of resets is one. Three such spans without an answer to the request in between still count as three: a reset isn't told from a crash.

--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -41,7 +41,7 @@
 crash_ledger::FindCrash(runner_site aSite, instant aAt) const
 {
   for (const auto& [id, crash] : mCrashedRunners) {
-    if (crash.mSite == aSite && aAt < crash.mAt + kSameCrashTime &&
+    if (crash.mSite == aSite && aAt < crash.mLastAt + kSameCrashTime &&
         aAt > crash.mAt - kSameCrashTime) {
       return id;
     }
@@ -59,10 +59,12 @@
 crash_ledger::FindOrAddCrash(runner_site aSite, instant aAt)
 {
   if (const std::optional<crash_id> known = FindCrash(aSite, aAt)) {
+    crashed_runner& crash = mCrashedRunners.at(*known);
+    crash.mLastAt = std::max(crash.mLastAt, aAt);
     return *known;
   }
   const crash_id fresh{ ++mLastCrash };
-  mCrashedRunners[fresh] = { aSite, aAt, {} };
+  mCrashedRunners[fresh] = { aSite, aAt, aAt, {} };
   return fresh;
 }
 
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -37,9 +37,11 @@
 /** Requests that were running at the same crashes, or are in doubt, are quarantined once these are
  * more than this many: the next crash usually tells. */
 inline constexpr std::size_t kMaxCrashesInDoubt = 3;
-/** Reports on one runner belong to the same crash if the connections broke within this time: it
- * isn't back and crashed again so soon. */
-inline constexpr duration kSameCrashTime = std::chrono::milliseconds(300);
+/** Reports on one runner belong to the same crash if the connections broke within this time of each
+ * other: it isn't back and crashed again so soon. A runner, or a link, that resets each connection
+ * for a while has one crash, then; longer than kVerdictTime, after which a suspect is sent again.
+ */
+inline constexpr duration kSameCrashTime = std::chrono::milliseconds(500);
 /** Length of a quarantine. After it, a single further crash quarantines the request again. */
 inline constexpr duration kQuarantineDuration = std::chrono::minutes(10);
 /** Crashes are kept for this long. */
@@ -135,6 +137,7 @@
   {
     runner_site mSite;                          ///< The runner.
     instant mAt{ 0 };                           ///< When it crashed, as first reported.
+    instant mLastAt{ 0 };                       ///< Latest time that was reported; from mAt.
     std::vector<request_fingerprint> mRequests; ///< Those that were running there.
   };
   /** Evidence against a request. The request with the strongest one is blamed. */
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -93,6 +93,17 @@
   CHECK_FALSE(IsQuarantined(bystander));
 }
 
+TEST(quarantine, ARunnerThatResetsEachConnectionForAWhileHasCrashedOnce)
+{
+  constexpr runner_site kSite{ 77 };
+  for (int i = 0; i < 10; ++i) {
+    mLedger.NoteCrash({ kPoison, kSite, false }, mNow);
+    AdvanceTime(kVerdictTime + milliseconds(30)); // Until its next trial.
+  }
+  CHECK_FALSE(IsQuarantined(kPoison));
+  LONGS_EQUAL(1, mLedger.CountCrashes(kPoison));
+}
+
 TEST(quarantine, RepeatedReportsOfOneCrashCountOnce)
 {
   ++mIncarnation;
