Fix: [Control] a call whose owner has forgotten it is announced to it again

Cause: the owner of a cell drops the attempts of a daemon that it hasn't heard for 0.9 s. If that daemon was only suspended, or short of processor time, it goes on within the 150 ms between two looks at who owns the cell: it finds the same owner as before, and announces nothing. Attempts that wait for an order to transfer their result send no event by themselves, so they wait for ever. An order lost in that time has the same effect.

Change: a call that has waited for an order for 500 ms is announced again, as waiting calls already were. An owner that has it ignores that, unless it takes a chunk for ordered: that order was lost, and the transfer is ordered anew, as after a change of owners.

--- a/src/callers/completion_session.cpp
+++ b/src/callers/completion_session.cpp
@@ -15,8 +15,10 @@
 using json = nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr duration kResendInterval = 500ms; ///< A waiting request is reported to the owner again.
-constexpr duration kCancelTimeout = 500ms;  ///< Time limit of one cancel call to an engine.
+/** A request that waits for an order is announced to the owner again: the owner may have lost it.
+ */
+constexpr duration kResendInterval = 500ms;
+constexpr duration kCancelTimeout = 500ms;       ///< Time limit of one cancel call to an engine.
 constexpr duration kCancelRetryInterval = 200ms; ///< Pause between cancel calls.
 constexpr duration kTakeOverTimeout =
   300ms; ///< Time limit of each peer call that ends an older attempt.
@@ -141,10 +143,7 @@
       co_await mMessageArrived.Wait(std::min<duration>(kResendInterval, mDeadline - Now()));
     }
     if (mPendingMessages.empty()) {
-      const attempt_entry* const entry = mFrontend.mAttempts.Find(mAttempt);
-      if (entry->mStage == request_stage::eWaiting) {
-        co_await Report(DescribeRequest()); // An owner that has the request ignores this.
-      }
+      co_await AnnounceAgain();
       continue;
     }
     session_message message = std::move(mPendingMessages.front());
@@ -153,6 +152,22 @@
   }
 }
 
+asio::awaitable<void>
+completion_session::AnnounceAgain()
+{
+  const request_stage stage = mFrontend.mAttempts.Find(mAttempt)->mStage;
+  if (stage == request_stage::eWaiting) {
+    co_await Report(DescribeRequest()); // An owner that has the request ignores this.
+    co_return;
+  }
+  const bool waitsForOrder = stage == request_stage::eReady ||
+                             (stage == request_stage::eTransferring && mChunksInFlight == 0);
+  if (waitsForOrder) {
+    const request_adopted repeated{ DescribeRequest(), stage, mPrefill.mId, mDecode.mId, true };
+    co_await Report(repeated);
+  }
+}
+
 void
 completion_session::Post(session_message aMessage)
 {
--- a/src/callers/completion_session.h
+++ b/src/callers/completion_session.h
@@ -66,6 +66,9 @@
 
   asio::awaitable<void> TakeOverKey();
   asio::awaitable<void> Serve();
+  /** Announces the request to the owner again, if it waits for an order. An owner forgets requests
+   * of a daemon that it hasn't heard for some time, and the daemon may not have noticed. */
+  asio::awaitable<void> AnnounceAgain();
   asio::awaitable<void> Handle(addressed_order aOrder);
   asio::awaitable<void> Handle(prefill_ended aMessage);
   asio::awaitable<void> Handle(chunk_ended aMessage);
@@ -111,6 +114,7 @@
   std::uint64_t mKvBytes = 0;                   ///< Size of the prefill result in bytes.
   std::uint32_t mNextIndex = 0; ///< Index of the next token to write; never decreases.
   std::string mText;            ///< Text generated so far; also the start of a resumed prefill.
+  std::uint32_t mChunksInFlight = 0;  ///< Transfers of chunks that haven't ended.
   bool mMayHaveReachedRunner = false; ///< Whether a byte of the call may have reached a runner.
   bool mEnded = false;                ///< The final answer was sent, or no caller waits for it.
 };
--- a/src/callers/completion_steps.cpp
+++ b/src/callers/completion_steps.cpp
@@ -70,6 +70,7 @@
   }
   mDecode = { aOrder.mEngine, aAddress };
   SetStage(request_stage::eTransferring);
+  ++mChunksInFlight;
   Spawn(mFrontend.mIo, RunChunk(aOrder, aAddress, mPrefill.mAddress));
 }
 
@@ -86,6 +87,7 @@
 asio::awaitable<void>
 completion_session::Handle(chunk_ended aMessage)
 {
+  --mChunksInFlight;
   if (aMessage.mEngine != mDecode.mId) {
     co_return;
   }
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -66,7 +66,8 @@
              { "request", RequestToJson(aEvent.mRequest) },
              { "stage", static_cast<int>(aEvent.mStage) },
              { "prefill", aEvent.mPrefill.mValue },
-             { "decode", aEvent.mDecode.mValue } };
+             { "decode", aEvent.mDecode.mValue },
+             { "repeat", aEvent.mIsRepeat } };
   }
   json operator()(const prefill_finished& aEvent) const
   {
@@ -115,7 +116,8 @@
     return request_adopted{ ReadRequest(aJson.at("request")),
                             static_cast<request_stage>(aJson.at("stage").get<int>()),
                             ReadEngine(aJson, "prefill"),
-                            ReadEngine(aJson, "decode") };
+                            ReadEngine(aJson, "decode"),
+                            aJson.value("repeat", false) }; // Earlier versions don't send it.
   }
   if (type == "prefilled") {
     return prefill_finished{ ReadAttempt(aJson),
--- a/src/decide/event.cpp
+++ b/src/decide/event.cpp
@@ -71,6 +71,11 @@
 
   void operator()(const request_adopted& aEvent)
   {
+    request_entry* const known = mCell.FindRequest(aEvent.mRequest.mAttempt);
+    if (aEvent.mIsRepeat && known != nullptr && known->mStage != request_stage::ePrefilling) {
+      RepeatLostChunk(*known);
+      return;
+    }
     request_entry entry;
     entry.mRequest = aEvent.mRequest;
     entry.mArrived = mCell.mNow;
@@ -271,6 +276,15 @@
     aRequest.mStage = request_stage::eReady;
   }
 
+  /** Orders the transfer anew if a chunk counts as ordered: its frontend is waiting for an order,
+   * so that one was lost. */
+  void RepeatLostChunk(request_entry& aRequest)
+  {
+    if (aRequest.mStage == request_stage::eTransferring && aRequest.mInFlightChunkCount > 0) {
+      AbortTransfer(aRequest);
+    }
+  }
+
   /**
    * Removes an attempt's oldest chunk from the link. Only full-sized chunks update the measured
    * link rate.
--- a/src/decide/event_type.h
+++ b/src/decide/event_type.h
@@ -24,13 +24,15 @@
   auto operator<=>(const request_arrived&) const = default;
 };
 
-/** A request that the cell's previous owner placed is handed to its new owner. */
+/** A request that the cell's previous owner placed is handed to its new owner, or is announced
+ * again to the same one, which may have lost it. */
 struct request_adopted
 {
   request_arrived mRequest;                       ///< The request.
   request_stage mStage = request_stage::eWaiting; ///< Stage that it has reached.
   engine_id mPrefill;                             ///< Prefill engine, if any.
   engine_id mDecode;                              ///< Decode engine, if any.
+  bool mIsRepeat = false; ///< Its frontend has been waiting for an order since the last one.
 
   auto operator<=>(const request_adopted&) const = default;
 };
--- a/tests/integration/answers_test.cpp
+++ b/tests/integration/answers_test.cpp
@@ -133,3 +133,29 @@
   LONGS_EQUAL(200, summary["done"].get<int>() + summary["refused"].get<int>());
   CHECK_TRUE(summary["done"].get<int>() >= 150);
 }
+
+TEST(answers, EveryCallOfADaemonThatTheOthersTookForGoneEnds)
+{
+  constexpr int kSuspendedMs = 1800;   // The others drop its calls after 0.9 s.
+  constexpr int kEndsWithinMs = 10000; // Counted from when it goes on.
+  testbed bed;
+  bed.StartTutoring(3, 3, 10);
+  std::string front;
+  for (const char* const name : { "entry-1", "entry-2", "entry-3" }) {
+    const bool isOwner = !bed.Daemon(name).mProcess->WaitForLine("cell_taken", 200).empty();
+    front = isOwner ? front : name;
+  }
+  const entry_daemon& daemon = bed.Daemon(front);
+  process load({ BuildFolder() + "/standins/standin_caller",
+                 "--daemons=" + daemon.mCallers,
+                 "--calls=300",
+                 "--rate=400",
+                 "--tokens=30",
+                 "--prompt_bytes=120" },
+               bed.Path("load.out"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  daemon.mProcess->Signal(SIGSTOP);
+  std::this_thread::sleep_for(std::chrono::milliseconds(kSuspendedMs));
+  daemon.mProcess->Signal(SIGCONT);
+  LONGS_EQUAL(0, load.WaitForExit(kEndsWithinMs)); // No text is wrong, either.
+}
