Codechange: [Quarantine] one check whether a daemon is among the first by rank; one way to connect three in tests

What stood twice or more: 'is this daemon one of the first N that serve' was written four times (first_rank_watch, the crashes' first report, the judges' completeness, the grantor of trials). member_table::IsAmongFirst() serves all four. Four tests of quarantine_link connected three daemons with the same lines; ConnectAll() does.

--- a/src/links/quarantine_link.cpp
+++ b/src/links/quarantine_link.cpp
@@ -69,8 +69,7 @@
     return;
   }
   const crash_notice crash{ aReport.mSite, aReport.mAge };
-  const std::vector<const member_info*> first = mLink.Members().FirstServing(1);
-  if (!first.empty() && first.front() == &mLink.Members().Self()) {
+  if (mLink.Members().IsAmongFirst(1)) {
     mToBroadcast.mRunnersCrashed.push_back(crash);
     ScheduleBroadcast();
   }
@@ -138,9 +137,8 @@
 bool
 quarantine_link::ReceivesAllReports() const
 {
-  const std::vector<const member_info*> first = mLink.Members().FirstServing(kMaxCrashJudges);
-  const member_info* const self = &mLink.Members().Self();
-  return first.empty() || std::find(first.begin(), first.end(), self) != first.end();
+  const member_table& members = mLink.Members();
+  return members.FirstServing(1).empty() || members.IsAmongFirst(kMaxCrashJudges);
 }
 
 void
--- a/src/links/trial_link.cpp
+++ b/src/links/trial_link.cpp
@@ -35,8 +35,7 @@
 trial_link::Answer(const trial_request& aRequest)
 {
   const instant now = mState.Now();
-  const bool grants =
-    mGrants.HasBeenFirstFor(kTrialWarmUp, now) && Grantor() == &mLink.Members().Self();
+  const bool grants = mGrants.HasBeenFirstFor(kTrialWarmUp, now) && mLink.Members().IsAmongFirst(1);
   if (grants) {
     return mTrials.Answer(aRequest, mState.mCrashes, now);
   }
--- a/src/membership/first_rank_watch.h
+++ b/src/membership/first_rank_watch.h
@@ -7,8 +7,6 @@
 
 #include "membership/member_base.h"
 
-#include <algorithm>
-
 namespace dunehook {
 
 /** Watches whether a daemon is among the first ones. */
@@ -25,8 +23,7 @@
    * missed what was sent to the first ones. */
   void Update(const member_table& aMembers, bool aLate, instant aNow)
   {
-    const std::vector<const member_info*> first = aMembers.FirstServing(mCount);
-    const bool isFirst = std::find(first.begin(), first.end(), &aMembers.Self()) != first.end();
+    const bool isFirst = aMembers.IsAmongFirst(mCount);
     if (!isFirst || aLate) {
       mSince.reset();
     }
--- a/src/membership/member_base.h
+++ b/src/membership/member_base.h
@@ -138,6 +138,8 @@
   std::vector<const member_info*> RankedServing(std::optional<std::string_view> aHall = {}) const;
   /** @return the first of RankedServing(), at most @p aCount, without ordering the others. */
   std::vector<const member_info*> FirstServing(std::size_t aCount) const;
+  /** @return whether this member is one of FirstServing(). */
+  bool IsAmongFirst(std::size_t aCount) const;
   /** @return how many serving members of its data hall rank before this one. */
   std::size_t RankInHall() const;
   /** @return how many members, including this one, have applied the record at @p aOffset. */
--- a/src/membership/member_rank.cpp
+++ b/src/membership/member_rank.cpp
@@ -86,6 +86,13 @@
   return first;
 }
 
+bool
+member_table::IsAmongFirst(std::size_t aCount) const
+{
+  const std::vector<const member_info*> first = FirstServing(aCount);
+  return std::find(first.begin(), first.end(), &mSelf) != first.end();
+}
+
 std::size_t
 member_table::RankInHall() const
 {
--- a/tests/unit/quarantine_link_test.cpp
+++ b/tests/unit/quarantine_link_test.cpp
@@ -97,6 +97,14 @@
     }
     return aCondition();
   }
+  /** Makes three daemons know each other. */
+  void ConnectAll(node & aOne, node & aTwo, node & aThree)
+  {
+    aOne.Connect(2);
+    aOne.Connect(3);
+    CHECK_TRUE(
+      RunUntil([&] { return aOne.Knows(3) && aTwo.Knows(3) && aThree.Knows(3); }, kReportLimit));
+  }
   static void ReportThreeCrashes(node & aNode)
   {
     for (std::uint64_t incarnation = 1; incarnation <= kCrashesToQuarantine; ++incarnation) {
@@ -170,10 +178,7 @@
   node one(mIo, 1);
   node two(mIo, 2);
   node three(mIo, 3); // The first two by rank are told of crashes.
-  one.Connect(2);
-  one.Connect(3);
-  CHECK_TRUE(
-    RunUntil([&] { return one.Knows(3) && two.Knows(3) && three.Knows(3); }, kReportLimit));
+  ConnectAll(one, two, three);
   one.mQuarantines.NoteCrash({ kCrashingRequest, { 1 }, false });
   two.mQuarantines.NoteCrash({ kCrashingRequest, { 2 }, false });
   CHECK_TRUE(RunUntil([&] { return two.IsSuspected() && three.IsSuspected(); }, kReportLimit));
@@ -187,10 +192,7 @@
   node one(mIo, 1);
   node two(mIo, 2);
   node three(mIo, 3);
-  one.Connect(2);
-  one.Connect(3);
-  CHECK_TRUE(
-    RunUntil([&] { return one.Knows(3) && two.Knows(3) && three.Knows(3); }, kReportLimit));
+  ConnectAll(one, two, three);
   RunUntil([] { return false; }, kJudgeWarmUp);
   for (std::uint64_t site = 1; site <= kCrashesToQuarantine; ++site) {
     three.mQuarantines.NoteCrash({ kBystander, { site }, false });
@@ -208,10 +210,7 @@
   node one(mIo, 1);
   node two(mIo, 2);
   node three(mIo, 3);
-  one.Connect(2);
-  one.Connect(3);
-  CHECK_TRUE(
-    RunUntil([&] { return one.Knows(3) && two.Knows(3) && three.Knows(3); }, kReportLimit));
+  ConnectAll(one, two, three);
   for (std::uint64_t site = 1; site <= kCrashesToQuarantine; ++site) {
     three.mQuarantines.NoteCrash({ kBystander, { site }, false });
     two.mQuarantines.NoteCrash({ { 2001 + 2 * site }, { site }, false }); // Each is the culprit.
@@ -232,10 +231,7 @@
   node one(mIo, 1);
   node two(mIo, 2);
   node three(mIo, 3);
-  one.Connect(2);
-  one.Connect(3);
-  CHECK_TRUE(
-    RunUntil([&] { return one.Knows(3) && two.Knows(3) && three.Knows(3); }, kReportLimit));
+  ConnectAll(one, two, three);
   const std::array<node*, 3> daemons{ &one, &two, &three }; // Whichever is the first by rank.
   for (std::size_t i = 0; i < daemons.size(); ++i) {
     daemons.at(i)->mQuarantines.NoteAbandoned({ { 2001 + 2 * i }, kSite, false });
