--- a/src/forward/crash_watch.h
+++ b/src/forward/crash_watch.h
@@ -40,11 +40,14 @@
   {
     mState.mReportCrash({ Fingerprint(), SiteAt(aRunner), aProgressed });
   }
-  /** Reports that the caller left while a response was awaited: the runner may crash yet. The
-   * arguments are those of ReportConnectionLost(). */
-  void ReportAbandoned(const endpoint& aRunner, bool aProgressed)
+  /** Reports that the caller left: a runner that is at work on the request may crash yet.
+   * @param aStatus how far the send got; nothing is reported if the runner has no work of it.
+   * The other arguments are those of ReportConnectionLost(). */
+  void ReportAbandoned(const endpoint& aRunner, send_status aStatus, bool aProgressed)
   {
-    mState.mReportAbandoned({ Fingerprint(), SiteAt(aRunner), aProgressed });
+    if (aStatus == send_status::eAnswered || aStatus == send_status::eUnknown) {
+      mState.mReportAbandoned({ Fingerprint(), SiteAt(aRunner), aProgressed });
+    }
   }
   /** Reports that a complete response arrived. */
   void ReportServed()
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -194,7 +194,9 @@
         return TakeReplacementBudget(1.0);
       });
     if (mExchange->Disconnected()) {
-      mCrashWatch.ReportAbandoned(mPromptRead.EngineAddress(), false);
+      if (end == read_outcome::eFailed) {
+        mCrashWatch.ReportAbandoned(mPromptRead.EngineAddress(), send_status::eUnknown, false);
+      }
       mPromptRead.Discard("caller_left");
       co_return false;
     }
@@ -259,7 +261,7 @@
       if (answer.mConnection) {
         answer.mConnection->Abort();
       }
-      mCrashWatch.ReportAbandoned(mPlace.DecodeAddress(), false);
+      mCrashWatch.ReportAbandoned(mPlace.DecodeAddress(), answer.mSendStatus, false);
       mPromptRead.Discard("caller_left");
       co_return false;
     }
@@ -374,7 +376,7 @@
         const bool open = co_await SendEvents(aAnswer, events);
         if (!open) {
           upstream.Abort();
-          mCrashWatch.ReportAbandoned(mPlace.DecodeAddress(), true);
+          mCrashWatch.ReportAbandoned(mPlace.DecodeAddress(), send_status::eAnswered, true);
           co_return false;
         }
       }
@@ -432,7 +434,7 @@
   {
     if (mExchange->Disconnected()) { // The run ended because the caller disconnected, not because
                                      // of the engine.
-      mCrashWatch.ReportAbandoned(mPlace.DecodeAddress(), aProgressed);
+      mCrashWatch.ReportAbandoned(mPlace.DecodeAddress(), send_status::eUnknown, aProgressed);
       mPromptRead.Discard("caller_left");
       mState.mRunners.NoteOutcome(mPlace.Choice().mDecode, send_outcome::eAbandoned, mState.Now());
       co_return false;
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -213,7 +213,7 @@
   {
     if (mExchange->Disconnected()) {
       NoteOutcome(aRunner, send_outcome::eAbandoned);
-      mCrashWatch.ReportAbandoned(aAddress, false);
+      mCrashWatch.ReportAbandoned(aAddress, aAnswer.mSendStatus, false);
       co_return false;
     }
     if (aAnswer.mSendStatus == send_status::eNotSent) {
@@ -238,7 +238,9 @@
     }
     if (mExchange->Disconnected()) {
       NoteOutcome(aRunner, send_outcome::eAbandoned);
-      mCrashWatch.ReportAbandoned(aAddress, false);
+      if (aAnswer.mSendStatus == send_status::eUnknown) { // Else the run has ended.
+        mCrashWatch.ReportAbandoned(aAddress, aAnswer.mSendStatus, false);
+      }
       co_return false;
     }
     const bool success = aAnswer.mFacts.mStatus < 300;
--- a/tests/unit/suspect_trial_test.cpp
+++ b/tests/unit/suspect_trial_test.cpp
@@ -257,6 +257,21 @@
   CHECK_TRUE(mAsked == asked);
 }
 
+TEST(caller_trial, ARequestThatARunnerHasNoWorkOfIsNotReportedAsAbandoned)
+{
+  std::size_t reports = 0;
+  mState.mReportAbandoned = [&](const crash_report&) { ++reports; };
+  const endpoint runner{ "127.0.0.1", 9 };
+  for (const send_status status : { send_status::eNotSent, send_status::eNotRun }) {
+    mWatch.ReportAbandoned(runner, status, false);
+  }
+  LONGS_EQUAL(0, reports);
+  for (const send_status status : { send_status::eAnswered, send_status::eUnknown }) {
+    mWatch.ReportAbandoned(runner, status, false);
+  }
+  LONGS_EQUAL(2, reports);
+}
+
 TEST(caller_trial, ADenialThatNamesNoOtherRunnerIsNoReasonToAskAgainAtOnce)
 {
   mStates = { trial_state::eRunnerBusy, trial_state::eHeld, trial_state::eRunnerBusy };
