Fix: [Callers] a planned stop leaves a connection open for half a second after its last response

What callers saw: a caller whose stream ended late in a planned stop, and whose connection its head had left open, sent its next request and got no answer: the connection was reset. It should be refused as not run, so that the caller goes elsewhere at once.

Cause: FinishStop looks every 50 ms, and shut every connection without a request, however short a time it had been without one; with no request left the process ended. A request sent within those 50 ms of the stream's end, at a chance that grows with the delays of a busy machine, was dropped unread.

Change: a connection is shut once it has been without a request for half a second, and the process ends when none is open; the stop's limit ends it as before. Looked for elsewhere: the other listener (operators, practice) ends with its process without a promise to callers; nothing else shuts connections between requests.

Why it works: the time between the end of a response and the next request is what counts, and it's measured for each connection instead of being a part of 50 ms by chance.

--- a/src/forward/caller_session.cpp
+++ b/src/forward/caller_session.cpp
@@ -277,11 +277,13 @@
 }
 
 void
-caller_listener::CloseIdle()
+caller_listener::CloseIdle(instant aSince)
 {
-  for (tcp::socket* const socket : mState.mIdleSockets) {
-    boost::system::error_code ignored; // The session notices and closes.
-    socket->shutdown(tcp::socket::shutdown_both, ignored);
+  for (const auto& [socket, since] : mState.mIdleSince) {
+    if (since < aSince) {
+      boost::system::error_code ignored; // The session notices and closes.
+      socket->shutdown(tcp::socket::shutdown_both, ignored);
+    }
   }
 }
 
@@ -331,12 +333,12 @@
     co_return true;
   }
   aBuffer.shrink_to_fit();
-  mState.mIdleSockets.insert(&aStream.socket());
+  mState.mIdleSince.emplace(&aStream.socket(), boot_clock_source().Now());
   boost::system::error_code error;
   aStream.expires_after(mState.mLimits.mIdleTime);
   const std::size_t got = co_await aStream.async_read_some(
     aBuffer.prepare(kReadBytes), asio::redirect_error(asio::use_awaitable, error));
-  mState.mIdleSockets.erase(&aStream.socket());
+  mState.mIdleSince.erase(&aStream.socket());
   aBuffer.commit(got);
   co_return !error;
 }
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -10,8 +10,8 @@
 #include "routing/config_type.h"
 
 #include <functional>
+#include <map>
 #include <optional>
-#include <set>
 
 namespace dunehook {
 
@@ -27,7 +27,7 @@
   std::uint64_t mMaxBodyBytes = 0;     ///< Limit of mBodyBytes.
   std::size_t mOpenConnections = 0;    ///< Open connections.
   std::size_t mActiveRequests = 0;     ///< Requests being read or answered.
-  std::set<tcp::socket*> mIdleSockets; ///< Connections idle between requests.
+  std::map<tcp::socket*, instant> mIdleSince; ///< Connections without a request, and since when.
 
   /**
    * @return whether new requests are refused at aNow. The time is compared as well, because a
@@ -136,8 +136,8 @@
   listener_state& State() { return mState; }
   /** Stops accepting connections, and refuses new requests on open ones. */
   void StopAccepting();
-  /** Shuts down connections that are idle between requests. */
-  void CloseIdle();
+  /** Shuts down connections that have had no request since before @p aSince. */
+  void CloseIdle(instant aSince);
 
 private:
   asio::awaitable<void> AcceptLoop();
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -35,6 +35,11 @@
  * Reserved at the end of the stop limit, so that the process exits by itself before it's killed.
  */
 inline constexpr duration kStopMargin = std::chrono::milliseconds(500);
+/**
+ * A graceful stop leaves a connection open for this long after a response or after it was accepted,
+ * so that a request that's on its way is refused and not lost.
+ */
+inline constexpr duration kNextRequestTime = std::chrono::milliseconds(500);
 /** Time between checks during a graceful stop. */
 inline constexpr duration kStopPollInterval = std::chrono::milliseconds(50);
 /**
@@ -392,8 +397,8 @@
         continue;
       }
       mListener->StopAccepting();
-      mListener->CloseIdle();
-      if (mListener->State().mActiveRequests == 0) {
+      mListener->CloseIdle(mState.Now() - kNextRequestTime);
+      if (mListener->State().mActiveRequests == 0 && mListener->State().mIdleSince.empty()) {
         break;
       }
     }
--- a/tests/platform/stop_late_test.cpp
+++ b/tests/platform/stop_late_test.cpp
@@ -41,6 +41,8 @@
 constexpr std::int64_t kLateMs = 3300;
 /** A time at which requests are still accepted, in ms after SIGTERM. */
 constexpr std::int64_t kEarlyMs = 1000;
+/** Time that a caller takes before its next request on a connection, in ms. */
+constexpr std::int64_t kNextRequestMs = 200;
 /** Distance before or after a limit, in ms: more than the 50 ms between two checks of the stop. */
 constexpr std::int64_t kMarginMs = 100;
 /** Time between signals during a stop, in ms. */
@@ -358,6 +360,27 @@
   CHECK(lateOnReused >= kMinLateRequests);
 }
 
+// Guards against closing a connection within 50 ms of a stream's end, when its caller, to whom the
+// head had left it open, was just sending its next request: that one got no answer.
+TEST(stop_late, ARequestShortlyAfterTheLastStreamIsRefused)
+{
+  Start();
+  persistent_connection connection(mBed.Callers());
+  request_outcome stream{ "stream" };
+  BeginStream(connection, stream, kLongEvents);
+  Stop();
+  connection.Read(stream);
+  CHECK(SinceSignal() > kLateMs); // Nothing else keeps the process running by now.
+  SleepUntil(NowMs() + kNextRequestMs);
+  request_outcome next{ "next" };
+  connection.Send(PlainText(next.mId), next);
+  connection.Read(next);
+  CheckEnd();
+  CHECK_EQUAL(200U, stream.mStatus);
+  CHECK_EQUAL(503U, next.mStatus);
+  CHECK(mBed.Seen(next.mId).empty());
+}
+
 // Guards against counting the stop from the moment a suspended process resumes: if SIGTERM arrived
 // meanwhile, it would be killed before it exits.
 TEST(stop_late, AProcessStalledAtTheSignalExitsInTime)
