--- a/src/messages/run_message.cpp
+++ b/src/messages/run_message.cpp
@@ -287,14 +287,14 @@
   }
   message.mAlwaysAnswer = aItem.at(4).get<bool>();
   message.mSenderStateReceived = aItem.at(5).get<bool>();
-  if (aItem.size() >
-      kTrialIndex) { // Daemons of the version before the trials don't send the items.
+  // Earlier versions don't send the items from here on.
+  if (aItem.size() > kTrialIndex) {
     const json& trial = aItem.at(kTrialIndex);
     const json& reply = aItem.at(kTrialIndex + 1);
     message.mTrial = trial.is_null() ? std::nullopt : std::optional(DecodeTrial(trial));
     message.mTrialReply = reply.is_null() ? std::nullopt : std::optional(DecodeTrialReply(reply));
   }
-  if (aItem.size() > kRunnersCrashedIndex) { // As above, of the version before this item.
+  if (aItem.size() > kRunnersCrashedIndex) {
     for (const json& crash : aItem.at(kRunnersCrashedIndex)) {
       message.mRunnersCrashed.push_back(
         { { crash.at(0).get<std::uint64_t>() }, AgeFrom(crash, 1) });
@@ -476,10 +476,10 @@
     message.mLeaving = IdsFrom<service_runner_id>(body.at(13));
     const bool hasQuarantine =
       body.size() > kQuarantineIndex && !body.at(kQuarantineIndex).is_null();
-    if (hasQuarantine) { // Daemons of the version before the quarantine don't send the item.
+    if (hasQuarantine) { // Earlier versions don't send the item.
       message.mQuarantine = DecodeQuarantine(body.at(kQuarantineIndex));
     }
-    // Daemons of the version before the permits don't send the item.
+    // Earlier versions don't send the item.
     if (body.size() > kPermitsIndex && !body.at(kPermitsIndex).is_null()) {
       message.mPermits = DecodePermits(body.at(kPermitsIndex));
     }
--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -32,7 +32,7 @@
 
 using json = nlohmann::json;
 
-/** Time after the start at which open calls are printed; all have usually ended long before. */
+/** Time after the start at which open calls are printed. */
 constexpr duration kOpenCallsAfter = std::chrono::seconds(20);
 
 /** How far a call has come. */
