Codechange: [Test] a failing test prints the last lines of each of its processes

Shown with a daemon that doesn't get SIGTERM, by a script in its place (trial): two of two failing tests printed the daemon's lines; those that pass print none.

--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -8,6 +8,20 @@
 failed=0
 known=$( [ -f KNOWN-RED.txt ] && grep -v '^#' KNOWN-RED.txt | cut -d: -f1 || true )
 
+folders=$(mktemp -d /tmp/dunehook-tests-XXXXXX)
+export DUNEHOOK_FOLDERS=$folders DUNEHOOK_KEEP=1
+trap 'rm -rf "$folders"' EXIT
+
+# show_processes: prints the end of what each process of a test wrote.
+show_processes() {
+  local file
+  for file in "$folders"/*/*.out; do
+    [ -s "$file" ] || continue
+    echo "-- ${file#"$folders"/}"
+    tail -n 15 "$file" | cut -c1-400
+  done
+}
+
 # run PROGRAM: runs each test of a program on its own, so that one's end doesn't take others along.
 run() {
   local test tests
@@ -24,11 +38,15 @@
       echo "ok   $test ($((SECONDS - started)) s)"
     elif grep -qx "$test" <<<"$known"; then
       echo "KNOWN-RED $test"
+      tail -n 40 "$build/test.out"
+      show_processes
     else
       failed=$((failed + 1))
       echo "FAIL $test"
       tail -n 40 "$build/test.out"
+      show_processes
     fi
+    rm -rf "$folders"/*
   done
 }
 
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -121,8 +121,7 @@
   : mPorts(kFirstPort, kPortRange, kPortsOfDaemon)
   , mProxied(aProxied)
 {
-  char folder[] = "/tmp/dunehook-fleet-XXXXXX";
-  mFolder = ::mkdtemp(folder);
+  mFolder = MakeFolder("dunehook-fleet");
   mFleet = std::make_unique<process>(
     std::vector<std::string>{ BuildFolder() + "/standins/standin_fleet" }, mFolder + "/fleet.out");
   const std::string line = mFleet->WaitForLine("listening");
--- a/tests/support/testbed.cpp
+++ b/tests/support/testbed.cpp
@@ -213,6 +213,17 @@
   return mIndexes.size();
 }
 
+std::string
+MakeFolder(const std::string& aName)
+{
+  const char* const parent = std::getenv("DUNEHOOK_FOLDERS");
+  std::string path = std::string(parent == nullptr ? "/tmp" : parent) + "/" + aName + "-XXXXXX";
+  if (::mkdtemp(path.data()) == nullptr) {
+    throw std::runtime_error("no folder for the test");
+  }
+  return path;
+}
+
 process::process(std::vector<std::string> aCommand, std::string aOutput)
   : mOutput(std::move(aOutput))
 {
@@ -297,8 +308,7 @@
 
 testbed::testbed()
 {
-  std::string pattern = "/tmp/dunehook-test-XXXXXX";
-  mFolder = ::mkdtemp(pattern.data());
+  mFolder = MakeFolder("dunehook-test");
   std::ofstream(Path("peer.secret")) << kPeerSecret << "\n";
   std::ofstream(Path("operator.token")) << kOperatorToken << "\n";
   mPlatform = std::make_unique<standin>();
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -89,6 +89,13 @@
   std::string mLastEvent;                  ///< The last event before [DONE].
 };
 
+/**
+ * Makes a test's folder, in the folder that DUNEHOOK_FOLDERS names or in /tmp.
+ * @return its path.
+ */
+std::string
+MakeFolder(const std::string& aName);
+
 /** A process that the test started. */
 class process
 {
