Fix: [Soak] a planned stop waits until the daemon handles the signal, not 100 ms

Cause: the soak sent SIGTERM 100 ms after a daemon's start at the earliest, taking the program for loaded by then. On a busy machine it isn't, and no program can handle a signal before it's loaded.

Change: the soak waits until the daemon catches or ignores the signal, two seconds at most, then sends it. SIGHUP likewise, which was left out for the first 100 ms.

--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -36,8 +36,11 @@
 constexpr int kMostLacked = 4;
 /** One of so many episodes has planned work only. */
 constexpr int kPlannedOf = 3;
-/** A program can't take a signal before it's loaded, which takes some ms after its start. */
-constexpr std::int64_t kLoadedMs = 100;
+/**
+ * A program that's being loaded can't handle a signal yet, so a planned stop waits for that, at
+ * most this long after the start, in ms.
+ */
+constexpr int kLoadingMs = 2000;
 /** A planned episode ends so long after its last work: a leaving runner is served until then. */
 constexpr int kDrainMs = 2600;
 
@@ -80,9 +83,8 @@
 void
 soak_faults::StopAndStart(std::size_t aDaemon)
 {
-  const std::int64_t loading = mStartedAt[aDaemon] + kLoadedMs - NowMs();
-  std::this_thread::sleep_for(std::chrono::milliseconds(std::max<std::int64_t>(0, loading)));
   test::process& daemon = mBed.Daemon(aDaemon);
+  test::Eventually([&] { return daemon.Handles(SIGTERM); }, kLoadingMs);
   daemon.Signal(SIGTERM);
   const int code = daemon.WaitForExit(kStopMs);
   if (code != 0) {
@@ -96,7 +98,6 @@
 soak_faults::Restart(std::size_t aDaemon)
 {
   ++mWorld.mLives[aDaemon];
-  mStartedAt[aDaemon] = NowMs();
   mBed.RestartDaemon(aDaemon);
 }
 
@@ -364,7 +365,7 @@
     case 1:
       for (int i = 0; i < 3; ++i) {
         aTimes.emplace(Draw(kEpisodeMs), [this, daemon] {
-          if (NowMs() - mStartedAt[daemon] >= kLoadedMs) {
+          if (mBed.Daemon(daemon).Handles(SIGHUP)) {
             Note("reload", daemon, 0, true);
             mBed.Daemon(daemon).Signal(SIGHUP);
           }
--- a/soak/soak_faults.h
+++ b/soak/soak_faults.h
@@ -126,8 +126,7 @@
   std::vector<std::string> mLeft;               ///< Runners whose entries have gone.
   std::uint64_t mBorn = 1;                      ///< Birth of the last runner that began anew.
   std::set<std::size_t> mPaused;                ///< Daemons that stand still.
-  std::map<std::size_t, std::int64_t> mStartedAt; ///< Last start of a daemon by the soak.
-  int mNextRunner = 0;                            ///< Makes ids of runners unique.
+  int mNextRunner = 0;                          ///< Makes ids of runners unique.
 };
 
 } // namespace dunehook::soak
--- a/tests/support/testbed.cpp
+++ b/tests/support/testbed.cpp
@@ -260,6 +260,20 @@
   }
 }
 
+bool
+process::Handles(int aSignal) const
+{
+  constexpr int kHexadecimal = 16;
+  std::uint64_t handled = 0;
+  std::istringstream lines(ReadFile("/proc/" + std::to_string(mPid) + "/status"));
+  for (std::string line; std::getline(lines, line);) {
+    if (line.rfind("SigIgn:", 0) == 0 || line.rfind("SigCgt:", 0) == 0) {
+      handled |= std::stoull(line.substr(line.find(':') + 1), nullptr, kHexadecimal);
+    }
+  }
+  return (handled >> static_cast<unsigned>(aSignal - 1) & 1U) != 0;
+}
+
 bool
 process::Running()
 {
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -106,6 +106,8 @@
   process& operator=(const process&) = delete;
 
   void Signal(int aSignal);
+  /** @return whether it catches or ignores a signal; a program that's being loaded doesn't yet. */
+  bool Handles(int aSignal) const;
   /** Waits for its end. @return the exit code, or -1 if it didn't end in time. */
   int WaitForExit(int aLimitMs = 10000);
   bool Running();
