Fix: [Decide] a request that is adopted again leaves none of its chunks on the link

Cause: an owner that is told anew of a request it knows, since the request's frontend had taken another daemon for the owner for a moment, replaced the request's row. The chunks that it had ordered stayed counted on the link, which carries two at a time: with two of them no transfer is ordered any more. The slot stayed taken, too.

Change: the former row's engines and chunks are released first.

--- a/src/decide/event.cpp
+++ b/src/decide/event.cpp
@@ -76,6 +76,9 @@
       RepeatLostChunk(*known);
       return;
     }
+    if (known != nullptr) { // Its frontend took another daemon for the owner meanwhile.
+      ReleaseEngines(mCell, *known);
+    }
     request_entry entry;
     entry.mRequest = aEvent.mRequest;
     entry.mArrived = mCell.mNow;
--- a/tests/unit/decide_test.cpp
+++ b/tests/unit/decide_test.cpp
@@ -287,6 +287,32 @@
   LONGS_EQUAL(1, cell.mCore.State().mEngines.at(kDecode).FreeSlots());
 }
 
+// Guards against calls without an end: the chunks that an owner had ordered for a request counted
+// against the link for ever once the request was announced to it anew, and two of them stopped all
+// transfers.
+TEST(decide, ARequestThatIsAdoptedAgainLeavesNoChunkOnTheLink)
+{
+  cell_fixture cell(2);
+  const std::vector<std::uint64_t> requests{ 1, 2 }; // Their transfers take the whole link.
+  for (const std::uint64_t number : requests) {
+    cell.Arrive(number);
+    LONGS_EQUAL(1, Count<start_chunk>(cell.FinishPrefill(number)));
+  }
+  for (const std::uint64_t number : requests) {
+    const request_arrived request{
+      cell_fixture::Attempt(number), "practice", InteractiveTargets(), 200, 60, {}
+    };
+    const request_adopted adopted{ request, request_stage::eTransferring, kPrefill, kDecode };
+    LONGS_EQUAL(1, Count<start_chunk>(cell.mCore.Handle(adopted, cell.mNow)));
+  }
+  for (const std::uint64_t number : requests) {
+    cell.FinishChunk(number);
+    cell.mCore.Handle(stream_finished{ cell_fixture::Attempt(number), 60 }, cell.mNow);
+  }
+  LONGS_EQUAL(2, cell.mCore.State().mEngines.at(kDecode).FreeSlots());
+  LONGS_EQUAL(0, cell.mCore.State().mInFlightChunks.size());
+}
+
 TEST(decide, SlotsHeldByOtherRequestsAreNotAssigned)
 {
   cell_fixture cell(2);
