--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -15,7 +15,7 @@
 # show_processes: prints the end of what each process of a test wrote.
 show_processes() {
   local file
-  for file in "$folders"/*/*.out; do
+  for file in "$folders"/*/*.out "$folders"/*/*.log; do
     [ -s "$file" ] || continue
     echo "-- ${file#"$folders"/}"
     tail -n 15 "$file" | cut -c1-400
