--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -18,7 +18,7 @@
   for file in "$folders"/*/*.out "$folders"/*/*.log; do
     [ -s "$file" ] || continue
     echo "-- ${file#"$folders"/}"
-    tail -n 15 "$file" | cut -c1-400
+    tail -n 40 "$file" | cut -c1-400
   done
 }
 
