--- /dev/null
+++ b/tests/unit/retry_share_test.cpp
@@ -0,0 +1,329 @@
+/**
+ * @file retry_share_test.cpp
+ * The retry budget of a service, shared by 8 to 1,400 daemons in virtual time, seeded: the sends
+ * beyond the first of each request in any window, while daemons are killed, started and cut off and
+ * the runners fail everything.
+ */
+#include "placement/retry_budget.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <optional>
+#include <random>
+
+using namespace dunehook;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration kTick = milliseconds(10);
+/** Time between a daemon's passes over its members. */
+constexpr duration kPass = milliseconds(250);
+/** Time until others notice that a daemon is gone, and that one has started. */
+constexpr duration kGoneNoticed = milliseconds(1000);
+constexpr duration kStartNoticed = milliseconds(400);
+/** Time from the kill of a daemon to its next start. */
+constexpr duration kDown = milliseconds(300);
+/** Requests before the first fault: the daemons know each other by then. */
+constexpr duration kCalm = seconds(12);
+/** Share of the requests that still come, once few do. */
+constexpr double kFewShare = 0.2;
+
+/** What to play. */
+struct retry_plan
+{
+  std::size_t mDaemons = 8;           ///< Daemons that serve.
+  double mRequests = 50.0;            ///< Requests a second, at all daemons together.
+  retry_limits mLimits{};             ///< The users' rule.
+  duration mLength = seconds(12);     ///< Time played after kCalm.
+  std::vector<duration> mKills{};     ///< When all daemons are killed, after kCalm.
+  duration mFailFrom{ 0 };            ///< From when on all runners fail, after kCalm.
+  std::optional<duration> mFewFrom{}; ///< From when on few requests come, after kCalm.
+  bool mHalved = false;               ///< Half of the daemons are cut from the others.
+  bool mRandomFaults = false;         ///< Daemons are killed and cut off at random.
+  bool mOneAsks = false;              ///< Requests come to one daemon only.
+  unsigned mSeed = 1;                 ///< Of everything random.
+};
+
+/** Daemons with their budgets, and what reached the runners. */
+class retry_fleet
+{
+public:
+  explicit retry_fleet(const retry_plan& aPlan)
+    : mPlan(aPlan)
+    , mRandom(aPlan.mSeed)
+    , mDaemons(aPlan.mDaemons)
+  {
+    for (std::size_t i = 0; i < mDaemons.size(); ++i) {
+      Begin(i);
+    }
+  }
+
+  void Run()
+  {
+    std::size_t killed = 0;
+    for (; mNow < kStart + kCalm + mPlan.mLength; mNow += kTick) {
+      const duration played = mNow - kStart - kCalm;
+      if (killed < mPlan.mKills.size() && played >= mPlan.mKills[killed]) {
+        ++killed;
+        for (std::size_t i = 0; i < mDaemons.size(); ++i) {
+          Kill(i);
+        }
+      }
+      if (mPlan.mRandomFaults && played > duration{ 0 } && Share() < 0.03) {
+        Disturb();
+      }
+      for (std::size_t i = 0; i < mDaemons.size(); ++i) {
+        Advance(i);
+      }
+      const bool few = mPlan.mFewFrom && played >= *mPlan.mFewFrom;
+      mDue += mPlan.mRequests * ToSeconds(kTick) * (few ? kFewShare : 1.0);
+      for (; mDue >= 1.0; mDue -= 1.0) {
+        Request(played >= mPlan.mFailFrom);
+      }
+    }
+  }
+
+  /** @return how far above the rule any window is; 0 if none. */
+  double Excess() const
+  {
+    double excess = 0.0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < mRetries.size(); ++last) {
+      while (mRetries[last] - mRetries[first] >= mPlan.mLimits.mWindow) {
+        ++first;
+      }
+      excess = std::max(excess, static_cast<double>(last - first + 1) - Allowed(mRetries[last]));
+    }
+    return excess;
+  }
+
+  /** @return retries in the last window, per retry that the rule allows there. */
+  double UsedShare() const
+  {
+    const auto from =
+      std::lower_bound(mRetries.begin(), mRetries.end(), mNow - mPlan.mLimits.mWindow);
+    return static_cast<double>(mRetries.end() - from) / Allowed(mNow);
+  }
+
+private:
+  /** Requests of a daemon in a row that want a retry, so that some have a failure in common. */
+  static constexpr int kRetriesWanted = 3;
+  static constexpr instant kStart = seconds(1000);
+
+  /** One daemon. */
+  struct daemon
+  {
+    std::optional<retry_budget> mBudget; ///< Empty while it's down.
+    instant mStartsAt{ 0 };              ///< While it's down.
+    instant mBornAt{ 0 };
+    instant mCutUntil{ 0 };
+    instant mNextPass{ 0 };
+  };
+
+  /** @return what the rule allows in the window that ends at an instant. The requests are those of
+   * the window, of the one before it, or of the one that lies half a window earlier. */
+  double Allowed(instant aEnd) const
+  {
+    const duration window = mPlan.mLimits.mWindow;
+    std::size_t most = 0;
+    for (const duration earlier : { duration{ 0 }, window / 2, window }) {
+      const auto from =
+        std::upper_bound(mRequests.begin(), mRequests.end(), aEnd - window - earlier);
+      const auto until = std::upper_bound(from, mRequests.end(), aEnd - earlier);
+      most = std::max(most, static_cast<std::size_t>(until - from));
+    }
+    return mPlan.mLimits.mShare * static_cast<double>(most) + mPlan.mLimits.mAllowance;
+  }
+
+  double Share() { return std::uniform_real_distribution<double>(0.0, 1.0)(mRandom); }
+  std::size_t Draw()
+  {
+    return std::uniform_int_distribution<std::size_t>(0, mDaemons.size() - 1)(mRandom);
+  }
+
+  void Begin(std::size_t aIndex)
+  {
+    daemon& one = mDaemons[aIndex];
+    one.mBudget.emplace(mPlan.mLimits, 8.0);
+    one.mBornAt = mNow;
+    one.mNextPass = mNow;
+  }
+  void Kill(std::size_t aIndex)
+  {
+    mDaemons[aIndex].mBudget.reset();
+    mDaemons[aIndex].mStartsAt = mNow + kDown;
+  }
+  void Disturb()
+  {
+    const std::size_t index = Draw();
+    if (mRandom() % 2 == 0) {
+      Kill(index);
+    } else {
+      mDaemons[index].mCutUntil = mNow + FromSeconds(4.0 * Share());
+    }
+  }
+
+  /** @return whether a daemon hears another one. */
+  bool Hears(std::size_t aOne, std::size_t aOther) const
+  {
+    const daemon& one = mDaemons[aOne];
+    const daemon& other = mDaemons[aOther];
+    if (aOne == aOther) {
+      return true;
+    }
+    if (mPlan.mHalved && mNow > kStart + kCalm + kGoneNoticed && aOne % 2 != aOther % 2) {
+      return false;
+    }
+    const bool cut = mNow < one.mCutUntil || mNow < other.mCutUntil;
+    return other.mBudget && !cut && mNow >= other.mBornAt + kStartNoticed &&
+           mNow >= one.mBornAt + kStartNoticed;
+  }
+
+  void Advance(std::size_t aIndex)
+  {
+    daemon& one = mDaemons[aIndex];
+    if (!one.mBudget) {
+      if (mNow >= one.mStartsAt) {
+        Begin(aIndex);
+      }
+      return;
+    }
+    if (mNow < one.mNextPass) {
+      return;
+    }
+    one.mNextPass = mNow + kPass;
+    std::size_t heard = 0;
+    for (std::size_t other = 0; other < mDaemons.size(); ++other) {
+      heard += Hears(aIndex, other) ? 1 : 0;
+    }
+    mMostHeard.resize(mDaemons.size(), 0);
+    mMostHeard[aIndex] = one.mBornAt == mNow ? heard : std::max(mMostHeard[aIndex], heard);
+    one.mBudget->SetDaemons(std::max(8.0, static_cast<double>(mMostHeard[aIndex])));
+  }
+
+  /** A request reaches a daemon that runs. */
+  void Request(bool aFails)
+  {
+    const std::size_t index = mPlan.mOneAsks ? 0 : Draw();
+    if (!mDaemons[index].mBudget) {
+      return;
+    }
+    mRequests.push_back(mNow);
+    mDaemons[index].mBudget->NoteRequest();
+    for (int i = 0; aFails && i < kRetriesWanted && Retry(index); ++i) {
+      mRetries.push_back(mNow);
+    }
+  }
+
+  bool Retry(std::size_t aIndex) { return mDaemons[aIndex].mBudget->Take(mNow); }
+
+  retry_plan mPlan;
+  std::mt19937_64 mRandom;
+  instant mNow = kStart;
+  std::vector<daemon> mDaemons;
+  std::vector<std::size_t> mMostHeard;
+  std::vector<instant> mRequests;
+  std::vector<instant> mRetries;
+  double mDue = 0.0;
+};
+
+/** A deployment of some size. */
+struct fleet_size
+{
+  std::size_t mDaemons = 8;
+  double mRequests = 50.0;
+  double mAllowance = 56.0;
+};
+constexpr std::array<fleet_size, 4> kSizes{
+  { { 8, 50.0, 56.0 }, { 58, 140.0, 156.0 }, { 300, 450.0, 630.0 }, { 1400, 1500.0, 3000.0 } }
+};
+
+retry_plan
+PlanOf(const fleet_size& aSize)
+{
+  retry_plan plan;
+  plan.mDaemons = aSize.mDaemons;
+  plan.mRequests = aSize.mRequests;
+  plan.mLimits.mAllowance = aSize.mAllowance;
+  return plan;
+}
+
+} // namespace
+
+TEST_GROUP(retry_share){
+  /** Plays a plan and checks that every window keeps the rule. @return the share that was used. */
+  static double Play(const retry_plan& aPlan){ retry_fleet fleet(aPlan);
+fleet.Run();
+std::printf("%zu daemons, seed %u: excess %.1f, used %.2f\n",
+            aPlan.mDaemons,
+            aPlan.mSeed,
+            fleet.Excess(),
+            fleet.UsedShare());
+CHECK_TRUE(fleet.Excess() <= 0.0);
+return fleet.UsedShare();
+}
+}
+;
+
+TEST(retry_share, DaemonsThatAreAllKilledTwiceDoNotSpendTheBudgetAnew)
+{
+  for (const fleet_size& size : kSizes) {
+    retry_plan plan = PlanOf(size);
+    plan.mKills = { milliseconds(1000), milliseconds(4500) };
+    Play(plan);
+  }
+}
+
+TEST(retry_share, RunnersThatAllFailAfterCalmTimesGetNoMoreThanTheBudget)
+{
+  for (const fleet_size& size : kSizes) {
+    retry_plan plan = PlanOf(size);
+    plan.mFailFrom = seconds(3);
+    Play(plan);
+  }
+}
+
+TEST(retry_share, RetriesSavedUpInCalmTimesAreNotSpentAfterTheirWindow)
+{
+  for (const fleet_size& size : kSizes) {
+    retry_plan plan = PlanOf(size);
+    plan.mLength = seconds(30);
+    plan.mFewFrom = duration{ 0 };
+    plan.mFailFrom = seconds(21);
+    Play(plan);
+  }
+}
+
+TEST(retry_share, HalfOfTheDaemonsCutFromTheOthersKeepTheBudget)
+{
+  for (const fleet_size& size : kSizes) {
+    retry_plan plan = PlanOf(size);
+    plan.mHalved = true;
+    Play(plan);
+  }
+}
+
+TEST(retry_share, DaemonsThatAreKilledAndCutOffAtRandomKeepTheBudget)
+{
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    retry_plan plan = PlanOf(kSizes[seed % 2]);
+    plan.mRandomFaults = true;
+    plan.mSeed = seed;
+    Play(plan);
+  }
+}
+
+TEST(retry_share, OneDaemonThatAsksForAllUsesOverHalfOfTheBudget)
+{
+  for (const fleet_size& size : kSizes) {
+    retry_plan plan = PlanOf(size);
+    plan.mOneAsks = true;
+    CHECK_TRUE(Play(plan) > 0.5);
+  }
+}
