Fix: [Limits] retries keep their budget over all daemons, however often these start

Cause: the allowance was divided by the daemons heard, eight at least, and each process began with a full part; what was saved up from requests was kept for life.

Change: a daemon's requests pay within their window only; the allowance is granted by one daemon a service, by the mechanism of the runners' limits, with a bucket that is empty from the moment at which another one may have granted. It works whoever starts: nobody begins with anything, so lives don't add up. A stream under way waits up to a second for a retry; others are refused at once, as before.

--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -158,7 +158,10 @@
   /** Applies the settings that may change at run time. */
   void Reload(const gateway_settings& aSettings)
   {
-    mState.mSettings.mRetries = aSettings.mRetries;
+    if (mState.mSettings.mRetries != aSettings.mRetries) {
+      mState.mSettings.mRetries = aSettings.mRetries;
+      mState.mBudgets.clear(); // They begin anew, with nothing.
+    }
     mState.mSettings.mLeaseTime = aSettings.mLeaseTime;
     mState.mSettings.mStopLimit = aSettings.mStopLimit;
     mState.mSettings.mSeeds = aSettings.mSeeds;
@@ -448,7 +451,7 @@
       mState.mRefused.Prune(now);
       mLink.DropSilent(now);
       mPlacers.UpdatePlacers(now - slept > kTablePassInterval + kLatePassThreshold);
-      mState.NoteDaemons(mLink.Members().CountServing());
+      mState.mDaemons = mLink.Members().CountServing();
       mState.mPool.SetMaxIdle(IdleConnectionLimit());
       mFollower.Tick();
       mLogTotals = TickLogging();
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -85,7 +85,7 @@
       }
     }
     if (mRunsElsewhere == 0) {
-      mState.BudgetOf(mService.mName).NoteRequest();
+      mState.BudgetOf(mService.mName).NoteRequest(mState.Now());
     }
     if (mCrashWatch.Quarantined()) {
       co_await GiveUpQuarantined();
@@ -106,16 +106,22 @@
    * @param aSends sends to the service in addition to those of a request without failures.
    * @return whether the retry budget allows a new placement.
    */
-  bool TakeReplacementBudget(double aSends)
+  asio::awaitable<bool> TakeReplacementBudget(std::uint32_t aSends)
   {
-    if (aSends <= 0.0) {
-      return true;
+    if (aSends == 0) {
+      co_return true;
     }
-    const bool allowed = mState.BudgetOf(mService.mName).Take(mState.Now(), aSends);
-    if (allowed) {
-      mState.mMetrics.CountRetries(mService.mName, aSends);
+    retry_demand demand;
+    demand.mService = mService.mName;
+    demand.mRequest = mFacts.mId;
+    demand.mSends = aSends;
+    if (mStarted) { // It's lost otherwise, whereas a refused caller may return.
+      demand.mMaxWait = std::min(kMaxRetryWait, TimeLeft() / 2);
+    } else {
+      demand.mRank = kNewRequestRank + mRoute.mRank;
     }
-    return allowed;
+    const bool allowed = co_await mState.mTakeRetries(std::move(demand));
+    co_return allowed && !mExchange->Disconnected();
   }
 
   std::uint32_t ExpectedAnswerTokens() const
@@ -176,7 +182,10 @@
       const bool read = co_await ReadPrompt();
       if (!read) {
         mPlace.Release();
-        const bool again = !mExchange->Disconnected() && TakeReplacementBudget(mExtraReadSends);
+        bool again = !mExchange->Disconnected();
+        if (again) {
+          again = co_await TakeReplacementBudget(mExtraReadSends);
+        }
         if (again && ++mFailedReads <= kMaxFailedAttempts) {
           co_return true;
         }
@@ -196,7 +205,8 @@
    */
   asio::awaitable<bool> Relay()
   {
-    if (!TakeReplacementBudget(mPromptSent && mMayRelay ? 1.0 : 0.0)) {
+    const bool allowed = co_await TakeReplacementBudget(mPromptSent && mMayRelay ? 1 : 0);
+    if (!allowed) {
       co_return false;
     }
     const relay_progress nothing;
@@ -267,7 +277,7 @@
     const send_plan plan = PlanFor(std::string());
     const read_outcome end =
       co_await mPromptRead.Read(mPlace.Choice(), mPlace.ReadPermit(), plan, mDemand, [this] {
-        return TakeReplacementBudget(1.0);
+        return TakeReplacementBudget(1);
       });
     if (mExchange->Disconnected()) {
       if (end == read_outcome::eFailed) {
@@ -285,7 +295,7 @@
     if (mPrefillFailed) {
       mDemand.mFailed.push_back(*mPlace.Choice().mPrefill);
       // One send was wasted, unless nothing reached the engine.
-      mExtraReadSends = end == read_outcome::eNotSent ? 0.0 : 1.0;
+      mExtraReadSends = end == read_outcome::eNotSent ? 0 : 1;
     }
     co_return !mPrefillFailed;
   }
@@ -405,9 +415,13 @@
     }
     const bool arrived = aAnswer.mSendStatus == send_status::eNotRun;
     const bool readAgain = !mPromptRead.IsUsable(mTraits.mResultLifetime, DecodeVersion());
-    const double sends = (arrived ? 1.0 : 0.0) + (readAgain ? 1.0 : 0.0);
+    const std::uint32_t sends = (arrived ? 1 : 0) + (readAgain ? 1 : 0);
     ++mFailedHandoffs;
-    if (mFailedHandoffs <= kMaxFailedAttempts && TakeReplacementBudget(sends)) {
+    bool again = mFailedHandoffs <= kMaxFailedAttempts;
+    if (again) {
+      again = co_await TakeReplacementBudget(sends);
+    }
+    if (again) {
       co_return true;
     }
     mPromptRead.Discard("handoff_refused");
@@ -570,9 +584,12 @@
                          { "fingerprint", mCrashWatch.Fingerprint().mValue },
                          { "caller", mExchange->CallerAddress() } });
     mState.mMetrics.CountBrokenAnswer(mRoute.mName);
-    const bool mayGoOn = mRoute.mResumable && mSends + mRunsElsewhere < mRoute.mMaxRunners &&
-                         TimeLeft() > mRoute.mFirstAnswer && !mExchange->Disconnected();
-    if (mayGoOn && TakeReplacementBudget(kSendsPerPlacement)) {
+    bool goesOn = mRoute.mResumable && mSends + mRunsElsewhere < mRoute.mMaxRunners &&
+                  TimeLeft() > mRoute.mFirstAnswer && !mExchange->Disconnected();
+    if (goesOn) {
+      goesOn = co_await TakeReplacementBudget(kSendsPerPlacement);
+    }
+    if (goesOn) {
       if (mEvents.Count() > mEventsInPrompt) {
         SkipDeliveredEvents(mEvents.Count() - mEventsInPrompt);
         mEventsInPrompt = mEvents.Count();
@@ -729,7 +746,7 @@
   }
 
   /** Extra sends of a new placement: one to the prefill engine, one to the decode engine. */
-  static constexpr double kSendsPerPlacement = 2.0;
+  static constexpr std::uint32_t kSendsPerPlacement = 2;
   /** Prefills, and likewise handoffs, that may fail before the request is abandoned. */
   static constexpr std::uint32_t kMaxFailedAttempts = 2;
 
@@ -751,7 +768,7 @@
   std::uint32_t mEventsInPrompt = 0;          ///< Events already added to the demand's prompt.
   std::uint32_t mSends = 0;                   ///< Decode engines that may have run the request.
   std::uint64_t mRunsElsewhere = 0;           ///< The same by way of the daemon that relays it.
-  double mExtraReadSends = 0.0;               ///< Wasted sends of the last failed prefill.
+  std::uint32_t mExtraReadSends = 0;          ///< Wasted sends of the last failed prefill.
   std::uint32_t mFailedReads = 0;             ///< Failed prefills.
   std::uint32_t mFailedHandoffs = 0;          ///< Handoffs that failed.
   instant mRunStartedAt{ 0 };                 ///< When the last run was sent.
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -70,7 +70,7 @@
         co_return;
       }
     }
-    mState.BudgetOf(mService.mName).NoteRequest();
+    mState.BudgetOf(mService.mName).NoteRequest(mState.Now());
     bool again = true;
     while (again && !mExchange->Disconnected()) {
       again = co_await TryOnce();
@@ -97,14 +97,17 @@
    * Takes a retry from the budget.
    * @return whether another runner may be tried after one that the request reached.
    */
-  bool TakeRetryBudget()
+  asio::awaitable<bool> TakeRetryBudget()
   {
-    const bool allowed = mSends < mRoute.mMaxRunners && TimeLeft() > duration{ 0 } &&
-                         mState.BudgetOf(mService.mName).Take(mState.Now());
-    if (allowed) {
-      mState.mMetrics.CountRetries(mService.mName, 1.0);
+    if (mSends >= mRoute.mMaxRunners || TimeLeft() <= duration{ 0 }) {
+      co_return false;
     }
-    return allowed;
+    retry_demand demand;
+    demand.mService = mService.mName;
+    demand.mRequest = mFacts.mId;
+    demand.mRank = kNewRequestRank + mRoute.mRank;
+    const bool allowed = co_await mState.mTakeRetries(std::move(demand));
+    co_return allowed && !mExchange->Disconnected();
   }
 
   /**
@@ -308,11 +311,11 @@
   asio::awaitable<bool> HandleRefusal(service_runner_id aRunner, const upstream_response& aAnswer)
   {
     NoteOutcome(aRunner, OutcomeOf(aAnswer));
-    if (TakeRetryBudget()) {
-      co_return true;
+    const bool again = co_await TakeRetryBudget();
+    if (!again) {
+      co_await GiveUp("runner_refused");
     }
-    co_await GiveUp("runner_refused");
-    co_return false;
+    co_return again;
   }
 
   /**
@@ -339,11 +342,14 @@
                          { "caller", mExchange->CallerAddress() } });
     mState.mMetrics.CountBrokenAnswer(mRoute.mName);
     mMayHaveRun = true;
-    if (MayRetry() && TakeRetryBudget()) {
-      co_return true;
+    bool again = MayRetry();
+    if (again) {
+      again = co_await TakeRetryBudget();
     }
-    co_await GiveUp(aAnswer.mTimedOut ? "runner_silent" : "answer_broken");
-    co_return false;
+    if (!again) {
+      co_await GiveUp(aAnswer.mTimedOut ? "runner_silent" : "answer_broken");
+    }
+    co_return again;
   }
 
   /**
@@ -357,7 +363,11 @@
     const bool failed = aAnswer.mFacts.mStatus >= 500;
     NoteOutcome(aRunner, failed ? send_outcome::eFailed : send_outcome::eServed);
     LogResponse(aAnswer);
-    if (failed && MayRetry() && TakeRetryBudget()) {
+    bool again = failed && MayRetry();
+    if (again) {
+      again = co_await TakeRetryBudget();
+    }
+    if (again) {
       mFailure.emplace(
         failure_response{ aAnswer.mFacts.mStatus, aAnswer.mHead, aBody, aAnswer.mFraming });
       co_return true;
--- a/src/forward/prompt_read.h
+++ b/src/forward/prompt_read.h
@@ -53,7 +53,7 @@
                                      send_permit aPermit,
                                      send_plan aPlan,
                                      generation_demand aDemand,
-                                     std::function<bool()> aTakeRetry)
+                                     std::function<asio::awaitable<bool>()> aTakeRetry)
   {
     mResultLocation.clear();
     const service_runner_id id = *aChoice.mPrefill;
@@ -80,7 +80,10 @@
     if (retries) {
       const permit_demand demand{ id, 1, aPlan.mRank, limit - spent };
       const result<send_permit> permit = co_await mState.mTakePermit(demand);
-      retries = permit && aTakeRetry();
+      retries = permit.has_value();
+      if (retries) {
+        retries = co_await aTakeRetry();
+      }
       aPermit = permit ? permit.value() : aPermit;
     }
     if (retries) {
--- a/src/limits/limit_type.h
+++ b/src/limits/limit_type.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace dunehook {
@@ -48,11 +49,16 @@
   std::uint32_t mSends = 1;  ///< Permits wanted; 0 only asks whether the receiver runs.
   std::uint32_t mRank = 0;   ///< Priority rank of the caller's route: 0 is the most urgent.
   bool mCharge = false;      ///< The sends are made anyway: they are counted, unanswered.
+  bool mRetries = false;     ///< For retries of a service: mRunner is RetryBudgetOf() it.
   std::optional<limit_notice> mKnown; ///< The limit as the sender knows it.
 
   auto operator<=>(const permit_request&) const = default;
 };
 
+/** @return what stands for the retry budget of a service in requests and replies. */
+service_runner_id
+RetryBudgetOf(const std::string& aService);
+
 /** Outcome of a permit request. */
 enum class permit_state
 {
@@ -96,6 +102,24 @@
   auto operator<=>(const permit_demand&) const = default;
 };
 
+/** Rank, among those who want retries, of the most urgent requests that no caller has an event of:
+ * streams under way come first. */
+inline constexpr std::uint32_t kNewRequestRank = 1;
+/** A stream under way waits for a retry at most this long. */
+inline constexpr duration kMaxRetryWait = std::chrono::milliseconds(1000);
+
+/** Sends of a request beyond its first that a daemon wants to make. */
+struct retry_demand
+{
+  std::string mService;     ///< Service of the runners.
+  std::string mRequest;     ///< The request's id, for the log.
+  std::uint32_t mSends = 1; ///< Sends wanted.
+  std::uint32_t mRank = 0;  ///< Priority: 0 is the most urgent.
+  duration mMaxWait{ 0 };   ///< The request may wait this long for them.
+
+  auto operator<=>(const retry_demand&) const = default;
+};
+
 /** Runners that can't be sent requests before an instant, because no permit is expected earlier. */
 using held_runners = std::map<service_runner_id, instant>;
 
--- a/src/limits/permit_broker.cpp
+++ b/src/limits/permit_broker.cpp
@@ -23,6 +23,12 @@
 
 } // namespace
 
+service_runner_id
+RetryBudgetOf(const std::string& aService)
+{
+  return { HashBytes("retries of " + aService) | 1U };
+}
+
 void
 permit_broker::SetMembers(incarnation_id aSelf,
                           std::set<incarnation_id> aServing,
@@ -33,9 +39,14 @@
   if (aLate) { // Another daemon may have granted meanwhile.
     mGrants.clear();
   }
-  if (aLate || aServing != mServing) {
+  const bool changed = aLate || aServing != mServing;
+  const bool alone = mServing.empty() && aServing == std::set{ aSelf };
+  if (changed) {
     mMembersChangedAt = aNow;
   }
+  if ((changed && !alone) || mHeardCounts.empty()) {
+    mOthersChangedAt = aNow;
+  }
   mServing = std::move(aServing);
   const std::size_t heard = mServing.size();
   while (!mHeardCounts.empty() && mHeardCounts.back().mCount <= heard) {
@@ -48,6 +59,13 @@
   std::erase_if(mUnanswered, [&](const auto& aRow) { return !mServing.contains(aRow.first); });
 }
 
+void
+permit_broker::SetRetryLimits(const retry_limits& aLimits, std::size_t aDaemons)
+{
+  mRetryLimits = aLimits;
+  mLeastDaemons = std::max<std::size_t>(1, aDaemons);
+}
+
 bool
 permit_broker::IsSilent(incarnation_id aDaemon) const
 {
@@ -75,6 +93,7 @@
 {
   if (IsSilent(aDaemon)) {
     mMembersChangedAt = aNow;
+    mOthersChangedAt = aNow;
   }
   mUnanswered.erase(aDaemon);
 }
@@ -111,6 +130,30 @@
   return request;
 }
 
+permit_request
+permit_broker::MakeRetryRequest(service_runner_id aBudget,
+                                std::uint32_t aSends,
+                                std::uint32_t aRank,
+                                instant aNow)
+{
+  permit_request request = MakeRequest(aBudget, aSends, aRank, aNow);
+  request.mRetries = true;
+  return request;
+}
+
+instant
+permit_broker::RetriesHeldUntil(service_runner_id aBudget, std::uint32_t aRank) const
+{
+  instant held{ 0 };
+  const auto found = mHeldUntil.find(aBudget);
+  if (found != mHeldUntil.end()) {
+    for (const auto& [rank, until] : found->second) {
+      held = rank <= aRank ? std::max(held, until) : held;
+    }
+  }
+  return held;
+}
+
 permit_request
 permit_broker::MakeCheck()
 {
@@ -145,6 +188,7 @@
     row.mCheckAt = aNow;
   } else if (row.mCount == kMaxUnansweredRequests) {
     mMembersChangedAt = aNow; // Another daemon is the grantor now.
+    mOthersChangedAt = aNow;
   }
   if (aRequest.mSends > 0) {
     Hold(aRequest.mRunner, aRequest.mRank, aNow + kUngrantedWait);
@@ -161,6 +205,41 @@
   return heard >= kMajorShare * most ? 1.0 : heard / most;
 }
 
+double
+permit_broker::HeardShareForRetries() const
+{
+  const std::size_t most = mHeardCounts.empty() ? 0 : mHeardCounts.front().mCount;
+  if (most <= 1 && mLeastDaemons > 1) {
+    return 0.0;
+  }
+  const auto heard = static_cast<double>(mServing.size());
+  const auto least = static_cast<double>(mLeastDaemons);
+  return heard >= kMajorShare * least ? HeardShare() : std::min(HeardShare(), heard / least);
+}
+
+double
+permit_broker::RetryRate() const
+{
+  return kWindowAllowanceShare * mRetryLimits.mAllowance / ToSeconds(mRetryLimits.mWindow) *
+         HeardShareForRetries();
+}
+
+permit_broker::grant_row
+permit_broker::NewRow(const permit_request& aRequest, instant aNow) const
+{
+  if (aRequest.mRetries) {
+    const double rate = kWindowAllowanceShare * mRetryLimits.mAllowance;
+    const double saved = kSavedAllowanceShare * mRetryLimits.mAllowance - kPermitsBesideSaved;
+    const double windows = rate > 0.0 ? std::max(0.0, saved) / rate : 0.0;
+    const duration saving = FromSeconds(ToSeconds(mRetryLimits.mWindow) * windows);
+    // Since then no other daemon has been the grantor, and this one wasn't asked.
+    return { permit_bucket(mOthersChangedAt, saving), true, mOthersChangedAt, {} };
+  }
+  const bool stable = aNow - mMembersChangedAt >= kStableMembersTime;
+  const instant since = stable ? aNow - kGrantorWarmUp - kNewGrantorTime : aNow;
+  return { permit_bucket(aNow), false, since, {} };
+}
+
 double
 permit_broker::RateOf(service_runner_id aRunner, const grant_row& aRow, instant aNow) const
 {
@@ -202,12 +281,8 @@
     }
     return reply;
   }
-  const bool stable = aNow - mMembersChangedAt >= kStableMembersTime;
-  const instant since = stable ? aNow - kGrantorWarmUp - kNewGrantorTime : aNow;
-  grant_row& row =
-    mGrants.try_emplace(aRequest.mRunner, grant_row{ permit_bucket(aNow), since, {} })
-      .first->second;
-  const double rate = RateOf(aRequest.mRunner, row, aNow);
+  grant_row& row = mGrants.try_emplace(aRequest.mRunner, NewRow(aRequest, aNow)).first->second;
+  const double rate = row.mRetries ? RetryRate() : RateOf(aRequest.mRunner, row, aNow);
   row.mBucket.Fill(rate, aNow);
   if (aRequest.mCharge) {
     row.mBucket.Charge(aRequest.mSends);
@@ -256,7 +331,8 @@
     });
   }
   std::erase_if(mGrants, [&](const auto& aRow) {
-    return !mLimits.NeedsPermit(aRow.first, aNow) || GrantorOf(aRow.first) != mSelf;
+    const bool needed = aRow.second.mRetries || mLimits.NeedsPermit(aRow.first, aNow);
+    return !needed || GrantorOf(aRow.first) != mSelf;
   });
 }
 
--- a/src/limits/permit_broker.h
+++ b/src/limits/permit_broker.h
@@ -1,8 +1,9 @@
 /**
  * @file permit_broker.h
- * Shares each runner's rate limit among all daemons. For each runner one daemon, the grantor, gives
- * out permits to send; it's the one with the highest rendezvous hash among those that serve. It
- * does no I/O: the caller passes in messages, the members and the time.
+ * Shares each runner's rate limit, and each service's retry allowance, among all daemons. For each
+ * runner and each allowance one daemon, the grantor, gives out permits to send; it's the one with
+ * the highest rendezvous hash among those that serve. It does no I/O: the caller passes in
+ * messages, the members and the time.
  *
  * Two daemons may both believe that they are the grantor while their views of the membership
  * differ. So a daemon that becomes grantor begins with nothing, and for a while gives out half the
@@ -13,6 +14,7 @@
 
 #include "limits/limit_table.h"
 #include "limits/permit_bucket.h"
+#include "limits/retry_budget.h"
 
 #include <deque>
 #include <set>
@@ -43,6 +45,12 @@
 inline constexpr duration kDeniedDaemonMemory = std::chrono::milliseconds(2000);
 /** A daemon that hears less than this share of the daemons of late grants only their part. */
 inline constexpr double kMajorShare = 0.75;
+/** Parts of a service's retry allowance that its grantor gives out: at once, after a window without
+ * retries, and over each window. The rest is for two grantors at once. */
+inline constexpr double kSavedAllowanceShare = 0.2;
+inline constexpr double kWindowAllowanceShare = 0.55;
+/** Permits that a bucket holds in addition to those saved up, one for each of its two parts. */
+inline constexpr double kPermitsBesideSaved = 2.0;
 /** The most daemons heard counts for this long: hosts that were taken away are forgotten then. */
 inline constexpr duration kMostHeardMemory = std::chrono::minutes(5);
 
@@ -62,6 +70,11 @@
                   std::set<incarnation_id> aServing,
                   bool aLate,
                   instant aNow);
+  /**
+   * Sets the limits on retries.
+   * @param aDaemons daemons that exist at least, heard or not.
+   */
+  void SetRetryLimits(const retry_limits& aLimits, std::size_t aDaemons);
   /** @return the daemon that grants permits for a runner; none if no daemon serves. */
   std::optional<incarnation_id> GrantorOf(service_runner_id aRunner) const;
   /** @return daemons that are passed over and due to be checked. */
@@ -72,6 +85,13 @@
                              std::uint32_t aSends,
                              std::uint32_t aRank,
                              instant aNow);
+  /** @return a request for retries of a service, to be sent to the grantor of its budget. */
+  permit_request MakeRetryRequest(service_runner_id aBudget,
+                                  std::uint32_t aSends,
+                                  std::uint32_t aRank,
+                                  instant aNow);
+  /** @return until when no retries of this rank are to be asked for; in the past if they are. */
+  instant RetriesHeldUntil(service_runner_id aBudget, std::uint32_t aRank) const;
   /** @return a request that only asks whether a daemon runs. */
   permit_request MakeCheck();
   /** Applies the outcome of a request. */
@@ -96,6 +116,7 @@
   struct grant_row
   {
     permit_bucket mBucket;                     ///< Permits to give.
+    bool mRetries = false;                     ///< They're for retries of a service.
     instant mSince{ 0 };                       ///< When this daemon became the grantor.
     std::map<incarnation_id, instant> mDenied; ///< Daemons denied lately, and when.
   };
@@ -115,6 +136,13 @@
   bool IsSilent(incarnation_id aDaemon) const;
   /** @return the share of the rate that this daemon may grant, as far as it hears the others. */
   double HeardShare() const;
+  /** @return the same for retries. A daemon that was cut off when it started, or has just started,
+   * knows of few others: it grants none before it has heard one of those that exist. */
+  double HeardShareForRetries() const;
+  /** @return a row for a runner or a service's retries, without permits. */
+  grant_row NewRow(const permit_request& aRequest, instant aNow) const;
+  /** @return the rate at which it may grant retries of a service now. */
+  double RetryRate() const;
   /** @return the rate at which it may grant permits of a runner now. */
   double RateOf(service_runner_id aRunner, const grant_row& aRow, instant aNow) const;
   /** @return the wait of a denied daemon: all denied ones together ask for kRequestsPerPermit times
@@ -125,13 +153,17 @@
   incarnation_id mSelf;                 ///< This daemon.
   std::set<incarnation_id> mServing;    ///< Daemons that serve, as this one sees it.
   instant mMembersChangedAt{ 0 };       ///< When grantors may last have changed.
+  instant mOthersChangedAt{ 0 };        ///< The same; a daemon alone that begins to serve is none.
   std::deque<heard_count> mHeardCounts; ///< Falling counts, the highest first.
   std::map<incarnation_id, unanswered_row> mUnanswered; ///< Daemons without a reply.
-  std::map<service_runner_id, grant_row> mGrants;       ///< Runners that this daemon grants for.
-  std::map<service_runner_id, std::map<std::uint32_t, instant>>
-    mHeldUntil;                ///< By runner: the rank that was denied, and until when.
-  std::uint32_t mRounds = 0;   ///< Requests made so far.
-  instant mLastRequestAt{ 0 }; ///< When the last request was made.
+  /** Runners and budgets that this daemon grants for. */
+  std::map<service_runner_id, grant_row> mGrants;
+  /** By runner or budget: the rank that was denied, and until when. */
+  std::map<service_runner_id, std::map<std::uint32_t, instant>> mHeldUntil;
+  retry_limits mRetryLimits;     ///< Limits on retries of all daemons together.
+  std::size_t mLeastDaemons = 1; ///< Daemons that exist at least.
+  std::uint32_t mRounds = 0;     ///< Requests made so far.
+  instant mLastRequestAt{ 0 };   ///< When the last request was made.
 };
 
 } // namespace dunehook
--- a/src/limits/permit_bucket.h
+++ b/src/limits/permit_bucket.h
@@ -24,9 +24,13 @@
 class permit_bucket
 {
 public:
-  /** @param aNow when the daemon began to grant; it has no permits then. */
-  explicit permit_bucket(instant aNow)
+  /**
+   * @param aNow when the daemon began to grant; it has no permits then.
+   * @param aSaving permits are saved up for this long.
+   */
+  explicit permit_bucket(instant aNow, duration aSaving = kPermitSaving)
     : mFilledAt(aNow)
+    , mSaving(aSaving)
   {
   }
 
@@ -35,7 +39,7 @@
   {
     const double made = aRate * ToSeconds(std::max(duration{ 0 }, aNow - mFilledAt));
     mFilledAt = std::max(mFilledAt, aNow);
-    const double saved = aRate * ToSeconds(kPermitSaving);
+    const double saved = aRate * ToSeconds(mSaving);
     const double general = mGeneral + made * (1.0 - kLessUrgentShare);
     const double kept = mKept + made * kLessUrgentShare;
     const double mostGeneral = 1.0 + saved * (1.0 - kLessUrgentShare);
@@ -88,6 +92,7 @@
   double mGeneral = 0.0; ///< Permits for any request, the more urgent first; may be owed.
   double mKept = 0.0;    ///< Permits kept for the less urgent; may be owed.
   instant mFilledAt;     ///< When the bucket was last filled.
+  duration mSaving;      ///< Permits are saved up for this long.
   std::map<std::uint32_t, instant> mDeniedAt; ///< When a rank was last denied; kRankLimit rows.
 };
 
--- a/src/links/permit_link.cpp
+++ b/src/links/permit_link.cpp
@@ -18,6 +18,7 @@
   mState.mTellLimit = [this](service_runner_id aRunner, limit_change aChange) {
     Tell(aRunner, aChange);
   };
+  mState.mTakeRetries = [this](retry_demand aDemand) { return TakeRetries(std::move(aDemand)); };
   mState.mTakePermit = [this](permit_demand aDemand) { return Take(aDemand); };
   mState.mChargePermit = [this](service_runner_id aRunner) { return Charge(aRunner); };
 }
@@ -89,6 +90,83 @@
   co_return send_permit(runner, aDemand.mSends, asked + aDemand.mValidFor);
 }
 
+asio::awaitable<bool>
+permit_link::TakeRetries(retry_demand aDemand)
+{
+  const instant asked = mState.Now();
+  if (mState.BudgetOf(aDemand.mService).Take(asked, aDemand.mSends)) {
+    NoteRetries(aDemand, true, "own_requests");
+    co_return true;
+  }
+  const service_runner_id budget = RetryBudgetOf(aDemand.mService);
+  for (;;) {
+    const instant held = mState.mPermits.RetriesHeldUntil(budget, aDemand.mRank);
+    const duration wait = held - mState.Now();
+    if (held - asked > aDemand.mMaxWait && wait > duration{ 0 }) {
+      NoteRetries(aDemand, false, "grantor");
+      co_return false;
+    }
+    if (wait > duration{ 0 }) {
+      co_await Sleep(wait);
+    }
+    const bool granted = co_await AskForRetries(aDemand);
+    if (granted) {
+      NoteRetries(aDemand, true, "grantor");
+      co_return true;
+    }
+  }
+}
+
+asio::awaitable<bool>
+permit_link::AskForRetries(retry_demand aDemand)
+{
+  const service_runner_id budget = RetryBudgetOf(aDemand.mService);
+  std::optional<incarnation_id> grantor = mState.mPermits.GrantorOf(budget);
+  if (!grantor) { // This daemon has begun to serve since the last pass.
+    UpdateMembers(false);
+    grantor = mState.mPermits.GrantorOf(budget);
+  }
+  const instant now = mState.Now();
+  if (!grantor) {
+    mState.mPermits.Hold(budget, aDemand.mRank, now + kUngrantedWait);
+    co_return false;
+  }
+  const permit_request request =
+    mState.mPermits.MakeRetryRequest(budget, aDemand.mSends, aDemand.mRank, now);
+  std::optional<permit_reply> reply;
+  if (*grantor == mLink.Members().Self().mIncarnation) {
+    reply = mState.mPermits.Answer(request, *grantor, now);
+  } else {
+    reply = co_await Ask(*grantor, request);
+  }
+  if (reply) {
+    mState.mPermits.NoteReply(*reply, aDemand.mRank, mState.Now());
+  }
+  co_return reply && reply->mState == permit_state::eGranted;
+}
+
+void
+permit_link::NoteRetries(const retry_demand& aDemand, bool aGranted, std::string_view aBy)
+{
+  mState.mMetrics.CountRetries(aDemand.mService, aDemand.mSends, aGranted);
+  mState.LogDecision(aGranted ? log_level::eInfo : log_level::eWarning,
+                     aGranted ? "retry_granted" : "retry_denied",
+                     aDemand.mRequest,
+                     { { "service", aDemand.mService },
+                       { "sends", aDemand.mSends },
+                       { "rank", aDemand.mRank },
+                       { "by", aBy } });
+}
+
+std::size_t
+permit_link::LeastDaemons() const
+{
+  const std::string& own = mState.mSettings.mPeers.mAddress;
+  const std::vector<std::string>& seeds = mState.mSettings.mSeeds;
+  return 1 + static_cast<std::size_t>(std::count_if(
+               seeds.begin(), seeds.end(), [&](const std::string& aSeed) { return aSeed != own; }));
+}
+
 send_permit
 permit_link::Charge(service_runner_id aRunner)
 {
@@ -163,21 +241,27 @@
   }
 }
 
+void
+permit_link::UpdateMembers(bool aLate)
+{
+  std::set<incarnation_id> serving;
+  for (const member_info* const member : mLink.Members().RankedServing()) {
+    serving.insert(member->mIncarnation);
+  }
+  const incarnation_id self = mLink.Members().Self().mIncarnation;
+  mState.mPermits.SetMembers(self, std::move(serving), aLate, mState.Now());
+  mState.mPermits.SetRetryLimits(mState.mSettings.mRetries, LeastDaemons());
+}
+
 asio::awaitable<void>
 permit_link::RunPasses()
 {
+  UpdateMembers(false);
   for (;;) {
     const instant slept = mState.Now();
     co_await Sleep(kPermitPassInterval);
     const instant now = mState.Now();
-    std::set<incarnation_id> serving;
-    for (const member_info* const member : mLink.Members().RankedServing()) {
-      serving.insert(member->mIncarnation);
-    }
-    mState.mPermits.SetMembers(mLink.Members().Self().mIncarnation,
-                               std::move(serving),
-                               now - slept > 2 * kPermitPassInterval,
-                               now);
+    UpdateMembers(now - slept > 2 * kPermitPassInterval);
     const auto exists = [this](service_runner_id aRunner) {
       return mState.mRunners.Find(aRunner) != nullptr;
     };
--- a/src/links/permit_link.h
+++ b/src/links/permit_link.h
@@ -1,9 +1,10 @@
 /**
  * @file permit_link.h
- * Keeps the rate limits that runners name in their answers, over all daemons. Whoever reads an
- * answer tells the others that a limit began or ended; the value goes to the grantor of the
- * runner's permits, which are asked for before each send. So no daemon has to know how many others
- * send.
+ * Keeps the rate limits that runners name in their answers, and the limits on retries, over all
+ * daemons. Whoever reads an answer tells the others that a limit began or ended; the value goes to
+ * the grantor of the runner's permits, which are asked for before each send. Retries that a
+ * daemon's own requests don't pay for are asked for in the same way. So no daemon has to know how
+ * many others send.
  */
 #pragma once
 
@@ -38,7 +39,22 @@
    */
   send_permit Charge(service_runner_id aRunner);
 
+  /**
+   * Gets the right to send a request beyond its first send. It waits for it if the grantor expects
+   * one in time.
+   */
+  asio::awaitable<bool> TakeRetries(retry_demand aDemand);
+
 private:
+  /** Asks the grantor of a service's retries once. @return whether they were granted. */
+  asio::awaitable<bool> AskForRetries(retry_demand aDemand);
+  /** Logs and counts retries that were granted or denied. @param aBy who paid for or denied them.
+   */
+  void NoteRetries(const retry_demand& aDemand, bool aGranted, std::string_view aBy);
+  /** @return daemons that exist at least: this one and those that its settings name. */
+  std::size_t LeastDaemons() const;
+  /** Passes the members that serve, and the limits on retries, to the broker. */
+  void UpdateMembers(bool aLate);
   asio::awaitable<void> RunPasses();
   asio::awaitable<void> ExchangeLimits();
   asio::awaitable<void> Check(incarnation_id aDaemon);
--- a/src/messages/run_message.cpp
+++ b/src/messages/run_message.cpp
@@ -325,7 +325,8 @@
                             asked.mSends,
                             asked.mRank,
                             asked.mCharge,
-                            asked.mKnown ? EncodeLimit(*asked.mKnown) : json() });
+                            asked.mKnown ? EncodeLimit(*asked.mKnown) : json(),
+                            asked.mRetries });
   }
   json reply;
   if (aMessage.mReply) {
@@ -373,6 +374,7 @@
     if (!request.at(5).is_null()) {
       asked.mKnown = DecodeLimit(request.at(5));
     }
+    asked.mRetries = request.size() > 6 && request.at(6).get<bool>(); // Earlier versions lack it.
   }
   const json& reply = aItem.at(2);
   if (!reply.is_null()) {
--- a/src/state/forward_state.h
+++ b/src/state/forward_state.h
@@ -35,6 +35,9 @@
 /** Gets a permit, or eRunnerRefused if the runner's limit leaves none now. */
 using take_permit_callback = std::function<asio::awaitable<result<send_permit>>(permit_demand)>;
 
+/** Gets the right to sends beyond the first; false if the retry budget leaves none. */
+using take_retries_callback = std::function<asio::awaitable<bool>(retry_demand)>;
+
 /** Asks the daemon that grants trials of suspected requests. */
 using request_trial_callback = std::function<asio::awaitable<trial_reply>(trial_request)>;
 
@@ -69,8 +72,7 @@
   /** @return this daemon's retry budget for a service. */
   retry_budget& BudgetOf(const std::string& aService)
   {
-    const auto daemons = static_cast<double>(mMaxDaemonsHeard);
-    return mBudgets.try_emplace(aService, mSettings.mRetries, daemons).first->second;
+    return mBudgets.try_emplace(aService, mSettings.mRetries).first->second;
   }
 
   /**
@@ -334,26 +336,6 @@
     }
   }
 
-  /**
-   * Records how many daemons are heard. A daemon that is cut off hears few, so the retry budget is
-   * divided by the most ever heard.
-   */
-  void NoteDaemons(std::size_t aHeard)
-  {
-    mDaemons = aHeard;
-    if (aHeard > mMaxDaemonsHeard) {
-      mMaxDaemonsHeard = aHeard;
-      for (auto& [service, budget] : mBudgets) {
-        budget.SetDaemons(static_cast<double>(mMaxDaemonsHeard));
-      }
-    }
-  }
-
-  /**
-   * The retry budget is divided among at least this many daemons: one that starts hears nobody yet.
-   */
-  static constexpr std::size_t kMinBudgetDaemons = 8;
-
   asio::io_context& mIo;                      ///< Event loop of the daemon.
   gateway_settings mSettings;                 ///< Settings of this daemon.
   std::shared_ptr<const route_table> mRoutes; ///< Null until a configuration is known.
@@ -378,10 +360,9 @@
   instant mPeerStorePositionAt{ 0 }; ///< When mPeerStorePosition was reported.
   instant mPeerStoreSilentAt{ 0 };   ///< When another daemon last reported the store as silent.
   bool mStoreRecentlyUnavailable = false; ///< The store was unavailable to this daemon lately.
-  std::size_t mMaxDaemonsHeard = kMinBudgetDaemons;          ///< At least kMinBudgetDaemons.
-  std::size_t mDaemons = 1;                                  ///< Known daemons that serve callers.
-  bool mStopping = false;                                    ///< A graceful stop is in progress.
-  instant mStopDeadline{ 0 };                                ///< Time limit of the graceful stop.
+  std::size_t mDaemons = 1;               ///< Known daemons that serve callers.
+  bool mStopping = false;                 ///< A graceful stop is in progress.
+  instant mStopDeadline{ 0 };             ///< Time limit of the graceful stop.
   std::function<void(run_message)> mTellDaemons;             ///< Sends to all other daemons.
   std::function<void(run_message)> mTellPlacers;             ///< Sends to the daemons that place.
   std::function<void(const crash_report&)> mReportCrash;     ///< Records and sends a crash report.
@@ -396,6 +377,7 @@
   std::function<void(const std::string&)> mReachLost;     ///< Starts to probe for a service.
   ask_placer_callback mAskPlacer;                         ///< Asks a daemon that places.
   take_permit_callback mTakePermit;                       ///< Gets the right to send to a runner.
+  take_retries_callback mTakeRetries;                     ///< Gets the right to send once more.
   std::function<send_permit(service_runner_id)> mChargePermit; ///< The same for calls that free.
   /** Tells other daemons of a limit that has changed. */
   std::function<void(service_runner_id, limit_change)> mTellLimit;
--- a/src/state/gateway_metrics.cpp
+++ b/src/state/gateway_metrics.cpp
@@ -62,6 +62,9 @@
                            "dunehook_prompt_tokens_total",
                            "Prompt tokens read, and of them thrown away, by reason."))
   , mRetries(Counters(mRegistry, "dunehook_repeats_total", "Sends beyond the first, by service."))
+  , mDeniedRetries(Counters(mRegistry,
+                            "dunehook_repeats_denied_total",
+                            "Sends beyond the first that the budget denied, by service."))
   , mStoreCalls(Counters(mRegistry, "dunehook_store_calls_total", "Calls to the store, by answer."))
   , mGauges(&prometheus::BuildGauge()
                .Name("dunehook_state")
@@ -154,9 +157,9 @@
 }
 
 void
-gateway_metrics::CountRetries(const std::string& aService, double aSends)
+gateway_metrics::CountRetries(const std::string& aService, double aSends, bool aGranted)
 {
-  mRetries->Add({ { "service", aService } }).Increment(aSends);
+  (aGranted ? mRetries : mDeniedRetries)->Add({ { "service", aService } }).Increment(aSends);
 }
 
 void
--- a/src/state/gateway_metrics.h
+++ b/src/state/gateway_metrics.h
@@ -61,8 +61,8 @@
    * Counts prompt tokens: "read" when processed, otherwise the reason for which they were wasted.
    */
   void CountPromptTokens(std::string_view aWhat, double aTokens);
-  /** Counts sends of requests beyond the first. */
-  void CountRetries(const std::string& aService, double aSends);
+  /** Counts sends of requests beyond the first, made or denied. */
+  void CountRetries(const std::string& aService, double aSends, bool aGranted);
   /** Counts a call to the store. */
   void CountStoreCall(std::string_view aCall, bool aAnswered);
 
@@ -93,6 +93,7 @@
   prometheus::Family<prometheus::Counter>* mRunnerNotices;  ///< By notice.
   prometheus::Family<prometheus::Counter>* mPromptTokens;   ///< Tokens, by what became of them.
   prometheus::Family<prometheus::Counter>* mRetries;        ///< By service.
+  prometheus::Family<prometheus::Counter>* mDeniedRetries;  ///< By service.
   prometheus::Family<prometheus::Counter>* mStoreCalls;     ///< By call and answer.
   prometheus::Family<prometheus::Gauge>* mGauges;           ///< All gauges, by name.
   prometheus::Family<prometheus::Counter>* mLimitedSends;   ///< By runner and what became of them.
--- a/src/state/gateway_settings.h
+++ b/src/state/gateway_settings.h
@@ -5,9 +5,9 @@
 #pragma once
 
 #include "core/finding_type.h"
+#include "limits/retry_budget.h"
 #include "net/net_type.h"
 #include "placement/placement_type.h"
-#include "placement/retry_budget.h"
 
 namespace dunehook {
 
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -504,9 +504,10 @@
   std::ostringstream settings;
   settings << "node-name = \"entry-" << aDaemon << "\"\nip = \"" << Host(aDaemon) << "\"\nzone = \""
            << options.mHall << "\"\ninternal-ports = [" << mPorts.Port() << ", "
-           << mPorts.Port() + 3 << "]\nseeds = [\"" << Host(0) << ":1\", \"" << Host(1)
-           << ":1\"]\n[listen]\nfront = \"" << Callers(aDaemon) << "\"\nready = \"" << Host(aDaemon)
-           << ":" << mPorts.Port() + 5 << "\"\n[platform]\naddress = \"" << store
+           << mPorts.Port() + 3 << "]\nseeds = [\"" << Host(0) << ":1\", \""
+           << Host(std::min<std::size_t>(1, aDaemon)) << ":1\"]\n[listen]\nfront = \""
+           << Callers(aDaemon) << "\"\nready = \"" << Host(aDaemon) << ":" << mPorts.Port() + 5
+           << "\"\n[platform]\naddress = \"" << store
            << "\"\n[bounds]\ngrace-s = 8\nretry-budget-ratio = 0.2\n"
            << "budget-window-s = 10\nretry-budget-slack = " << options.mRetryAllowance
            << "\nlease-ms = 1000\n";
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -263,7 +263,9 @@
   mBed.ListUnreachable("prefill-1", { "tutor", "prefill" });
   mBed.AddRunner("decode-1", { "tutor", "decode" });
   mBed.PutConfig(1);
-  mBed.StartDaemon();
+  platform_daemon_options options;
+  options.mRetryAllowance = 60;
+  mBed.StartDaemon(options);
   // Each few requests meet the dead engine; retries for all of them aren't in the budget.
   for (int i = 0; i < 25; ++i) {
     const std::string id = "g" + std::to_string(i);
--- a/tests/platform/retry_test.cpp
+++ b/tests/platform/retry_test.cpp
@@ -19,8 +19,8 @@
 
 namespace {
 
-/** The users' rule: in any window of this length, sends beyond the first of each request are at most
- * kAllowedShare of the requests, and kAllowance. */
+/** The users' rule: in any window of this length, sends beyond the first of each request are at
+ * most kAllowedShare of the requests, and kAllowance. */
 constexpr std::int64_t kWindowMs = 10000;
 constexpr double kAllowedShare = 0.2;
 constexpr int kAllowance = 160;
@@ -83,8 +83,8 @@
   void CallOften(std::size_t aDaemon, int aRound) const
   {
     for (int number = 0; number < kRequestsPerLife; ++number) {
-      const std::string id = "r" + std::to_string(aDaemon) + "x" + std::to_string(aRound) + "x" +
-                             std::to_string(number);
+      const std::string id =
+        "r" + std::to_string(aDaemon) + "x" + std::to_string(aRound) + "x" + std::to_string(number);
       Call(mBed.Callers(aDaemon), "GET", "/pages/a", "", CallerHeaders(id));
     }
   }
@@ -131,10 +131,8 @@
   }
   const send_log log = SendsOf(mBed);
   const double excess = ExcessOf(log);
-  std::printf("%zu requests, %zu sends more, excess %.1f\n",
-              log.mFirst.size(),
-              log.mMore.size(),
-              excess);
+  std::printf(
+    "%zu requests, %zu sends more, excess %.1f\n", log.mFirst.size(), log.mMore.size(), excess);
   CHECK_TRUE(!log.mMore.empty());
   CHECK_TRUE(excess <= 0.0);
 }
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -3,9 +3,9 @@
  * Forwarding decisions that need no I/O: routes, runners, retry budgets, events and messages.
  */
 #include "forward/event_splitter.h"
+#include "limits/retry_budget.h"
 #include "messages/place_message.h"
 #include "messages/run_message.h"
-#include "placement/retry_budget.h"
 #include "routing/route_table.h"
 #include "runners/runner_table.h"
 #include "runners/upstream_connection.h"
@@ -431,45 +431,54 @@
 
 TEST_GROUP(budget){};
 
-TEST(budget, ADaemonStaysWithinItsShareOfTheRetryBudget)
+TEST(budget, ADaemonStaysWithinTheShareOfItsRequests)
 {
   const retry_limits limits{ 0.2, 10s, 80.0 };
-  retry_budget budget(limits, 8.0);
+  retry_budget budget(limits);
   int taken = 0;
   instant now = kNow;
   for (int request = 0; request < 1000; ++request) {
-    budget.NoteRequest();
+    budget.NoteRequest(now);
     now += 10ms;
     taken += budget.Take(now) ? 1 : 0;
   }
-  // In 10 s: at most a fifth of the 1000 requests and an eighth of the allowance.
-  CHECK(taken <= 210);
-  CHECK(taken >= 100);
+  // In 10 s: at most a fifth of the 1000 requests, and half of it whatever the other daemons do.
+  CHECK(taken <= 100);
+  CHECK(taken >= 95);
 }
 
-TEST(budget, MoreKnownDaemonsLeaveASmallerShareOfTheBudget)
+TEST(budget, ADaemonThatStartsHasNothingToSpend)
 {
-  const retry_limits limits{ 0.0, 10s, 800.0 };
-  retry_budget budget(limits, 8.0);
-  budget.SetDaemons(80.0);
-  int taken = 0;
-  for (int i = 0; i < 100; ++i) {
-    taken += budget.Take(kNow) ? 1 : 0;
+  retry_budget budget({ 0.2, 10s, 800.0 });
+  CHECK_FALSE(budget.Take(kNow));
+  for (int request = 0; request < 9; ++request) {
+    budget.NoteRequest(kNow);
+  }
+  CHECK_FALSE(budget.Take(kNow)); // Ten requests pay for one retry.
+}
+
+TEST(budget, RequestsPayForRetriesWithinTheirWindowOnly)
+{
+  retry_budget budget({ 0.2, 10s, 800.0 });
+  for (int request = 0; request < 1000; ++request) {
+    budget.NoteRequest(kNow);
   }
-  CHECK(taken <= 5); // Half of an eightieth of the allowance at once.
+  CHECK_TRUE(budget.Take(kNow + 9s));
+  CHECK_FALSE(budget.Take(kNow + 10s));
 }
 
 TEST(budget, ANewPlacementIsChargedForBothOfItsSends)
 {
-  const retry_limits limits{ 0.0, 10s, 80.0 };
-  retry_budget budget(limits, 8.0);
+  retry_budget budget({ 0.2, 10s, 80.0 });
   int taken = 0;
+  for (int i = 0; i < 40; ++i) {
+    budget.NoteRequest(kNow);
+  }
   for (int i = 0; i < 100; ++i) {
     taken += budget.Take(kNow, 2.0) ? 1 : 0;
   }
-  // An eighth of the allowance, half of which may be used at once, at two sends each.
-  CHECK(taken <= 2);
-  CHECK(taken >= 1);
+  // A tenth of the requests, at two sends each.
+  CHECK_EQUAL(2, taken);
 }
 
 TEST_GROUP(connections){};
--- a/tests/unit/limit_test.cpp
+++ b/tests/unit/limit_test.cpp
@@ -282,6 +282,7 @@
   request.mSends = 2;
   request.mRank = 3;
   request.mCharge = true;
+  request.mRetries = true;
   request.mKnown = limit_notice{ kRunner, 5.8, milliseconds(20) };
   permits.mRequest = request;
   permits.mReply = permit_reply{ kRunner, 9, permit_state::eDenied, milliseconds(120) };
--- a/tests/unit/retry_share_test.cpp
+++ b/tests/unit/retry_share_test.cpp
@@ -4,7 +4,7 @@
  * beyond the first of each request in any window, while daemons are killed, started and cut off and
  * the runners fail everything.
  */
-#include "placement/retry_budget.h"
+#include "limits/permit_broker.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -13,6 +13,7 @@
 #include <cstdio>
 #include <optional>
 #include <random>
+#include <set>
 
 using namespace dunehook;
 
@@ -22,13 +23,17 @@
 using std::chrono::seconds;
 
 constexpr duration kTick = milliseconds(10);
-/** Time between a daemon's passes over its members. */
+/** Time between a daemon's passes over its members, in a small fleet and a large one. */
 constexpr duration kPass = milliseconds(250);
+constexpr duration kPassOfMany = seconds(1);
+constexpr std::size_t kMany = 100;
 /** Time until others notice that a daemon is gone, and that one has started. */
 constexpr duration kGoneNoticed = milliseconds(1000);
 constexpr duration kStartNoticed = milliseconds(400);
 /** Time from the kill of a daemon to its next start. */
 constexpr duration kDown = milliseconds(300);
+/** Daemons that the settings of each one name. */
+constexpr std::size_t kSeeds = 3;
 /** Requests before the first fault: the daemons know each other by then. */
 constexpr duration kCalm = seconds(12);
 /** Share of the requests that still come, once few do. */
@@ -120,7 +125,9 @@
   struct daemon
   {
     std::optional<retry_budget> mBudget; ///< Empty while it's down.
-    instant mStartsAt{ 0 };              ///< While it's down.
+    permit_broker mBroker{};
+    incarnation_id mIncarnation{};
+    instant mStartsAt{ 0 }; ///< While it's down.
     instant mBornAt{ 0 };
     instant mCutUntil{ 0 };
     instant mNextPass{ 0 };
@@ -150,7 +157,10 @@
   void Begin(std::size_t aIndex)
   {
     daemon& one = mDaemons[aIndex];
-    one.mBudget.emplace(mPlan.mLimits, 8.0);
+    one.mBudget.emplace(mPlan.mLimits);
+    one.mBroker = {};
+    one.mBroker.SetRetryLimits(mPlan.mLimits, kSeeds);
+    one.mIncarnation = { mRandom() | 1U };
     one.mBornAt = mNow;
     one.mNextPass = mNow;
   }
@@ -169,7 +179,15 @@
     }
   }
 
-  /** @return whether a daemon hears another one. */
+  /** @return whether two daemons can't reach each other. */
+  bool IsCut(std::size_t aOne, std::size_t aOther) const
+  {
+    const bool halves = mPlan.mHalved && mNow > kStart + kCalm && aOne % 2 != aOther % 2;
+    return aOne != aOther &&
+           (halves || mNow < mDaemons[aOne].mCutUntil || mNow < mDaemons[aOther].mCutUntil);
+  }
+
+  /** @return whether a daemon hears another one, or hasn't noticed yet that it doesn't. */
   bool Hears(std::size_t aOne, std::size_t aOther) const
   {
     const daemon& one = mDaemons[aOne];
@@ -177,10 +195,8 @@
     if (aOne == aOther) {
       return true;
     }
-    if (mPlan.mHalved && mNow > kStart + kCalm + kGoneNoticed && aOne % 2 != aOther % 2) {
-      return false;
-    }
-    const bool cut = mNow < one.mCutUntil || mNow < other.mCutUntil;
+    const bool halved = mNow > kStart + kCalm + kGoneNoticed;
+    const bool cut = IsCut(aOne, aOther) && (halved || !mPlan.mHalved);
     return other.mBudget && !cut && mNow >= other.mBornAt + kStartNoticed &&
            mNow >= one.mBornAt + kStartNoticed;
   }
@@ -197,14 +213,15 @@
     if (mNow < one.mNextPass) {
       return;
     }
-    one.mNextPass = mNow + kPass;
-    std::size_t heard = 0;
+    one.mNextPass = mNow + (mDaemons.size() > kMany ? kPassOfMany : kPass);
+    std::set<incarnation_id> serving;
     for (std::size_t other = 0; other < mDaemons.size(); ++other) {
-      heard += Hears(aIndex, other) ? 1 : 0;
+      if (Hears(aIndex, other)) {
+        serving.insert(mDaemons[other].mIncarnation);
+      }
     }
-    mMostHeard.resize(mDaemons.size(), 0);
-    mMostHeard[aIndex] = one.mBornAt == mNow ? heard : std::max(mMostHeard[aIndex], heard);
-    one.mBudget->SetDaemons(std::max(8.0, static_cast<double>(mMostHeard[aIndex])));
+    one.mBroker.SetMembers(one.mIncarnation, std::move(serving), false, mNow);
+    one.mBroker.Prune([](service_runner_id) { return true; }, mNow);
   }
 
   /** A request reaches a daemon that runs. */
@@ -215,19 +232,43 @@
       return;
     }
     mRequests.push_back(mNow);
-    mDaemons[index].mBudget->NoteRequest();
+    mDaemons[index].mBudget->NoteRequest(mNow);
     for (int i = 0; aFails && i < kRetriesWanted && Retry(index); ++i) {
       mRetries.push_back(mNow);
     }
   }
 
-  bool Retry(std::size_t aIndex) { return mDaemons[aIndex].mBudget->Take(mNow); }
+  /** As permit_link does. @return whether a daemon may send once more. */
+  bool Retry(std::size_t aIndex)
+  {
+    daemon& one = mDaemons[aIndex];
+    if (one.mBudget->Take(mNow)) {
+      return true;
+    }
+    const service_runner_id budget = RetryBudgetOf("desk");
+    const std::optional<incarnation_id> grantor = one.mBroker.GrantorOf(budget);
+    if (!grantor || one.mBroker.RetriesHeldUntil(budget, 1) > mNow) {
+      return false;
+    }
+    const permit_request request = one.mBroker.MakeRetryRequest(budget, 1, 1, mNow);
+    const auto other = std::find_if(mDaemons.begin(), mDaemons.end(), [&](const daemon& aOther) {
+      return aOther.mIncarnation == *grantor;
+    });
+    const auto to = static_cast<std::size_t>(other - mDaemons.begin());
+    if (other == mDaemons.end() || !other->mBudget || IsCut(aIndex, to)) {
+      one.mBroker.NoteNoReply(*grantor, request, mNow);
+      return false;
+    }
+    const permit_reply reply = other->mBroker.Answer(request, one.mIncarnation, mNow);
+    one.mBroker.NoteHeard(*grantor, mNow);
+    one.mBroker.NoteReply(reply, 1, mNow);
+    return reply.mState == permit_state::eGranted;
+  }
 
   retry_plan mPlan;
   std::mt19937_64 mRandom;
   instant mNow = kStart;
   std::vector<daemon> mDaemons;
-  std::vector<std::size_t> mMostHeard;
   std::vector<instant> mRequests;
   std::vector<instant> mRetries;
   double mDue = 0.0;
--- a/tests/unit/suspension_test.cpp
+++ b/tests/unit/suspension_test.cpp
@@ -2,9 +2,9 @@
  * @file suspension_test.cpp
  * Time during which the machine is suspended counts for leases, budgets and timeouts.
  */
+#include "limits/retry_budget.h"
 #include "links/permit_link.h"
 #include "membership/member_base.h"
-#include "placement/retry_budget.h"
 #include "platform/store_client.h"
 #include "platform/wire.h"
 #include "roles/role_controller.h"
