--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -247,7 +247,7 @@
   json entry{ { "service", aOptions.mService },
               { "address", aAddress },
               { "zone", aOptions.mHall },
-              { "version", "v1" },
+              { "version", aOptions.mVersion },
               { "slots", 8 },
               { "cold-remaining-ms", 0 },
               { "sequence", 1 } };
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -19,6 +19,7 @@
   json mFaults = json::object(); ///< As the stand-in's control takes them.
   std::string mHall = "hall-a";  ///< Daemons stand in hall-a.
   std::uint64_t mBorn = 0;       ///< When its incarnation started, in ms; 0 if unknown.
+  std::string mVersion = "v1";   ///< Of its software.
 };
 
 /** How a test starts a daemon. */
