--- a/tests/unit/retry_share_test.cpp
+++ b/tests/unit/retry_share_test.cpp
@@ -295,6 +295,17 @@
   return plan;
 }
 
+/** @return a plan in which requests pay for no retries, so that all come from the allowance. */
+retry_plan
+PlanOfAllowance(unsigned aSeed)
+{
+  retry_plan plan = PlanOf(kSizes[aSeed % 2]);
+  plan.mLimits.mShare = 0.0;
+  plan.mLength = seconds(24);
+  plan.mSeed = aSeed;
+  return plan;
+}
+
 } // namespace
 
 TEST_GROUP(retry_share){
@@ -368,3 +379,35 @@
     CHECK_TRUE(Play(plan) > 0.5);
   }
 }
+
+TEST(retry_share, RepeatedKillsOfAllDaemonsSpendTheAllowanceOnce)
+{
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    retry_plan plan = PlanOfAllowance(seed);
+    const duration gap = milliseconds(700 + static_cast<int>(seed) * 60);
+    for (int kill = 0; kill < 8; ++kill) {
+      plan.mKills.push_back(milliseconds(900) + kill * gap);
+    }
+    Play(plan);
+  }
+}
+
+TEST(retry_share, RandomFaultsSpendTheAllowanceOnce)
+{
+  for (unsigned seed = 21; seed <= 40; ++seed) {
+    retry_plan plan = PlanOfAllowance(seed);
+    plan.mRandomFaults = true;
+    Play(plan);
+  }
+}
+
+// Guards against daemons that start while the fleet is cut in two, and know of one half only.
+TEST(retry_share, DaemonsThatStartWithinAHalfSpendTheAllowanceOnce)
+{
+  for (unsigned seed = 41; seed <= 60; ++seed) {
+    retry_plan plan = PlanOfAllowance(seed);
+    plan.mRandomFaults = true;
+    plan.mHalved = true;
+    Play(plan);
+  }
+}
