--- a/tests/platform/version_test.cpp
+++ b/tests/platform/version_test.cpp
@@ -125,8 +125,8 @@
     const std::string first = "a" + std::to_string(i);
     const std::string next = "b" + std::to_string(i);
     const headers more{ { "Last-Event-Id", std::to_string(kEventsSeen) }, { "Resumes", first } };
-    const answer got = Call(
-      mBed.Callers(1), "POST", "/resumed/a", "prompt", GenerationHeaders(next, 2000, 6, more));
+    const answer got =
+      Call(mBed.Callers(1), "POST", "/resumed/a", "prompt", GenerationHeaders(next, 2000, 6, more));
     std::set<std::string> versions;
     AddVersions(first, versions);
     AddVersions(next, versions);
