--- a/tests/platform/retry_test.cpp
+++ b/tests/platform/retry_test.cpp
@@ -93,6 +93,7 @@
   void CallAll(int aRound) const
   {
     std::vector<std::thread> callers;
+    callers.reserve(kDaemons);
     for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
       callers.emplace_back([this, daemon, aRound] { CallOften(daemon, aRound); });
     }
--- a/tests/platform/version_test.cpp
+++ b/tests/platform/version_test.cpp
@@ -102,6 +102,7 @@
     mBed.SetRunner(name, { { "step_ms", kStepMs }, { "free", 10 } });
   }
   std::vector<std::thread> callers;
+  callers.reserve(kStreams);
   for (int i = 0; i < kStreams; ++i) {
     callers.emplace_back([this, i] {
       Call(mBed.Callers(0),
