Fix: [Streams] a stream goes on only at the software version that began it

Cause, shown by versions.*: a continuation was placed as if it were a new request. The version in a runner's entry was checked and dropped, `Resumes` wasn't read, and no daemon kept what began where.

Change: the version is kept with the runner and sent between daemons. The version of the engine that brings the first event, as it was when its memory was reserved, is fixed for the stream: it goes into the demand that placing daemons get, into a relay, into the choice of engines, its waiting time and refusals. Before that event goes out, three other daemons, chosen by a hash of the service and of the attempt's id, are told (origin_link); a daemon that a caller returns to asks these and two more. A daemon that stops hands its records over. Without a record, the stream goes on if the service's runners have had one version only for 30 s. A daemon that has just started doesn't know that; a mark in the store, kept while a service has several versions and for 30 s after, tells it (origin_store). Else it's refused at once. A record is kept for 120 s, 16,384 of them at most.

The stand-in counts whole reads of the topics of runners and routes, as its test means it; the new topic isn't one of them.

The attempt's id alone can't carry the version: callers choose it. Datagrams to keepers and an ask on return cost three and five messages a stream in place of one to each daemon.

--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -7,6 +7,7 @@
 
 #include "forward/generation_call.h"
 #include "forward/plain_call.h"
+#include "links/origin_store.h"
 #include "links/permit_link.h"
 #include "links/placer_link.h"
 #include "links/quarantine_store.h"
@@ -82,6 +83,7 @@
     , mQuarantines(mState, mStore, mLink)
     , mTrials(mState, mLink, mQuarantines.Link())
     , mPermits(mState, mLink)
+    , mOrigins(mState, mStore, mLink)
     , mFollower(mState, mStore, mLink, [this](const caller_limits& aLimits) {
       mListener->State().mLimits = aLimits;
       mRelayListener->State().mLimits = aLimits;
@@ -125,6 +127,7 @@
     mQuarantines.Start();
     mTrials.Start();
     mPermits.Start();
+    mOrigins.Start();
     SpawnGuarded(mState.mIo, RunTablePasses());
     SpawnGuarded(mState.mIo, RunRolePasses());
   }
@@ -142,6 +145,7 @@
              { { "open", mListener->State().mOpenConnections },
                { "late_ms", (now - since).count() / 1000 } });
     mState.mStopping = true;
+    mOrigins.HandOver(); // Others stop asking this daemon as soon as it doesn't serve.
     // The signal arrived between `since` and `now`. New requests are refused as if it arrived at
     // `since`; no running request is cut before the last part of the limit even if it arrived at
     // `now`.
@@ -340,6 +344,30 @@
     co_await RefuseRelayed(aExchange, aReason);
   }
 
+  /**
+   * Finds out which software began the stream that a request goes on with.
+   * @param aRelayed another daemon relays it, and names the software.
+   * @return none within the result if the stream begins with this request; no result if the
+   * software isn't known, so that no runner may go on with the stream.
+   */
+  asio::awaitable<std::optional<software_id>> FindSoftware(const http::fields& aHead,
+                                                           const request_facts& aFacts,
+                                                           const forward_service& aService,
+                                                           bool aRelayed)
+  {
+    software_id software;
+    if (aRelayed) {
+      software = { ReadRelayNumber(aHead, kRelaySoftwareHeader) };
+    } else if (aFacts.mLastEvent || !aFacts.mResumes.empty()) {
+      software = co_await mState.mFindOrigin(aService.mName, aFacts.mResumes);
+    }
+    std::optional<software_id> found;
+    if (software || !aFacts.mLastEvent) { // Without a last event it begins anew.
+      found = software;
+    }
+    co_return found;
+  }
+
   /** Serves one request of a caller. @param aRelayed another daemon relays it. */
   asio::awaitable<void> Forward(caller_exchange_ptr aExchange, bool aRelayed)
   {
@@ -395,11 +423,24 @@
       co_await RefuseRelayed(*aExchange, "cut_off");
       co_return;
     }
+    const std::optional<software_id> software =
+      co_await FindSoftware(head, facts, *service, aRelayed);
+    if (!software) {
+      mState.mMetrics.CountRequest(route->mName, "refused", "unknown_software");
+      mState.LogDecision(log_level::eWarning,
+                         "stream_not_taken_up",
+                         facts.mId,
+                         { { "route", route->mName }, { "resumes", facts.mResumes } });
+      co_await RefuseUntouched(
+        *aExchange, facts.mId, aRelayed, kUnknownSoftwareRetryAfter, "unknown_software");
+      co_return;
+    }
     if (service->mEngines && route->mRepeat == repeat_rule::eStream) {
-      generation_call<Wire> call(mState, aExchange, facts, routes, *route, *service, arrived);
+      generation_call<Wire> call(
+        mState, aExchange, facts, routes, *route, *service, arrived, *software);
       co_await call.Run(!aRelayed);
     } else {
-      plain_call<Wire> call(mState, aExchange, facts, routes, *route, *service, arrived);
+      plain_call<Wire> call(mState, aExchange, facts, routes, *route, *service, arrived, *software);
       co_await call.Run(!aRelayed);
     }
     if (aExchange->Disconnected()) {
@@ -513,6 +554,7 @@
         break;
       }
     }
+    mOrigins.HandOver();
     LogEvent(
       log_level::eInfo,
       "stopped",
@@ -533,6 +575,8 @@
    * another data hall, with a reserve for a slow connection.
    */
   static constexpr duration kStoppingRetryAfter = std::chrono::milliseconds(50);
+  /** Time after which the caller of a stream whose software isn't known may retry, elsewhere. */
+  static constexpr duration kUnknownSoftwareRetryAfter = std::chrono::milliseconds(300);
   /** Time after which a caller of a starting daemon may retry. */
   static constexpr duration kStartingRetryAfter = std::chrono::milliseconds(500);
 
@@ -544,6 +588,7 @@
   quarantine_store<Store> mQuarantines;       ///< Keeps requests that crash runners away from them.
   trial_link mTrials;                         ///< Trials of requests that may crash runners.
   permit_link mPermits;                       ///< Limits of runners, shared by all daemons.
+  origin_store<Store> mOrigins;               ///< Which software began streams.
   store_follower<Store> mFollower;            ///< Follows changes in the store.
   std::unique_ptr<caller_listener> mListener; ///< Accepts callers.
   std::set<std::string> mProbedServices;      ///< Services that ProbeRunners() probes.
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -28,13 +28,15 @@
 class generation_call
 {
 public:
+  /** @param aSoftware software that began the stream; none if it begins with this request. */
   generation_call(forward_state& aState,
                   caller_exchange_ptr aExchange,
                   request_facts aFacts,
                   std::shared_ptr<const route_table> aRoutes,
                   const forward_route& aRoute,
                   const forward_service& aService,
-                  instant aArrived)
+                  instant aArrived,
+                  software_id aSoftware)
     : mState(aState)
     , mExchange(std::move(aExchange))
     , mFacts(std::move(aFacts))
@@ -52,6 +54,7 @@
     mDemand.mRun = { HashBytes(mFacts.mId) | 1U };
     mDemand.mService = aService.mName;
     mDemand.mModel = mFacts.mModel;
+    mDemand.mSoftware = aSoftware;
     mDemand.mHall = mState.mSettings.mHall;
     mDemand.mEventGap = aRoute.mEventGap;
     // A caller that resumes a broken stream is already late, as one that was refused is. When many
@@ -153,6 +156,11 @@
    */
   asio::awaitable<bool> TryOnce()
   {
+    if (!mState.mRunners.HasSoftware(mService.mName, mDemand.mSoftware) && mDemand.mSoftware) {
+      mPromptRead.Discard("no_place");
+      co_await GiveUp("software_gone");
+      co_return false;
+    }
     const instant firstEventBy =
       mStarted ? mDeadline : mArrived + mRoute.mFirstAnswer - kCallerDeliveryMargin;
     const duration target = mRoute.mFirstAnswer - kCallerDeliveryMargin;
@@ -209,8 +217,9 @@
     if (!allowed) {
       co_return false;
     }
-    const relay_progress nothing;
-    co_return co_await RelayFrom(nothing);
+    relay_progress progress;
+    progress.mSoftware = mDemand.mSoftware;
+    co_return co_await RelayFrom(progress);
   }
 
   /** @return whether this daemon's own reach may be why the request found no engine. */
@@ -227,6 +236,7 @@
     progress.mRuns = mSends;
     progress.mStarted = mStarted;
     progress.mAfterEvent = LastEvent();
+    progress.mSoftware = mDemand.mSoftware;
     return progress;
   }
 
@@ -386,7 +396,20 @@
       return false;
     }
     const runner_state* const decode = mState.mRunners.Find(mPlace.Choice().mDecode);
-    return decode == nullptr || mState.Now() >= decode->mPausedUntil;
+    return decode == nullptr || (mState.Now() >= decode->mPausedUntil &&
+                                 RunsSoftware(decode->mEntry, mPlace.DecodeSoftware()));
+  }
+
+  /** Fixes the software with which the stream goes on, before its first event is sent. */
+  void FixSoftware()
+  {
+    if (mDemand.mSoftware) {
+      return;
+    }
+    mDemand.mSoftware = mPlace.DecodeSoftware();
+    if (mRoute.mResumable) {
+      mState.mNoteOrigin(mService.mName, mFacts.mId, mDemand.mSoftware);
+    }
   }
 
   /**
@@ -491,6 +514,9 @@
         events += mEvents.PartialEvent();
         mEvents.DropPartialEvent();
       }
+      if (!events.empty()) {
+        FixSoftware();
+      }
       if (!events.empty() || (ended && !broken)) {
         const bool open = co_await SendEvents(aAnswer, events);
         if (!open) {
@@ -627,10 +653,11 @@
   duration ExpectedWait() const
   {
     const bool held = !mState.mPermits.Held(mRoute.mRank, mState.Now()).empty();
-    if (!held || !mState.mRunners.HasRunner(mService.mName)) {
+    if (!held || !mState.mRunners.HasSoftware(mService.mName, mDemand.mSoftware)) {
       return mPlace.FreeIn();
     }
-    const instant from = mState.AcceptsRequestsFrom(mService.mName, mRoute.mRank);
+    const instant from =
+      mState.AcceptsRequestsFrom(mService.mName, mRoute.mRank, mDemand.mSoftware);
     return std::max(mPlace.FreeIn(), from - mState.Now());
   }
 
@@ -715,6 +742,7 @@
                        "generation_started",
                        mFacts.mId,
                        { { "runner", mPlace.DecodeName() },
+                         { "software", mPlace.DecodeSoftwareText() },
                          { "prefill", mPromptRead.EngineName() },
                          { "prompt_key", mFacts.mPromptKey },
                          { "returned", mDemand.mReturned },
--- a/src/forward/generation_place.h
+++ b/src/forward/generation_place.h
@@ -150,6 +150,10 @@
   const endpoint& DecodeAddress() const { return mDecodeAddress; }
   /** @return the decode engine's id in service discovery. */
   const std::string& DecodeName() const { return mDecodeName; }
+  /** @return its software as it was when its memory was reserved. */
+  software_id DecodeSoftware() const { return mDecodeSoftware; }
+  /** @return the version of that, as its entry stated it. */
+  const std::string& DecodeSoftwareText() const { return mDecodeSoftwareText; }
   /** @return why the last attempt found no placement. */
   no_place NoPlace() const { return mNoPlace; }
   /** @return the expected time until there's room, after an attempt that found none. */
@@ -221,6 +225,13 @@
     }
     mDecodeAddress = decode->mEntry.mAddress;
     mDecodeName = decode->mEntry.mName;
+    mDecodeSoftware = SoftwareOf(decode->mEntry);
+    mDecodeSoftwareText = decode->mEntry.mSoftware;
+    // Another daemon chose it by its own list of runners.
+    if (!RunsSoftware(decode->mEntry, aDemand.mSoftware)) {
+      EndRun();
+      co_return false;
+    }
     std::vector<service_runner_id> engines = mChoice.Engines();
     const bool trial = co_await mTrial.Begin(std::move(engines));
     if (!trial || mExchange.Disconnected()) {
@@ -339,6 +350,8 @@
   run_id mRun;                             ///< Id of the run, once in the table.
   endpoint mDecodeAddress;                 ///< Address of the decode engine.
   std::string mDecodeName;                 ///< Its id in service discovery.
+  software_id mDecodeSoftware;             ///< Its software when its memory was reserved.
+  std::string mDecodeSoftwareText;         ///< The version of that, as its entry stated it.
   std::optional<send_permit> mReadPermit;  ///< For the prefill.
   std::optional<send_permit> mRunPermit;   ///< For the reservation and the run.
   bool mHeld = false;                      ///< The last permits weren't granted.
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -36,13 +36,15 @@
 class plain_call
 {
 public:
+  /** @param aSoftware software that began the stream; none if it begins with this request. */
   plain_call(forward_state& aState,
              caller_exchange_ptr aExchange,
              request_facts aFacts,
              std::shared_ptr<const route_table> aRoutes,
              const forward_route& aRoute,
              const forward_service& aService,
-             instant aArrived)
+             instant aArrived,
+             software_id aSoftware)
     : mState(aState)
     , mExchange(std::move(aExchange))
     , mFacts(std::move(aFacts))
@@ -51,6 +53,7 @@
     , mService(aService)
     , mCrashWatch(aState, *mExchange, mFacts)
     , mTrial(aState, mCrashWatch)
+    , mSoftware(aSoftware)
     , mArrived(aArrived)
     , mDeadline(aArrived + std::min(aRoute.mTimeout, mFacts.mTimeLeft.value_or(aRoute.mTimeout)))
   {
@@ -89,8 +92,9 @@
    */
   bool RunnerWillAcceptSoon() const
   {
-    return mState.mRunners.HasRunner(mService.mName) &&
-           mState.AcceptsRequestsFrom(mService.mName, mRoute.mRank) < mArrived + MaxRunnerWait();
+    return mState.mRunners.HasSoftware(mService.mName, mSoftware) &&
+           mState.AcceptsRequestsFrom(mService.mName, mRoute.mRank, mSoftware) <
+             mArrived + MaxRunnerWait();
   }
 
   /**
@@ -121,7 +125,7 @@
       co_return false;
     }
     const runner_state* const runner = mState.mRunners.Choose(
-      mService.mName, UnavailableRunners(), mState.Now(), mState.RandomFraction());
+      mService.mName, UnavailableRunners(), mState.Now(), mState.RandomFraction(), mSoftware);
     const duration waited = mState.Now() - mArrived;
     const bool mayWait = mAttempts == 0 && waited < MaxRunnerWait();
     if (runner == nullptr && !mTrial.Busy().empty()) {
@@ -173,7 +177,9 @@
     if (!std::exchange(mMayRelay, false)) {
       co_return false;
     }
-    relay_call<Wire> relay(mState, *mExchange, mFacts.mId, mRoute, mService.mName);
+    relay_progress progress;
+    progress.mSoftware = mSoftware;
+    relay_call<Wire> relay(mState, *mExchange, mFacts.mId, mRoute, mService.mName, progress);
     const relay_outcome end = co_await relay.Run(mDeadline);
     if (end == relay_outcome::eUncertain) {
       mMayHaveRun = true;
@@ -226,6 +232,7 @@
     }
     const endpoint address = runner->mEntry.mAddress;
     mRunnerName = runner->mEntry.mName;
+    mRunSoftware = SoftwareOf(runner->mEntry);
     send_plan plan;
     plan.mRunnerName = runner->mEntry.mName;
     plan.mRunner = aRunner;
@@ -270,6 +277,7 @@
     if (aAnswer.mConnection) {
       const result<void> read =
         co_await ReadBody(*aAnswer.mConnection, body, kMaxBufferedBytes, aLimit);
+      NoteOrigin(aAnswer, body);
       if (!read && read.error() == errc::eBodyTooLarge) {
         co_await Stream(aAddress, aAnswer, body);
         NoteOutcome(aRunner, send_outcome::eServed);
@@ -304,6 +312,14 @@
     co_return again;
   }
 
+  /** Keeps which software began a stream that its caller may take up. */
+  void NoteOrigin(const upstream_response& aAnswer, const std::string& aBody) const
+  {
+    if (mRoute.mResumable && !mSoftware && aAnswer.mFacts.mStatus < 300 && !aBody.empty()) {
+      mState.mNoteOrigin(mService.mName, mFacts.mId, mRunSoftware);
+    }
+  }
+
   /**
    * Handles a runner's statement that it didn't run the request.
    * @return whether to try another.
@@ -471,10 +487,11 @@
   {
     const double spread = 0.5 + mState.RandomFraction();
     const duration back = FromSeconds(ToSeconds(kPlainRetryAfter) * spread);
-    if (!mState.mRunners.HasRunner(mService.mName)) {
+    if (!mState.mRunners.HasSoftware(mService.mName, mSoftware)) {
       return back;
     }
-    const duration rest = mState.AcceptsRequestsFrom(mService.mName, mRoute.mRank) - mState.Now();
+    const duration rest =
+      mState.AcceptsRequestsFrom(mService.mName, mRoute.mRank, mSoftware) - mState.Now();
     return back + std::max({ duration{ 0 }, rest, TimeToReturnSlot() });
   }
 
@@ -516,10 +533,12 @@
   const forward_service& mService;            ///< The service that serves the request.
   crash_watch mCrashWatch;                    ///< Crash tracking of the request.
   suspect_trial mTrial;                       ///< Its trial, if it's suspected.
+  software_id mSoftware;                      ///< Software that began a stream; none: any.
   instant mArrived;                           ///< When the request arrived.
   instant mDeadline;                          ///< End of the request's time limit.
   std::set<service_runner_id> mTriedRunners;  ///< Runners tried so far.
   std::string mRunnerName;                    ///< Name of the runner tried last.
+  software_id mRunSoftware;                   ///< Its software.
   std::uint32_t mSends = 0;    ///< Runners that the request reached; at most mMaxRunners.
   std::uint32_t mAttempts = 0; ///< Runners tried, reached or not.
   bool mRelayed = false;       ///< Another daemon relays it.
--- a/src/forward/relay_call.h
+++ b/src/forward/relay_call.h
@@ -36,6 +36,7 @@
   std::uint32_t mRuns = 0;                  ///< Engines that may have run it.
   bool mStarted = false;                    ///< The caller has the head, and perhaps events.
   std::optional<std::uint64_t> mAfterEvent; ///< Last event that the caller has.
+  software_id mSoftware;                    ///< Software that began the stream; none if none has.
 };
 
 /** @return the number in a header of a relayed request; 0 if there is none. */
@@ -161,6 +162,7 @@
     plan.mAfterEvent = mProgress.mAfterEvent;
     upstream_request request = BuildUpstreamRequest<Wire>(mExchange, plan);
     AddHeader(request, kRelayRunsHeader, std::to_string(mProgress.mRuns));
+    AddHeader(request, kRelaySoftwareHeader, std::to_string(mProgress.mSoftware.mValue));
     AddHeader(request, kRelayConfigHeader, std::to_string(mState.mRoutes->Config().mVersion));
     const auto head = co_await connection->Start(request, limit);
     if (!head) {
--- a/src/forward/upstream_send.h
+++ b/src/forward/upstream_send.h
@@ -47,6 +47,7 @@
  */
 inline constexpr std::string_view kRelayRunsHeader = "Dunehook-Relay-Runs";
 inline constexpr std::string_view kRelayConfigHeader = "Dunehook-Relay-Config";
+inline constexpr std::string_view kRelaySoftwareHeader = "Dunehook-Relay-Software";
 
 /** @return whether a header is for daemons only. */
 inline bool
@@ -55,7 +56,7 @@
   const auto is = [&](std::string_view aOther) {
     return beast::iequals(aName, beast::string_view(aOther.data(), aOther.size()));
   };
-  return is(kRelayRunsHeader) || is(kRelayConfigHeader);
+  return is(kRelayRunsHeader) || is(kRelayConfigHeader) || is(kRelaySoftwareHeader);
 }
 
 /** @return whether a header is hop-by-hop. */
--- a/src/links/daemon_link.cpp
+++ b/src/links/daemon_link.cpp
@@ -225,6 +225,9 @@
   if (aMessage.mPermits && mPermitHandler) {
     mPermitHandler(*aMessage.mPermits, aMessage.mDaemon, EndpointOf(aFrom));
   }
+  if (aMessage.mOrigins && mOriginHandler) {
+    mOriginHandler(*aMessage.mOrigins, EndpointOf(aFrom));
+  }
   if (aMessage.mStore) {
     ApplyStorePosition(aMessage, aNow);
   }
--- a/src/links/daemon_link.h
+++ b/src/links/daemon_link.h
@@ -48,6 +48,11 @@
   {
     mPermitHandler = std::move(aTake);
   }
+  /** @param aTake called with each message on streams and the address to answer to. */
+  void SetOriginHandler(std::function<void(const origin_message&, const endpoint&)> aTake)
+  {
+    mOriginHandler = std::move(aTake);
+  }
   /** @return where a randomly picked daemon receives run messages; nothing if no other is known. */
   std::optional<endpoint> PickRandomPeer();
   /** @return how many daemons of this data hall that accept calls rank before this one. */
@@ -79,6 +84,8 @@
   std::function<void(const quarantine_message&, const endpoint&)> mQuarantineHandler;
   /** Called with messages on permits; may be empty. */
   std::function<void(const permit_message&, std::uint64_t, const endpoint&)> mPermitHandler;
+  /** Called with messages on streams; may be empty. */
+  std::function<void(const origin_message&, const endpoint&)> mOriginHandler;
   std::function<bool()> mReady;   ///< Whether this daemon accepts calls.
   instant mFirstHeartbeatAt{ 0 }; ///< When the first heartbeat was sent; zero before.
 };
--- /dev/null
+++ b/src/links/origin_link.cpp
@@ -0,0 +1,156 @@
+/**
+ * @file origin_link.cpp
+ * Tells, asks and answers which software began streams.
+ */
+#include "links/origin_link.h"
+
+namespace dunehook {
+
+namespace {
+
+/** Longest request id that is looked up. */
+constexpr std::size_t kMaxAttemptBytes = 256;
+
+} // namespace
+
+origin_link::origin_link(forward_state& aState, daemon_link& aLink)
+  : mState(aState)
+  , mLink(aLink)
+{
+  mLink.SetOriginHandler([this](const origin_message& aMessage, const endpoint& aFrom) {
+    HandleMessage(aMessage, aFrom);
+  });
+  mState.mNoteOrigin = [this](const std::string& aService,
+                              const std::string& aAttempt,
+                              software_id aSoftware) { Note(aService, aAttempt, aSoftware); };
+}
+
+void
+origin_link::Note(const std::string& aService, const std::string& aAttempt, software_id aSoftware)
+{
+  if (aAttempt.empty() || aAttempt.size() > kMaxAttemptBytes) {
+    return;
+  }
+  const stream_origin origin{ StreamIdOf(aService, aAttempt), aSoftware };
+  mOrigins.Note(origin, mState.Now());
+  run_message message;
+  message.mOrigins.emplace().mBegun.push_back(origin);
+  mLink.SendToEach(std::move(message), Keepers(origin.mStream, kOriginKeepers));
+}
+
+asio::awaitable<stream_evidence>
+origin_link::Find(std::string aService, std::string aAttempt)
+{
+  origin_request request;
+  request.mService = aService;
+  if (!aAttempt.empty() && aAttempt.size() <= kMaxAttemptBytes) {
+    request.mStream = StreamIdOf(aService, aAttempt);
+  }
+  stream_evidence known = EvidenceOf(request);
+  if (known.mEvidence != origin_evidence::eRecord) {
+    // Another daemon may have a record, of a version that this one hasn't seen.
+    known = co_await Ask(std::move(request), known);
+  }
+  co_return known;
+}
+
+asio::awaitable<stream_evidence>
+origin_link::Ask(origin_request aRequest, stream_evidence aOwn)
+{
+  const std::vector<endpoint> keepers = Keepers(aRequest.mStream, kOriginKeepersAsked);
+  const auto pending = std::make_shared<pending_request>(mState.mIo);
+  const std::uint32_t round = ++mRounds;
+  aRequest.mRound = round;
+  pending->mOpen = keepers.size();
+  pending->mEvidence = aOwn;
+  mPending[round] = pending;
+  run_message message;
+  message.mOrigins.emplace().mRequest = std::move(aRequest);
+  mLink.SendToEach(std::move(message), keepers);
+  const instant until = mState.Now() + kOriginReplyTimeout;
+  for (instant now = mState.Now();
+       pending->mOpen > 0 && pending->mEvidence.mEvidence != origin_evidence::eRecord &&
+       now < until;
+       now = mState.Now()) {
+    co_await pending->mChanged.Wait(until - now);
+  }
+  mPending.erase(round);
+  co_return pending->mEvidence;
+}
+
+void
+origin_link::HandleMessage(const origin_message& aMessage, const endpoint& aFrom)
+{
+  for (const stream_origin& origin : aMessage.mBegun) {
+    mOrigins.Note(origin, mState.Now());
+  }
+  if (aMessage.mRequest) {
+    run_message message;
+    message.mOrigins.emplace().mReply = { aMessage.mRequest->mRound,
+                                          EvidenceOf(*aMessage.mRequest) };
+    mLink.SendTo(std::move(message), aFrom);
+  }
+  if (!aMessage.mReply) {
+    return;
+  }
+  const auto found = mPending.find(aMessage.mReply->mRound);
+  if (found != mPending.end()) {
+    pending_request& pending = *found->second;
+    pending.mOpen -= pending.mOpen > 0 ? 1 : 0;
+    pending.mEvidence = Combine(pending.mEvidence, aMessage.mReply->mEvidence);
+    pending.mChanged.Notify();
+  }
+}
+
+stream_evidence
+origin_link::EvidenceOf(const origin_request& aRequest) const
+{
+  const instant now = mState.Now();
+  if (const software_id recorded = mOrigins.Find(aRequest.mStream, now)) {
+    return { origin_evidence::eRecord, recorded };
+  }
+  const instant since = now - kOneSoftwareTime;
+  const std::set<software_id> versions = mState.mRunners.SoftwareSince(aRequest.mService, since);
+  if (versions.size() > 1) {
+    return { origin_evidence::eSeveralVersions, {} };
+  }
+  const bool current = now - mState.mRunnersReadAt < kMaxRunnerListAge;
+  if (versions.empty() || !current || !mState.mRunners.ReachesBackTo(since)) {
+    return {};
+  }
+  return { origin_evidence::eOnlyVersion, *versions.begin() };
+}
+
+void
+origin_link::HandOver()
+{
+  std::map<endpoint, std::vector<stream_origin>> byKeeper;
+  for (const stream_origin& origin : mOrigins.Known(mState.Now())) {
+    for (const endpoint& keeper : Keepers(origin.mStream, kOriginKeepers)) {
+      byKeeper[keeper].push_back(origin);
+    }
+  }
+  for (const auto& [keeper, origins] : byKeeper) {
+    for (std::size_t from = 0; from < origins.size(); from += kMaxOriginsPerDatagram) {
+      const std::size_t until = std::min(origins.size(), from + kMaxOriginsPerDatagram);
+      run_message message;
+      message.mOrigins.emplace().mBegun.assign(origins.begin() + static_cast<std::ptrdiff_t>(from),
+                                               origins.begin() +
+                                                 static_cast<std::ptrdiff_t>(until));
+      mLink.SendTo(std::move(message), keeper);
+    }
+  }
+}
+
+std::vector<endpoint>
+origin_link::Keepers(stream_id aStream, std::size_t aCount) const
+{
+  const std::string key = std::to_string(aStream.mValue);
+  std::vector<endpoint> keepers;
+  for (const member_info* const member : mLink.Members().FirstByKey(key, aCount)) {
+    keepers.push_back(RunEndpointOf(member->mAddress));
+  }
+  return keepers;
+}
+
+} // namespace dunehook
--- a/src/membership/member_base.h
+++ b/src/membership/member_base.h
@@ -132,6 +132,10 @@
   /** @return the daemon that owns a key: the reachable serving member with the highest rendezvous
    * hash. */
   const member_info& OwnerOf(std::string_view aKey) const;
+  /** @return the other serving members with the highest rendezvous hashes of a key, the highest
+   * first, at most @p aCount. Whether this daemon reaches them doesn't count, so that daemons that
+   * know the same members get the same ones. */
+  std::vector<const member_info*> FirstByKey(std::string_view aKey, std::size_t aCount) const;
   /** @return how many members, including this one, are serving; at least 1. */
   std::size_t CountServing() const;
   /** @return the reachable serving members, including this one, ordered by RanksBefore(). Daemons
--- a/src/membership/member_rank.cpp
+++ b/src/membership/member_rank.cpp
@@ -36,6 +36,27 @@
   return *owner;
 }
 
+std::vector<const member_info*>
+member_table::FirstByKey(std::string_view aKey, std::size_t aCount) const
+{
+  std::vector<std::pair<std::uint64_t, const member_info*>> ranked;
+  for (const auto& [incarnation, entry] : mOthers) {
+    if (entry.mInfo.mServing) {
+      ranked.emplace_back(RendezvousRank(aKey, incarnation.mValue), &entry.mInfo);
+    }
+  }
+  const std::size_t count = std::min(aCount, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end(),
+                    [](const auto& aOne, const auto& aTwo) { return aOne.first > aTwo.first; });
+  std::vector<const member_info*> first;
+  for (std::size_t index = 0; index < count; ++index) {
+    first.push_back(ranked[index].second);
+  }
+  return first;
+}
+
 std::size_t
 member_table::CountServing() const
 {
--- a/src/messages/place_message.cpp
+++ b/src/messages/place_message.cpp
@@ -15,6 +15,8 @@
 
 constexpr int kQuestionKind = 1;
 constexpr int kReplyKind = 2;
+/** Index of the software's version, in a question. */
+constexpr std::size_t kSoftwareIndex = 19;
 
 std::string
 ToCbor(const json& aBody)
@@ -46,6 +48,9 @@
   question.mWait.mNew = duration(aBody.at(16).get<std::int64_t>());
   question.mWait.mReturned = duration(aBody.at(17).get<std::int64_t>());
   demand.mExcluded = IdsFrom<service_runner_id>(aBody.at(18));
+  // Earlier versions don't send the item.
+  demand.mSoftware = { aBody.size() > kSoftwareIndex ? aBody.at(kSoftwareIndex).get<std::uint64_t>()
+                                                     : 0 };
   return question;
 }
 
@@ -95,7 +100,8 @@
                               aQuestion.mRank,
                               aQuestion.mWait.mNew.count(),
                               aQuestion.mWait.mReturned.count(),
-                              IdsOf(demand.mExcluded) }));
+                              IdsOf(demand.mExcluded),
+                              demand.mSoftware.mValue }));
 }
 
 std::string
--- a/src/messages/run_message.cpp
+++ b/src/messages/run_message.cpp
@@ -3,7 +3,7 @@
  * Encodes run messages as CBOR: [sender, digest, [[run, decode, prefill, prompt, answer, most,
  * made, age]...], [ended...], [ordered...], [refused...], store, runner changes, whether the store
  * is silent, [finished...], [reads...], [outcomes...], [full...], [leaving...], quarantine,
- * permits].
+ * permits, streams].
  */
 #include "messages/run_message.h"
 
@@ -18,9 +18,13 @@
 
 using nlohmann::json;
 
-/** Index of the quarantine, and of the permits, in a message. */
+/** Indexes of the quarantine and of the permits, in a message. */
 constexpr std::size_t kQuarantineIndex = 14;
 constexpr std::size_t kPermitsIndex = 15;
+/** Index of what is told of streams, in a message. */
+constexpr std::size_t kOriginsIndex = 16;
+/** Index of the software's version, in a runner's entry. */
+constexpr std::size_t kSoftwareIndex = 10;
 /** Crashes are reported for a shorter time than this. */
 constexpr duration kMaxReportAge = std::chrono::minutes(1);
 /** Index of a trial request, followed by the reply to one, in a quarantine. */
@@ -61,7 +65,8 @@
                        aEntry.mLeaving,
                        static_cast<int>(aEntry.mRole),
                        aEntry.mModels,
-                       aEntry.mBorn });
+                       aEntry.mBorn,
+                       aEntry.mSoftware });
 }
 
 runner_entry
@@ -78,6 +83,9 @@
   entry.mRole = static_cast<engine_role>(aItem.at(7).get<int>());
   entry.mModels = aItem.at(8).get<std::map<std::string, std::uint64_t>>();
   entry.mBorn = aItem.at(9).get<std::uint64_t>();
+  // Earlier versions don't send the item.
+  entry.mSoftware =
+    aItem.size() > kSoftwareIndex ? aItem.at(kSoftwareIndex).get<std::string>() : "";
   return entry;
 }
 
@@ -387,6 +395,57 @@
   return message;
 }
 
+json
+EncodeOrigins(const origin_message& aMessage)
+{
+  json begun = json::array();
+  for (const stream_origin& origin : aMessage.mBegun) {
+    begun.push_back({ origin.mStream.mValue, origin.mSoftware.mValue });
+  }
+  json request;
+  if (aMessage.mRequest) {
+    request = json::array({ aMessage.mRequest->mStream.mValue,
+                            aMessage.mRequest->mService,
+                            aMessage.mRequest->mRound });
+  }
+  json reply;
+  if (aMessage.mReply) {
+    reply = json::array({ aMessage.mReply->mRound,
+                          static_cast<int>(aMessage.mReply->mEvidence.mEvidence),
+                          aMessage.mReply->mEvidence.mSoftware.mValue });
+  }
+  return json::array({ std::move(begun), std::move(request), std::move(reply) });
+}
+
+origin_message
+DecodeOrigins(const json& aItem)
+{
+  origin_message message;
+  for (const json& origin : aItem.at(0)) {
+    if (message.mBegun.size() < kMaxOriginsPerDatagram) {
+      message.mBegun.push_back(
+        { { origin.at(0).get<std::uint64_t>() }, { origin.at(1).get<std::uint64_t>() } });
+    }
+  }
+  const json& request = aItem.at(1);
+  if (!request.is_null()) {
+    message.mRequest = { { request.at(0).get<std::uint64_t>() },
+                         request.at(1).get<std::string>(),
+                         request.at(2).get<std::uint32_t>() };
+  }
+  const json& reply = aItem.at(2);
+  if (!reply.is_null()) {
+    origin_reply& answer = message.mReply.emplace();
+    answer.mRound = reply.at(0).get<std::uint32_t>();
+    const int evidence = reply.at(1).get<int>();
+    if (evidence >= 0 && evidence <= static_cast<int>(origin_evidence::eRecord)) {
+      answer.mEvidence = { static_cast<origin_evidence>(evidence),
+                           { reply.at(2).get<std::uint64_t>() } };
+    }
+  }
+  return message;
+}
+
 } // namespace
 
 std::string
@@ -425,6 +484,10 @@
   if (aMessage.mPermits) {
     permits = EncodePermits(*aMessage.mPermits);
   }
+  json origins;
+  if (aMessage.mOrigins) {
+    origins = EncodeOrigins(*aMessage.mOrigins);
+  }
   const std::vector<std::uint8_t> bytes = json::to_cbor(json::array({ aMessage.mDaemon,
                                                                       aMessage.mDigest,
                                                                       std::move(begun),
@@ -440,7 +503,8 @@
                                                                       IdsOf(aMessage.mFull),
                                                                       IdsOf(aMessage.mLeaving),
                                                                       std::move(quarantine),
-                                                                      std::move(permits) }));
+                                                                      std::move(permits),
+                                                                      std::move(origins) }));
   return { bytes.begin(), bytes.end() };
 }
 
@@ -485,6 +549,9 @@
     if (body.size() > kPermitsIndex && !body.at(kPermitsIndex).is_null()) {
       message.mPermits = DecodePermits(body.at(kPermitsIndex));
     }
+    if (body.size() > kOriginsIndex && !body.at(kOriginsIndex).is_null()) {
+      message.mOrigins = DecodeOrigins(body.at(kOriginsIndex));
+    }
     return message.mDaemon == 0 ? std::nullopt : std::optional<run_message>(message);
   } catch (const json::exception&) {
     return std::nullopt; // The receiver counts invalid datagrams.
--- a/src/messages/run_message.h
+++ b/src/messages/run_message.h
@@ -7,6 +7,7 @@
 
 #include "limits/limit_type.h"
 #include "placement/placement_type.h"
+#include "placement/stream_origin.h"
 #include "quarantine/quarantine_type.h"
 
 #include <string>
@@ -73,6 +74,7 @@
 
   std::optional<quarantine_message> mQuarantine; ///< About requests that crash runners.
   std::optional<permit_message> mPermits;        ///< About limits that runners name.
+  std::optional<origin_message> mOrigins;        ///< About the software that began streams.
 
   bool operator==(const run_message&) const = default;
 };
--- a/src/messages/wire_type.h
+++ b/src/messages/wire_type.h
@@ -6,12 +6,14 @@
 #pragma once
 
 #include "net/http_client.h"
+#include "placement/stream_origin.h"
 #include "quarantine/quarantine_type.h"
 #include "routing/config_type.h"
 #include "runners/send_type.h"
 
 #include <concepts>
 #include <memory>
+#include <set>
 
 namespace dunehook {
 
@@ -141,6 +143,14 @@
   {
     aStore.RemoveQuarantine(aRecord.mRequest)
     } -> std::same_as<asio::awaitable<result<void>>>;
+  // Reads which services are marked as having had several versions of their software lately.
+  {
+    aStore.ReadMixedServices()
+    } -> std::same_as<asio::awaitable<result<std::set<service_key>>>>;
+  // Marks a service so, or removes its mark.
+  {
+    aStore.MarkMixedService(service_key{}, true)
+    } -> std::same_as<asio::awaitable<result<void>>>;
   // Decodes a configuration from its text, as another daemon passed it on.
   {
     T::DecodeText(std::string_view{})
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -188,6 +188,7 @@
     const auto& barred = aDemand.mExcluded;
     const bool isBarred = std::find(barred.begin(), barred.end(), id) != barred.end();
     const bool usable = runner.mEntry.mService == aDemand.mService &&
+                        RunsSoftware(runner.mEntry, aDemand.mSoftware) &&
                         aRunners.TakesWork(runner, aNow) && !isBarred &&
                         (aDemand.mModel.empty() || runner.mEntry.mModels.count(aDemand.mModel) > 0);
     if (usable && runner.mEntry.mRole == engine_role::ePrefill) {
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -65,6 +65,7 @@
   std::uint32_t mMostTokens = 0;            ///< Upper limit of the answer's tokens; 0 if unknown.
   std::vector<service_runner_id> mFailed;   ///< Engines that already failed this request.
   std::vector<service_runner_id> mExcluded; ///< Engines that the requesting daemon can't use.
+  software_id mSoftware;           ///< Software that began the stream; none: any may run it.
   bool mReturned = false;          ///< The caller came back after a refusal or a broken stream.
   double mWaited = 1.0;            ///< Elapsed share of its wait, 0 to 1, if mReturned.
   duration mEventGap{ 0 };         ///< Longest allowed pause between events.
--- a/src/runners/runner_choice.cpp
+++ b/src/runners/runner_choice.cpp
@@ -85,12 +85,13 @@
 
 instant
 runner_table::AcceptsRequestsFrom(const std::string& aService,
-                                  const std::map<service_runner_id, instant>& aHeld) const
+                                  const std::map<service_runner_id, instant>& aHeld,
+                                  software_id aSoftware) const
 {
   instant from = instant::max();
   for (const auto& [id, runner] : mRunners) {
     const bool remains = !runner.mDraining && !runner.mGone;
-    if (remains && runner.mEntry.mService == aService) {
+    if (remains && runner.mEntry.mService == aService && RunsSoftware(runner.mEntry, aSoftware)) {
       const auto held = aHeld.find(id);
       const instant heldUntil = held == aHeld.end() ? instant{ 0 } : held->second;
       from = std::min(from, std::max(runner.mPausedUntil, heldUntil));
@@ -103,12 +104,14 @@
 runner_table::Choose(const std::string& aService,
                      const std::set<service_runner_id>& aExcluded,
                      instant aNow,
-                     double aDraw)
+                     double aDraw,
+                     software_id aSoftware)
 {
   std::vector<runner_state*> candidates;
   double bestShare = 1.0;
   for (auto& [id, state] : mRunners) {
-    const bool available = TakesWork(state, aNow) && MayReceive(state, aNow);
+    const bool available =
+      TakesWork(state, aNow) && MayReceive(state, aNow) && RunsSoftware(state.mEntry, aSoftware);
     if (state.mEntry.mService == aService && available && aExcluded.count(id) == 0) {
       candidates.push_back(&state);
       bestShare = std::min(bestShare, state.mFailureShare);
@@ -139,6 +142,16 @@
   });
 }
 
+bool
+runner_table::HasSoftware(const std::string& aService, software_id aSoftware) const
+{
+  return std::any_of(mRunners.begin(), mRunners.end(), [&](const auto& aRow) {
+    const runner_state& runner = aRow.second;
+    return runner.mEntry.mService == aService && !runner.mDraining && !runner.mGone &&
+           runner.mEntry.mRole != engine_role::ePrefill && RunsSoftware(runner.mEntry, aSoftware);
+  });
+}
+
 std::vector<const runner_state*>
 runner_table::RunnersOf(const std::string& aService) const
 {
--- a/src/runners/runner_table.cpp
+++ b/src/runners/runner_table.cpp
@@ -79,6 +79,7 @@
 runner_table::Advance(const store_mark& aEnd, instant aNow)
 {
   const bool wentBack = mEnd != store_mark{} && aEnd.mEra > mEnd.mEra;
+  mFirstReadAt = mFirstReadAt == instant{ 0 } ? aNow : mFirstReadAt;
   mEnd = aEnd;
   if (wentBack) {
     mReconciledAt = aNow + kExpiryGrace;
@@ -118,6 +119,9 @@
     state.mMisdirectedUntil = instant{ 0 };
     state.mRoleChangeUntil = instant{ 0 };
   }
+  if (!fresh && state.mEntry.mSoftware != aEntry.mSoftware) {
+    NoteFormerSoftware(state.mEntry, aNow);
+  }
   state.mEntry = aEntry;
   const auto ended = mEndedIncarnations.find(id);
   const bool left = ended != mEndedIncarnations.end() && ended->second.mLeft;
@@ -176,10 +180,13 @@
   MarkGone(aNow, aAway);
   std::erase_if(mEndedIncarnations,
                 [&](const auto& aRow) { return aNow - aRow.second.mAt > kEndedRetention; });
+  std::erase_if(mFormerSoftware,
+                [&](const auto& aRow) { return aNow - aRow.second > kEndedRetention; });
   std::erase_if(mRunners, [&](const auto& aRow) {
     const bool over = aRow.second.mGone && aRow.second.mUnderWay == 0;
     if (over) {
       mEndedIncarnations[aRow.first] = { aNow, aRow.second.mDraining };
+      NoteFormerSoftware(aRow.second.mEntry, aNow);
     }
     return over;
   });
@@ -191,6 +198,29 @@
   return changed;
 }
 
+void
+runner_table::NoteFormerSoftware(const runner_entry& aEntry, instant aNow)
+{
+  mFormerSoftware[{ aEntry.mService, SoftwareOf(aEntry) }] = aNow;
+}
+
+std::set<software_id>
+runner_table::SoftwareSince(const std::string& aService, instant aSince) const
+{
+  std::set<software_id> versions;
+  for (const auto& [id, runner] : mRunners) {
+    if (runner.mEntry.mService == aService) {
+      versions.insert(SoftwareOf(runner.mEntry));
+    }
+  }
+  for (const auto& [version, until] : mFormerSoftware) {
+    if (version.first == aService && until >= aSince) {
+      versions.insert(version.second);
+    }
+  }
+  return versions;
+}
+
 runner_state*
 runner_table::Find(service_runner_id aId)
 {
--- a/src/runners/runner_table.h
+++ b/src/runners/runner_table.h
@@ -90,23 +90,27 @@
   std::vector<service_runner_id> Barred(instant aNow) const;
   /**
    * @param aHeld runners that accept none before an instant for another reason.
+   * @param aSoftware only runners of this version of the software; none: of any.
    * @return when the first runner of a service accepts requests from this daemon again, leaving out
    * those that shut down; in the past if one accepts them now.
-   * @pre HasRunner().
+   * @pre HasSoftware().
    */
   instant AcceptsRequestsFrom(const std::string& aService,
-                              const std::map<service_runner_id, instant>& aHeld) const;
+                              const std::map<service_runner_id, instant>& aHeld,
+                              software_id aSoftware = {}) const;
 
   /**
    * Chooses a runner of a plain service by its load and its share of failures.
    * @param aExcluded runners that this request can't be sent to, or was sent to already.
    * @param aDraw a number from 0 up to 1 that breaks ties.
+   * @param aSoftware only runners of this version of the software; none: of any.
    * @return null if none may be given work.
    */
   runner_state* Choose(const std::string& aService,
                        const std::set<service_runner_id>& aExcluded,
                        instant aNow,
-                       double aDraw);
+                       double aDraw,
+                       software_id aSoftware = {});
 
   /** @return whether the service has a runner that isn't shutting down, even if it's paused or
    * avoided now. */
@@ -141,6 +145,18 @@
   /** Records how a send ended. */
   void NoteOutcome(service_runner_id aId, send_outcome aOutcome, instant aNow);
 
+  /** @return whether a service has a runner of a version of its software that answers callers and
+   * isn't shutting down. */
+  bool HasSoftware(const std::string& aService, software_id aSoftware) const;
+  /** @return the versions of the software that runners of a service have had since @p aSince, as
+   * far as this table reaches back. */
+  std::set<software_id> SoftwareSince(const std::string& aService, instant aSince) const;
+  /** @return whether this table reaches back to @p aSince. */
+  bool ReachesBackTo(instant aSince) const
+  {
+    return mFirstReadAt != instant{ 0 } && mFirstReadAt <= aSince;
+  }
+
   const std::unordered_map<service_runner_id, runner_state>& Rows() const { return mRunners; }
   const store_mark& End() const { return mEnd; }
 
@@ -175,6 +191,8 @@
                              std::vector<service_runner_id>& aChanged);
   /** Records that a runner has no entry. @param aWentBack the store was rolled back. */
   void MarkUnlisted(runner_state& aRunner, instant aNow, bool aWentBack);
+  /** Records the software of a runner that has ended, or now has another one. */
+  void NoteFormerSoftware(const runner_entry& aEntry, instant aNow);
   /** Marks runners as gone that are missing for longer than an expired entry may be. */
   void MarkGone(instant aNow, bool aAway);
 
@@ -186,7 +204,10 @@
   std::map<service_runner_id, ended_incarnation>
     mEndedIncarnations; ///< Incarnations that were removed.
   std::vector<runner_entry>
-    mDeferredEntries;         ///< Entries that contradict the table, until mReconciledAt.
+    mDeferredEntries; ///< Entries that contradict the table, until mReconciledAt.
+  /** When a runner of a service last had a version that it doesn't have now, by both. */
+  std::map<std::pair<std::string, software_id>, instant> mFormerSoftware;
+  instant mFirstReadAt{ 0 };  ///< When the first list was applied; zero before.
   instant mReconciledAt{ 0 }; ///< When a restored copy is up to date again.
   store_mark mEnd;            ///< Position of the newest read; never goes down.
 };
--- a/src/runners/runner_type.h
+++ b/src/runners/runner_type.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "core/hash_func.h"
 #include "core/strong_id.h"
 #include "net/net_type.h"
 
@@ -19,6 +20,11 @@
  * has ended changes nothing. */
 using service_runner_id = strong_id<service_runner_tag>;
 
+struct software_tag;
+/** Identifies a version of the software of a service's runners: a hash of both. Versions have no
+ * order. */
+using software_id = strong_id<software_tag>;
+
 /** Current role of an engine. */
 enum class engine_role
 {
@@ -50,6 +56,7 @@
   std::string mService;                         ///< Service that it belongs to.
   endpoint mAddress;                            ///< Where it accepts requests.
   std::string mHall;                            ///< Data hall that it's in.
+  std::string mSoftware;                        ///< Version of its software, not of weights.
   std::uint32_t mSlots = 1;                     ///< Requests that it runs at once.
   bool mLeaving = false;                        ///< It accepts no new work.
   engine_role mRole = engine_role::eNone;       ///< Role, if it's an engine.
@@ -65,6 +72,20 @@
   bool operator==(const runner_entry&) const = default;
 };
 
+/** @return the software of a runner; never none. */
+inline software_id
+SoftwareOf(const runner_entry& aEntry)
+{
+  return { HashBytes(aEntry.mSoftware, HashBytes(aEntry.mService)) | 1U };
+}
+
+/** @return whether a runner is of a version of the software. @param aSoftware none: any will do. */
+inline bool
+RunsSoftware(const runner_entry& aEntry, software_id aSoftware)
+{
+  return !aSoftware || SoftwareOf(aEntry) == aSoftware;
+}
+
 /** What the head of an answer says about its runner's rate limit. */
 enum class limit_report
 {
--- a/src/runners/send_type.h
+++ b/src/runners/send_type.h
@@ -25,6 +25,7 @@
   std::uint32_t mGuessedTokens = 0;  ///< The caller's estimate of the answer's tokens; 0 if none.
   std::uint64_t mPromptKey = 0;      ///< Hash of the prompt's own part; same for all attempts.
   std::optional<std::uint64_t> mLastEvent; ///< Last event that the caller received.
+  std::string mResumes; ///< Id of the attempt that brought its first event; empty if none is named.
 
   auto operator<=>(const request_facts&) const = default;
 };
--- a/src/state/forward_state.h
+++ b/src/state/forward_state.h
@@ -38,6 +38,11 @@
 /** Gets the right to sends beyond the first; false if the retry budget leaves none. */
 using take_retries_callback = std::function<asio::awaitable<bool>(retry_demand)>;
 
+/** Finds out which software began the stream that a request goes on with; none if it isn't known.
+ */
+using find_origin_callback =
+  std::function<asio::awaitable<software_id>(std::string aService, std::string aAttempt)>;
+
 /** Asks the daemon that grants trials of suspected requests. */
 using request_trial_callback = std::function<asio::awaitable<trial_reply>(trial_request)>;
 
@@ -251,13 +256,16 @@
   }
 
   /**
+   * @param aSoftware only runners of this version of the software; none: of any.
    * @return when the first runner of a service accepts requests of this rank from this daemon, as
    * far as runners have asked for pauses and limits leave permits; in the past if one accepts them.
-   * @pre the service has a runner, see runner_table::HasRunner().
+   * @pre the service has such a runner, see runner_table::HasSoftware().
    */
-  instant AcceptsRequestsFrom(const std::string& aService, std::uint32_t aRank) const
+  instant AcceptsRequestsFrom(const std::string& aService,
+                              std::uint32_t aRank,
+                              software_id aSoftware = {}) const
   {
-    return mRunners.AcceptsRequestsFrom(aService, mPermits.Held(aRank, Now()));
+    return mRunners.AcceptsRequestsFrom(aService, mPermits.Held(aRank, Now()), aSoftware);
   }
 
   /**
@@ -316,6 +324,7 @@
                  { "listed", runner->mListed },
                  { "leaving", runner->mDraining },
                  { "role", RoleName(runner->mEntry.mRole) },
+                 { "software", runner->mEntry.mSoftware },
                  { "position", mRunners.End().mOffset } });
       const runner_state* const newest = mRunners.FindNamed(runner->mEntry.mName);
       if (newest != nullptr && newest->mEntry.mBorn > runner->mEntry.mBorn) {
@@ -378,6 +387,10 @@
   ask_placer_callback mAskPlacer;                         ///< Asks a daemon that places.
   take_permit_callback mTakePermit;                       ///< Gets the right to send to a runner.
   take_retries_callback mTakeRetries;                     ///< Gets the right to send once more.
+  find_origin_callback mFindOrigin;                       ///< Finds which software began a stream.
+  /** Keeps, here and at other daemons, which software began the stream of an attempt. */
+  std::function<void(const std::string& aService, const std::string& aAttempt, software_id)>
+    mNoteOrigin;
   std::function<send_permit(service_runner_id)> mChargePermit; ///< The same for calls that free.
   /** Tells other daemons of a limit that has changed. */
   std::function<void(service_runner_id, limit_change)> mTellLimit;
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -212,7 +212,11 @@
       co_await HoldRead();
     }
     if (path == "/log-newest") {
-      ++(name == "keyed.dunehook-quarantine" ? mQuarantineReads : mWholeReads);
+      if (name == "keyed.dunehook-quarantine") {
+        ++mQuarantineReads;
+      } else if (name != "keyed.dunehook-software") {
+        ++mWholeReads;
+      }
       if (mStoreMode == "lose_whole") {
         mStoreMode.clear();
         co_await Sleep(std::chrono::seconds(60));
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -76,6 +76,8 @@
   void MendProxies();
   /** Starts a daemon anew that has ended, with its former addresses. */
   void RestartDaemon(std::size_t aDaemon);
+  /** Waits until a daemon is ready, if its options say so. */
+  void AwaitReady(std::size_t aDaemon) const;
   /** Writes the configuration.
    * @param aRoutes routes beside the usual ones.
    * @param aLacks if not empty, the store comes back from an older copy as for LetStoreGoBack(),
@@ -174,8 +176,6 @@
   /** Starts a daemon's own proxies before all runners. @return the store that lists these. */
   std::string StartRunnerLinks(std::size_t aDaemon);
   std::size_t Launch(const std::string& aOutput, const platform_daemon_options& aOptions);
-  /** Waits until a daemon is ready, if its options say so. */
-  void AwaitReady(std::size_t aDaemon) const;
   std::unique_ptr<process> StartProcess(std::size_t aDaemon, const std::string& aOutput) const;
   /** @return the address to use for @p aTarget: that of a new proxy, if the bed has proxies. */
   std::string Behind(const std::string& aName, const std::string& aTarget);
