Fix: [Soak] a daemon that's paused when its planned stop begins goes on

Cause: the soak plays its faults one after the other. The end of a pause that begins before a planned stop came only after the stop had been waited for, 9 s, so the stopped process got no chance. Change: the signal to stop is sent while it's paused, as before, and then the pause ends. The limit of 9 s for a stop is unchanged.

--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -105,6 +105,9 @@
   test::process& daemon = mBed.Daemon(aDaemon);
   test::Eventually([&] { return daemon.Handles(SIGTERM); }, kLoadingMs);
   daemon.Signal(SIGTERM);
+  if (mPaused.erase(aDaemon) > 0) { // The end of its pause comes only after this stop.
+    daemon.Signal(SIGCONT);
+  }
   const int code = daemon.WaitForExit(kStopMs);
   if (code != 0) {
     mBadEnds.push_back("daemon " + std::to_string(aDaemon) + " ended a planned stop with " +
