--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -27,6 +27,7 @@
   head.set("X-Prefix-Hash", "5c1e07a2:800,e4402b7d:250");
   head.set("Length-Hint", "60");
   head.set("Last-Event-Id", "12");
+  head.set("Resumes", "9c41d07be2a35f68");
   const request_facts facts = wire::ReadRequest(head);
   CHECK_EQUAL("abc", facts.mId);
   CHECK(facts.mTimeLeft == 14s);
@@ -34,6 +35,7 @@
   CHECK_EQUAL(80U, facts.mMostTokens);
   CHECK_EQUAL(60U, facts.mGuessedTokens);
   CHECK_EQUAL(12U, *facts.mLastEvent);
+  CHECK_EQUAL("9c41d07be2a35f68", facts.mResumes);
   CHECK(facts.mPromptKey == HashBytes("e4402b7d:250"));
 }
 
@@ -330,13 +332,18 @@
 {
   const gateway_settings_report report = platform::DecodeSettings(
     "node-name = \"n\"\nzone = 5\nip = \"127.0.0.1\"\n[listen]\nfront = \"nowhere\"\n"
-    "[bounds]\ngrace-s = -1\nfuture-key = true\n");
+    "[bounds]\ngrace-s = -1\nbudget-window-s = 0\nfuture-key = true\n");
   std::vector<std::string> places;
   for (const finding& one : report.mFindings) {
     places.push_back(one.mPlace);
   }
-  const std::vector<std::string> wanted{ "zone",          "listen.front",     "listen.ready",
-                                         "listen.ready",  "platform.address", "platform.address",
+  const std::vector<std::string> wanted{ "zone",
+                                         "listen.front",
+                                         "listen.ready",
+                                         "listen.ready",
+                                         "platform.address",
+                                         "platform.address",
+                                         "bounds.budget-window-s",
                                          "bounds.grace-s" };
   CHECK(places == wanted);
   CHECK_EQUAL(2U, report.mFindings[0].mLine);
