Fix: [Streams] only streams are kept to a software version, and only from their first event on

A request that is no stream but carries `Last-Event-Id` was refused while two versions serve, and a comment line before a stream's first event fixed its version, although an attempt that brought no event fixes none. Change: the software is looked up for streams only; it's fixed once an event is complete. versions.ARequestThatIsNoStreamIsServedByAnyVersion guards the first; it wasn't run on the code before.

--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -423,8 +423,10 @@
       co_await RefuseRelayed(*aExchange, "cut_off");
       co_return;
     }
-    const std::optional<software_id> software =
-      co_await FindSoftware(head, facts, *service, aRelayed);
+    std::optional<software_id> software{ software_id{} };
+    if (route->mRepeat == repeat_rule::eStream) {
+      software = co_await FindSoftware(head, facts, *service, aRelayed);
+    }
     if (!software) {
       mState.mMetrics.CountRequest(route->mName, "refused", "unknown_software");
       mState.LogDecision(log_level::eWarning,
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -156,7 +156,7 @@
    */
   asio::awaitable<bool> TryOnce()
   {
-    if (!mState.mRunners.HasSoftware(mService.mName, mDemand.mSoftware) && mDemand.mSoftware) {
+    if (mDemand.mSoftware && !mState.mRunners.HasSoftware(mService.mName, mDemand.mSoftware)) {
       mPromptRead.Discard("no_place");
       co_await GiveUp("software_gone");
       co_return false;
@@ -514,7 +514,7 @@
         events += mEvents.PartialEvent();
         mEvents.DropPartialEvent();
       }
-      if (!events.empty()) {
+      if (mEvents.Count() > 0) {
         FixSoftware();
       }
       if (!events.empty() || (ended && !broken)) {
--- a/tests/platform/version_test.cpp
+++ b/tests/platform/version_test.cpp
@@ -230,6 +230,15 @@
   }
 }
 
+TEST(versions, ARequestThatIsNoStreamIsServedByAnyVersion)
+{
+  mBed.AddRunner("desk-1", { .mService = "desk", .mVersion = "v1" });
+  mBed.AddRunner("desk-2", { .mService = "desk", .mVersion = "v2" });
+  Start(1, "hall-a", "hall-b");
+  const headers more{ { "Last-Event-Id", "2" }, { "Resumes", "nobody" } };
+  CHECK_EQUAL(200U, Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders("p", more)).mStatus);
+}
+
 TEST(versions, AStreamIsRefusedAtOnceWhereItsVersionHasLeft)
 {
   Start(2, "hall-b", "hall-b");
