--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -62,6 +62,7 @@
     { "unreachable", "no connection to a runner could be made in time" },
     { "no_route", "no route of the configuration in force matches its host and path" },
     { "quarantined", "runners crashed under it before, so it was sent to no other" },
+    { "software_gone", "no engine of the software version that began its stream is left" },
     { "starting", "the daemon had just started and knew no configuration or no runners" },
     { "stopping", "the daemon was about to end and took no more requests" },
   };
@@ -114,6 +115,25 @@
                     " sends: ",
                     ReasonText(text("reason")));
       } },
+    { "stream_not_taken_up",
+      [&] {
+        return Join("refused: which software began the stream of attempt \"",
+                    text("resumes"),
+                    "\" is not known, and several versions serve or have served");
+      } },
+    { "retry_granted",
+      [&] {
+        return Join(text("sends"),
+                    " more sends to ",
+                    text("service"),
+                    " were granted, paid for by ",
+                    text("by"));
+      } },
+    { "retry_denied",
+      [&] {
+        return Join(
+          text("sends"), " more sends to ", text("service"), " were denied by ", text("by"));
+      } },
     { "reservation_refused",
       [&] {
         return Join("engine ", text("runner"), " did not reserve ", text("tokens"), " tokens");
--- a/tests/unit/explain_test.cpp
+++ b/tests/unit/explain_test.cpp
@@ -101,6 +101,21 @@
   STRCMP_CONTAINS("; runner e began anew: what ran there is lost", story.mCause.c_str());
 }
 
+TEST(explain, ARefusedStreamAndADeniedRetryAreTold)
+{
+  std::istringstream input(
+    R"({"event":"retry_denied","host":"a","request":"r","time":10.0,"service":"tutor","sends":2,)"
+    R"("by":"grantor"})"
+    "\n"
+    R"({"event":"stream_not_taken_up","host":"a","request":"r","time":10.1,"resumes":"q"})"
+    "\n");
+  const request_story story = ExplainRequest(ReadLogLines(input), "r");
+  CHECK_EQUAL(2U, story.mSteps.size());
+  STRCMP_EQUAL("2 more sends to tutor were denied by grantor", story.mSteps[0].mText.c_str());
+  STRCMP_CONTAINS("which software began the stream of attempt \"q\" is not known",
+                  story.mCause.c_str());
+}
+
 TEST(explain, LinesThatAreNoJsonAreLeftOut)
 {
   std::istringstream input("noise\n{broken\n 1.5 host {\"event\":\"x\",\"request\":\"r\"}\n{}\n");
