--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -347,22 +347,24 @@
   /**
    * Finds out which software began the stream that a request goes on with.
    * @param aRelayed another daemon relays it, and names the software.
-   * @return none within the result if the stream begins with this request; no result if the
-   * software isn't known, so that no runner may go on with the stream.
+   * @return none within the result if any may run the request: it's no stream, or begins one; no
+   * result if the software isn't known, so that no runner may go on with the stream.
    */
   asio::awaitable<std::optional<software_id>> FindSoftware(const http::fields& aHead,
                                                            const request_facts& aFacts,
-                                                           const forward_service& aService,
+                                                           const forward_route& aRoute,
+                                                           const std::string& aService,
                                                            bool aRelayed)
   {
+    const bool stream = aRoute.mRepeat == repeat_rule::eStream;
     software_id software;
-    if (aRelayed) {
+    if (stream && aRelayed) {
       software = { ReadRelayNumber(aHead, kRelaySoftwareHeader) };
-    } else if (aFacts.mLastEvent || !aFacts.mResumes.empty()) {
-      software = co_await mState.mFindOrigin(aService.mName, aFacts.mResumes);
+    } else if (stream && (aFacts.mLastEvent || !aFacts.mResumes.empty())) {
+      software = co_await mState.mFindOrigin(aService, aFacts.mResumes);
     }
     std::optional<software_id> found;
-    if (software || !aFacts.mLastEvent) { // Without a last event it begins anew.
+    if (software || !stream || !aFacts.mLastEvent) { // Without a last event it begins anew.
       found = software;
     }
     co_return found;
@@ -423,10 +425,8 @@
       co_await RefuseRelayed(*aExchange, "cut_off");
       co_return;
     }
-    std::optional<software_id> software{ software_id{} };
-    if (route->mRepeat == repeat_rule::eStream) {
-      software = co_await FindSoftware(head, facts, *service, aRelayed);
-    }
+    const std::optional<software_id> software =
+      co_await FindSoftware(head, facts, *route, service->mName, aRelayed);
     if (!software) {
       mState.mMetrics.CountRequest(route->mName, "refused", "unknown_software");
       mState.LogDecision(log_level::eWarning,
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -156,7 +156,7 @@
    */
   asio::awaitable<bool> TryOnce()
   {
-    if (mDemand.mSoftware && !mState.mRunners.HasSoftware(mService.mName, mDemand.mSoftware)) {
+    if (mDemand.mSoftware && !mState.mRunners.HasRunner(mService.mName, mDemand.mSoftware)) {
       mPromptRead.Discard("no_place");
       co_await GiveUp("software_gone");
       co_return false;
@@ -217,9 +217,7 @@
     if (!allowed) {
       co_return false;
     }
-    relay_progress progress;
-    progress.mSoftware = mDemand.mSoftware;
-    co_return co_await RelayFrom(progress);
+    co_return co_await RelayFrom(Progress());
   }
 
   /** @return whether this daemon's own reach may be why the request found no engine. */
@@ -653,7 +651,7 @@
   duration ExpectedWait() const
   {
     const bool held = !mState.mPermits.Held(mRoute.mRank, mState.Now()).empty();
-    if (!held || !mState.mRunners.HasSoftware(mService.mName, mDemand.mSoftware)) {
+    if (!held || !mState.mRunners.HasRunner(mService.mName, mDemand.mSoftware)) {
       return mPlace.FreeIn();
     }
     const instant from =
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -92,7 +92,7 @@
    */
   bool RunnerWillAcceptSoon() const
   {
-    return mState.mRunners.HasSoftware(mService.mName, mSoftware) &&
+    return mState.mRunners.HasRunner(mService.mName, mSoftware) &&
            mState.AcceptsRequestsFrom(mService.mName, mRoute.mRank, mSoftware) <
              mArrived + MaxRunnerWait();
   }
@@ -487,7 +487,7 @@
   {
     const double spread = 0.5 + mState.RandomFraction();
     const duration back = FromSeconds(ToSeconds(kPlainRetryAfter) * spread);
-    if (!mState.mRunners.HasSoftware(mService.mName, mSoftware)) {
+    if (!mState.mRunners.HasRunner(mService.mName, mSoftware)) {
       return back;
     }
     const duration rest =
--- a/src/links/origin_link.cpp
+++ b/src/links/origin_link.cpp
@@ -6,13 +6,6 @@
 
 namespace dunehook {
 
-namespace {
-
-/** Longest request id that is looked up. */
-constexpr std::size_t kMaxAttemptBytes = 256;
-
-} // namespace
-
 origin_link::origin_link(forward_state& aState, daemon_link& aLink)
   : mState(aState)
   , mLink(aLink)
@@ -28,10 +21,10 @@
 void
 origin_link::Note(const std::string& aService, const std::string& aAttempt, software_id aSoftware)
 {
-  if (aAttempt.empty() || aAttempt.size() > kMaxAttemptBytes) {
+  const stream_origin origin{ StreamIdOf(aService, aAttempt), aSoftware };
+  if (!origin.mStream) {
     return;
   }
-  const stream_origin origin{ StreamIdOf(aService, aAttempt), aSoftware };
   mOrigins.Note(origin, mState.Now());
   run_message message;
   message.mOrigins.emplace().mBegun.push_back(origin);
@@ -42,10 +35,8 @@
 origin_link::Find(std::string aService, std::string aAttempt)
 {
   origin_request request;
-  request.mService = aService;
-  if (!aAttempt.empty() && aAttempt.size() <= kMaxAttemptBytes) {
-    request.mStream = StreamIdOf(aService, aAttempt);
-  }
+  request.mStream = StreamIdOf(aService, aAttempt);
+  request.mService = std::move(aService);
   stream_evidence known = EvidenceOf(request);
   if (known.mEvidence != origin_evidence::eRecord) {
     // Another daemon may have a record, of a version that this one hasn't seen.
@@ -109,13 +100,22 @@
   if (const software_id recorded = mOrigins.Find(aRequest.mStream, now)) {
     return { origin_evidence::eRecord, recorded };
   }
-  const instant since = now - kOneSoftwareTime;
-  const std::set<software_id> versions = mState.mRunners.SoftwareSince(aRequest.mService, since);
+  const stream_evidence listed = EvidenceOfList(aRequest.mService);
+  const bool known = listed.mEvidence != origin_evidence::eOnlyVersion ||
+                     mState.mRunners.ReachesBackTo(now - kOneSoftwareTime);
+  return known ? listed : stream_evidence{};
+}
+
+stream_evidence
+origin_link::EvidenceOfList(const std::string& aService) const
+{
+  const instant now = mState.Now();
+  const std::set<software_id> versions =
+    mState.mRunners.SoftwareSince(aService, now - kOneSoftwareTime);
   if (versions.size() > 1) {
     return { origin_evidence::eSeveralVersions, {} };
   }
-  const bool current = now - mState.mRunnersReadAt < kMaxRunnerListAge;
-  if (versions.empty() || !current || !mState.mRunners.ReachesBackTo(since)) {
+  if (versions.empty() || now - mState.mRunnersReadAt >= kMaxRunnerListAge) {
     return {};
   }
   return { origin_evidence::eOnlyVersion, *versions.begin() };
--- a/src/links/origin_link.h
+++ b/src/links/origin_link.h
@@ -38,6 +38,9 @@
    * @return what the daemons know together.
    */
   asio::awaitable<stream_evidence> Find(std::string aService, std::string aAttempt);
+  /** @return what the list of runners says of the software that began a service's streams, if it
+   * reaches back far enough. */
+  stream_evidence EvidenceOfList(const std::string& aService) const;
   /** Hands all records over to the daemons that keep them once this one has stopped. */
   void HandOver();
 
--- a/src/links/origin_store.h
+++ b/src/links/origin_store.h
@@ -53,15 +53,8 @@
       co_return known.mSoftware;
     }
     co_await ReadMarks();
-    const std::set<software_id> versions = SoftwareOfService(aService);
-    const bool only = mMarks && !mMarks->contains(KeyOf(aService)) && versions.size() == 1 &&
-                      mState.Now() - mState.mRunnersReadAt < kMaxRunnerListAge;
-    co_return only ? *versions.begin() : software_id{};
-  }
-
-  std::set<software_id> SoftwareOfService(const std::string& aService) const
-  {
-    return mState.mRunners.SoftwareSince(aService, mState.Now() - kOneSoftwareTime);
+    const bool unmarked = mMarks && !mMarks->contains(KeyOf(aService));
+    co_return unmarked ? mLink.EvidenceOfList(aService).mSoftware : software_id{};
   }
 
   /** Reads the marks, unless that was done just now; waits for a read that is under way. */
@@ -112,11 +105,12 @@
   {
     const service_key key = KeyOf(aService);
     const bool marked = mKept->contains(key);
-    const bool mixed = SoftwareOfService(aService).size() > 1;
+    const bool mixed =
+      mLink.EvidenceOfList(aService).mEvidence == origin_evidence::eSeveralVersions;
     const bool single = !mixed && mState.mRunners.ReachesBackTo(mState.Now() - kOneSoftwareTime);
     if ((mixed && !marked) || (single && marked)) {
       const result<void> written = co_await mStore.MarkMixedService(key, mixed);
-      if (written && mKept) {
+      if (written) {
         LogEvent(
           log_level::eInfo, "software_marked", { { "service", aService }, { "mixed", mixed } });
         if (mixed) {
--- a/src/placement/stream_origin.cpp
+++ b/src/placement/stream_origin.cpp
@@ -9,6 +9,9 @@
 stream_id
 StreamIdOf(const std::string& aService, const std::string& aAttempt)
 {
+  if (aAttempt.empty() || aAttempt.size() > kMaxAttemptBytes) {
+    return {};
+  }
   return { HashBytes(aAttempt, KeyOf(aService).mValue) | 1U };
 }
 
--- a/src/placement/stream_origin.h
+++ b/src/placement/stream_origin.h
@@ -33,7 +33,10 @@
   return { HashBytes(aService) };
 }
 
-/** @return the id of a stream; never none. @param aAttempt request id of the attempt. */
+/** Longest request id that names a stream. */
+inline constexpr std::size_t kMaxAttemptBytes = 256;
+
+/** @return the id of a stream; none if the request id of its attempt is empty or too long. */
 stream_id
 StreamIdOf(const std::string& aService, const std::string& aAttempt);
 
--- a/src/runners/runner_choice.cpp
+++ b/src/runners/runner_choice.cpp
@@ -134,16 +134,7 @@
 }
 
 bool
-runner_table::HasRunner(const std::string& aService) const
-{
-  return std::any_of(mRunners.begin(), mRunners.end(), [&](const auto& aRow) {
-    const runner_state& runner = aRow.second;
-    return runner.mEntry.mService == aService && !runner.mDraining && !runner.mGone;
-  });
-}
-
-bool
-runner_table::HasSoftware(const std::string& aService, software_id aSoftware) const
+runner_table::HasRunner(const std::string& aService, software_id aSoftware) const
 {
   return std::any_of(mRunners.begin(), mRunners.end(), [&](const auto& aRow) {
     const runner_state& runner = aRow.second;
--- a/src/runners/runner_table.h
+++ b/src/runners/runner_table.h
@@ -93,7 +93,7 @@
    * @param aSoftware only runners of this version of the software; none: of any.
    * @return when the first runner of a service accepts requests from this daemon again, leaving out
    * those that shut down; in the past if one accepts them now.
-   * @pre HasSoftware().
+   * @pre HasRunner().
    */
   instant AcceptsRequestsFrom(const std::string& aService,
                               const std::map<service_runner_id, instant>& aHeld,
@@ -112,9 +112,11 @@
                        double aDraw,
                        software_id aSoftware = {});
 
-  /** @return whether the service has a runner that isn't shutting down, even if it's paused or
-   * avoided now. */
-  bool HasRunner(const std::string& aService) const;
+  /** @return whether the service has a runner that answers callers and isn't shutting down, even if
+   * it's paused or avoided now. @param aSoftware only of this version of the software; none: of
+   * any.
+   */
+  bool HasRunner(const std::string& aService, software_id aSoftware = {}) const;
 
   /** @return the runners of a service that aren't shutting down. */
   std::vector<const runner_state*> RunnersOf(const std::string& aService) const;
@@ -145,9 +147,6 @@
   /** Records how a send ended. */
   void NoteOutcome(service_runner_id aId, send_outcome aOutcome, instant aNow);
 
-  /** @return whether a service has a runner of a version of its software that answers callers and
-   * isn't shutting down. */
-  bool HasSoftware(const std::string& aService, software_id aSoftware) const;
   /** @return the versions of the software that runners of a service have had since @p aSince, as
    * far as this table reaches back. */
   std::set<software_id> SoftwareSince(const std::string& aService, instant aSince) const;
--- a/src/state/forward_state.h
+++ b/src/state/forward_state.h
@@ -259,7 +259,7 @@
    * @param aSoftware only runners of this version of the software; none: of any.
    * @return when the first runner of a service accepts requests of this rank from this daemon, as
    * far as runners have asked for pauses and limits leave permits; in the past if one accepts them.
-   * @pre the service has such a runner, see runner_table::HasSoftware().
+   * @pre the service has such a runner, see runner_table::HasRunner().
    */
   instant AcceptsRequestsFrom(const std::string& aService,
                               std::uint32_t aRank,
--- a/tests/unit/stream_origin_test.cpp
+++ b/tests/unit/stream_origin_test.cpp
@@ -120,8 +120,8 @@
   List({ Engine("d1", engine_role::eDecode, "v1") }, kNow);
   List({ Engine("d1", engine_role::eDecode, "v2") }, kNow + 1s);
   CHECK_EQUAL(2U, mRunners.SoftwareSince("tutor", kNow + 1s).size());
-  CHECK_FALSE(mRunners.HasSoftware("tutor", Software("v1")));
-  CHECK(mRunners.HasSoftware("tutor", Software("v2")));
+  CHECK_FALSE(mRunners.HasRunner("tutor", Software("v1")));
+  CHECK(mRunners.HasRunner("tutor", Software("v2")));
 }
 
 TEST(stream_origin, AStreamThatHasBegunIsPlacedAtItsOwnVersionOnly)
