--- a/src/links/origin_store.h
+++ b/src/links/origin_store.h
@@ -68,9 +68,9 @@
       co_return;
     }
     mReading = true;
+    mMarks.reset(); // Who gives up waiting for this read mustn't decide by a former one.
     const result<mark_set> read = co_await mStore.ReadMixedServices();
     mReading = false;
-    mMarks.reset();
     if (read) {
       mMarks = read.value();
       mMarksReadAt = mState.Now();
