Cleanup: [Limits] permits of runners and of retries are asked for in one place

Both call AskGrantor(). The key of a service's budget is hashed once for a retry, not once more for each question.

--- a/src/links/permit_link.cpp
+++ b/src/links/permit_link.cpp
@@ -73,16 +73,7 @@
   }
   const permit_request request =
     mState.mPermits.MakeRequest(runner, aDemand.mSends, aDemand.mRank, asked);
-  std::optional<permit_reply> reply;
-  if (*grantor == mLink.Members().Self().mIncarnation) {
-    reply = mState.mPermits.Answer(request, *grantor, asked);
-  } else {
-    reply = co_await Ask(*grantor, request);
-  }
-  if (reply) {
-    mState.mPermits.NoteReply(*reply, aDemand.mRank, mState.Now());
-  }
-  const bool granted = reply && reply->mState == permit_state::eGranted;
+  const bool granted = co_await AskGrantor(*grantor, request);
   Count(runner, granted);
   if (!granted) {
     co_return make_error_code(errc::eRunnerRefused);
@@ -109,7 +100,7 @@
     if (wait > duration{ 0 }) {
       co_await Sleep(wait);
     }
-    const bool granted = co_await AskForRetries(aDemand);
+    const bool granted = co_await AskForRetries(budget, aDemand);
     if (granted) {
       NoteRetries(aDemand, true, "grantor");
       co_return true;
@@ -118,31 +109,21 @@
 }
 
 asio::awaitable<bool>
-permit_link::AskForRetries(retry_demand aDemand)
+permit_link::AskForRetries(service_runner_id aBudget, retry_demand aDemand)
 {
-  const service_runner_id budget = RetryBudgetOf(aDemand.mService);
-  std::optional<incarnation_id> grantor = mState.mPermits.GrantorOf(budget);
+  std::optional<incarnation_id> grantor = mState.mPermits.GrantorOf(aBudget);
   if (!grantor) { // This daemon has begun to serve since the last pass.
     UpdateMembers(false);
-    grantor = mState.mPermits.GrantorOf(budget);
+    grantor = mState.mPermits.GrantorOf(aBudget);
   }
   const instant now = mState.Now();
   if (!grantor) {
-    mState.mPermits.Hold(budget, aDemand.mRank, now + kUngrantedWait);
+    mState.mPermits.Hold(aBudget, aDemand.mRank, now + kUngrantedWait);
     co_return false;
   }
   const permit_request request =
-    mState.mPermits.MakeRetryRequest(budget, aDemand.mSends, aDemand.mRank, now);
-  std::optional<permit_reply> reply;
-  if (*grantor == mLink.Members().Self().mIncarnation) {
-    reply = mState.mPermits.Answer(request, *grantor, now);
-  } else {
-    reply = co_await Ask(*grantor, request);
-  }
-  if (reply) {
-    mState.mPermits.NoteReply(*reply, aDemand.mRank, mState.Now());
-  }
-  co_return reply && reply->mState == permit_state::eGranted;
+    mState.mPermits.MakeRetryRequest(aBudget, aDemand.mSends, aDemand.mRank, now);
+  co_return co_await AskGrantor(*grantor, request);
 }
 
 void
@@ -192,6 +173,21 @@
   return permit;
 }
 
+asio::awaitable<bool>
+permit_link::AskGrantor(incarnation_id aGrantor, permit_request aRequest)
+{
+  std::optional<permit_reply> reply;
+  if (aGrantor == mLink.Members().Self().mIncarnation) {
+    reply = mState.mPermits.Answer(aRequest, aGrantor, mState.Now());
+  } else {
+    reply = co_await Ask(aGrantor, aRequest);
+  }
+  if (reply) {
+    mState.mPermits.NoteReply(*reply, aRequest.mRank, mState.Now());
+  }
+  co_return reply && reply->mState == permit_state::eGranted;
+}
+
 asio::awaitable<std::optional<permit_reply>>
 permit_link::Ask(incarnation_id aDaemon, const permit_request& aRequest)
 {
--- a/src/links/permit_link.h
+++ b/src/links/permit_link.h
@@ -47,7 +47,9 @@
 
 private:
   /** Asks the grantor of a service's retries once. @return whether they were granted. */
-  asio::awaitable<bool> AskForRetries(retry_demand aDemand);
+  asio::awaitable<bool> AskForRetries(service_runner_id aBudget, retry_demand aDemand);
+  /** Asks the grantor, which may be this daemon. @return whether it has granted the request. */
+  asio::awaitable<bool> AskGrantor(incarnation_id aGrantor, permit_request aRequest);
   /** Logs and counts retries that were granted or denied. @param aBy who paid for or denied them.
    */
   void NoteRetries(const retry_demand& aDemand, bool aGranted, std::string_view aBy);
