Fix: [Streams] how long one version must have served follows the routes' timeouts

Found in reading. 30 s were taken for longer than any stream may go on, which holds for timeouts of 14 s only. Where a resumable route holds streams for longer, a daemon without a record could conclude that the one version listed had begun a stream, although another one had served within its life. Change: the span is twice the longest timeout of the service's resumable routes, 30 s at least, for what daemons conclude and for the marks in the store. routes.TheLongestStreamIsThatOfTheServicesResumableRoutes covers the figure; that a daemon keeps to it is by reading.

--- a/src/links/origin_link.cpp
+++ b/src/links/origin_link.cpp
@@ -102,7 +102,7 @@
   }
   const stream_evidence listed = EvidenceOfList(aRequest.mService);
   const bool known = listed.mEvidence != origin_evidence::eOnlyVersion ||
-                     mState.mRunners.ReachesBackTo(now - kOneSoftwareTime);
+                     mState.mRunners.ReachesBackTo(now - OneSoftwareTime(aRequest.mService));
   return known ? listed : stream_evidence{};
 }
 
@@ -111,7 +111,7 @@
 {
   const instant now = mState.Now();
   const std::set<software_id> versions =
-    mState.mRunners.SoftwareSince(aService, now - kOneSoftwareTime);
+    mState.mRunners.SoftwareSince(aService, now - OneSoftwareTime(aService));
   if (versions.size() > 1) {
     return { origin_evidence::eSeveralVersions, {} };
   }
@@ -121,6 +121,13 @@
   return { origin_evidence::eOnlyVersion, *versions.begin() };
 }
 
+duration
+origin_link::OneSoftwareTime(const std::string& aService) const
+{
+  const duration held = mState.mRoutes ? mState.mRoutes->LongestStream(aService) : duration{ 0 };
+  return std::max(kOneSoftwareTime, kAttemptsRemembered * held);
+}
+
 void
 origin_link::HandOver()
 {
--- a/src/links/origin_link.h
+++ b/src/links/origin_link.h
@@ -17,9 +17,10 @@
 inline constexpr std::size_t kOriginKeepersAsked = 5;
 /** Longest time to wait for replies; a daemon that is suspended or cut off doesn't reply. */
 inline constexpr duration kOriginReplyTimeout = std::chrono::milliseconds(100);
-/** If a service's runners have had one version only for this long, it began all streams that go on
- * now: callers wait for a shorter time, all their attempts together. */
+/** If a service's runners have had one version only for this long, or for kAttemptsRemembered times
+ * as long as a stream may be held, it began all streams that go on now. */
 inline constexpr duration kOneSoftwareTime = std::chrono::seconds(30);
+inline constexpr int kAttemptsRemembered = 2;
 /** A list of runners that is older may lack a version that has begun to serve. */
 inline constexpr duration kMaxRunnerListAge = std::chrono::seconds(3);
 
@@ -41,6 +42,8 @@
   /** @return what the list of runners says of the software that began a service's streams, if it
    * reaches back far enough. */
   stream_evidence EvidenceOfList(const std::string& aService) const;
+  /** @return the time before now in which streams of a service that go on now can have begun. */
+  duration OneSoftwareTime(const std::string& aService) const;
   /** Hands all records over to the daemons that keep them once this one has stopped. */
   void HandOver();
 
--- a/src/links/origin_store.h
+++ b/src/links/origin_store.h
@@ -107,7 +107,8 @@
     const bool marked = mKept->contains(key);
     const bool mixed =
       mLink.EvidenceOfList(aService).mEvidence == origin_evidence::eSeveralVersions;
-    const bool single = !mixed && mState.mRunners.ReachesBackTo(mState.Now() - kOneSoftwareTime);
+    const bool single =
+      !mixed && mState.mRunners.ReachesBackTo(mState.Now() - mLink.OneSoftwareTime(aService));
     if ((mixed && !marked) || (single && marked)) {
       const result<void> written = co_await mStore.MarkMixedService(key, mixed);
       if (written) {
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -26,6 +26,12 @@
 {
   for (const forward_route& route : mConfig.mRoutes) {
     mByHost[NormalizeHost(route.mHost)].push_back(&route);
+    for (const weighted_service& service : route.mServices) {
+      if (route.mResumable) {
+        duration& longest = mLongestStreams[service.mService];
+        longest = std::max(longest, route.mTimeout);
+      }
+    }
   }
   for (auto& [host, routes] : mByHost) {
     std::stable_sort(routes.begin(), routes.end(), [](const auto* aLeft, const auto* aRight) {
@@ -49,6 +55,13 @@
   return nullptr;
 }
 
+duration
+route_table::LongestStream(const std::string& aService) const
+{
+  const auto found = mLongestStreams.find(aService);
+  return found == mLongestStreams.end() ? duration{ 0 } : found->second;
+}
+
 const forward_service*
 route_table::PickService(const forward_route& aRoute, double aDraw) const
 {
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -35,11 +35,16 @@
    */
   const forward_service* PickService(const forward_route& aRoute, double aDraw) const;
 
+  /** @return the longest time for which a resumable request to a service may be held; zero if there
+   * is none. */
+  duration LongestStream(const std::string& aService) const;
+
   const routing_config& Config() const { return mConfig; }
 
 private:
   routing_config mConfig;                                                     ///< Owns the routes.
   std::unordered_map<std::string, std::vector<const forward_route*>> mByHost; ///< Longest first.
+  std::unordered_map<std::string, duration> mLongestStreams;                  ///< By service.
 };
 
 } // namespace dunehook
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -87,6 +87,20 @@
   CHECK_EQUAL("other", table.PickService(route, 0.999999)->mName);
 }
 
+TEST(routes, TheLongestStreamIsThatOfTheServicesResumableRoutes)
+{
+  routing_config config;
+  config.mRoutes = { Route("/a/", "one"), Route("/b/", "two"), Route("/c/", "three") };
+  config.mRoutes[0].mTimeout = 60s;
+  config.mRoutes[1].mResumable = true;
+  config.mRoutes[1].mTimeout = 40s;
+  config.mRoutes[2].mResumable = true;
+  config.mRoutes[2].mTimeout = 20s;
+  const route_table table(config);
+  CHECK(table.LongestStream("desk") == 40s);
+  CHECK(table.LongestStream("nothing") == 0s);
+}
+
 TEST_GROUP(runners)
 {
   runner_table mTable; ///< The table under test.
