Fix: [Streams] a daemon that has just started asks again before it refuses to take a stream up

What callers saw: where several daemons are killed and start at once while two versions serve, a caller who took its stream up at one of them in its first half second was refused (stream_not_taken_up) although others had the record. Cause: a daemon that has just started asks the keepers among the daemons it knows; the first one it hears is often as new as itself, so it asked too few and took their answer, several versions, for the last word. Change: until 0.6 s after its first heartbeat, when all that have heard of it have sent theirs, a daemon asks every 50 ms until it knows the version, and refuses only then. Why it works: whoever hears of a new daemon answers within one heartbeat interval, and with the members the keepers are the right ones.

--- a/src/links/daemon_link.cpp
+++ b/src/links/daemon_link.cpp
@@ -21,6 +21,8 @@
  * heartbeat. In a large group heartbeats alone take many times as long to make all members known.
  */
 constexpr duration kMemberRequestPeriod = std::chrono::seconds(5);
+/** Every daemon that hears of one that has just started sends it a heartbeat within this time. */
+constexpr duration kSettlingTime = kHeartbeatInterval + std::chrono::milliseconds(100);
 /** Receive buffer sizes for run messages and for heartbeats, in bytes. */
 constexpr std::size_t kMaxRunDatagramBytes = 65536;
 constexpr std::size_t kMaxHeartbeatDatagramBytes = 4096;
@@ -161,6 +163,12 @@
   }
 }
 
+bool
+daemon_link::IsSettling() const
+{
+  return mFirstHeartbeatAt == instant{ 0 } || mState.Now() - mFirstHeartbeatAt < kSettlingTime;
+}
+
 void
 daemon_link::RequestMembers()
 {
--- a/src/links/daemon_link.h
+++ b/src/links/daemon_link.h
@@ -57,6 +57,8 @@
   std::optional<endpoint> PickRandomPeer();
   /** @return how many daemons of this data hall that accept calls rank before this one. */
   std::size_t RankInHall() const { return mMembers.RankInHall(); }
+  /** @return whether this daemon has just started, so that it may not know the others yet. */
+  bool IsSettling() const;
   /** Removes daemons that fell silent, and the runs that they reported. */
   void DropSilent(instant aNow);
 
--- a/src/links/origin_link.cpp
+++ b/src/links/origin_link.cpp
@@ -38,9 +38,14 @@
   request.mStream = StreamIdOf(aService, aAttempt);
   request.mService = std::move(aService);
   stream_evidence known = EvidenceOf(request);
-  if (known.mEvidence != origin_evidence::eRecord) {
+  while (known.mEvidence != origin_evidence::eRecord) {
+    const bool settling = mLink.IsSettling();
     // Another daemon may have a record, of a version that this one hasn't seen.
-    known = co_await Ask(std::move(request), known);
+    known = co_await Ask(request, EvidenceOf(request));
+    if (!settling || known.mSoftware) {
+      break;
+    }
+    co_await Sleep(kSettlingPollInterval);
   }
   co_return known;
 }
--- a/src/links/origin_link.h
+++ b/src/links/origin_link.h
@@ -17,6 +17,8 @@
 inline constexpr std::size_t kOriginKeepersAsked = 5;
 /** Longest time to wait for replies; a daemon that is suspended or cut off doesn't reply. */
 inline constexpr duration kOriginReplyTimeout = std::chrono::milliseconds(100);
+/** Time between requests of a daemon that has just started and hears of more and more others. */
+inline constexpr duration kSettlingPollInterval = std::chrono::milliseconds(50);
 /** If a service's runners have had one version only for this long, or for kAttemptsRemembered times
  * as long as a stream may be held, it began all streams that go on now. */
 inline constexpr duration kOneSoftwareTime = std::chrono::seconds(30);
