Fix: [Streams] a daemon's own read of the runners isn't forgotten while no other has reported one

What callers saw: after all daemons were killed while one version served, streams were refused for up to half a second (stream_not_taken_up), although no daemon had marked the service as having several versions. Cause: a daemon that has read the runners by itself and then waits for the reports of another one took the age of the list from these reports only; before the first one the list counted as read at the machine's start ("runners_age_ms":505875 in the lines), hence too old to say that one version serves. The age in the logs and metrics was wrong in the same way. Ruled out: marks (none was written), the settling time (the fault is in what is known after it). Change: the later of the own read and the last report counts. Why it works: both a read and a report say what the list is then; an older one never makes it older.

--- a/src/links/store_follower.h
+++ b/src/links/store_follower.h
@@ -6,6 +6,8 @@
 
 #include "links/config_follower.h"
 
+#include <algorithm>
+
 namespace dunehook {
 
 /** Time between reads of the runners. It is less than half of the time for which a leaving runner
@@ -67,7 +69,7 @@
   asio::awaitable<void> FollowRunnersStep()
   {
     if (!mContact.MustReadRunners()) {
-      mState.mRunnersReadAt = mState.mPeerStorePositionAt;
+      mState.mRunnersReadAt = std::max(mState.mRunnersReadAt, mState.mPeerStorePositionAt);
       co_await Sleep(kReportCheckInterval);
       co_return;
     }
