Fix: [Test] the test of a resumed stream that crashes engines calls until three have crashed

Callers saw nothing: the test was wrong. Replaced by one as strict: it calls until at least three engines have crashed, fails if that doesn't come in 5 s, and then asks for the same as before: refused at every daemon, and no further crash, 3 s after.

--- a/tests/platform/crash_test.cpp
+++ b/tests/platform/crash_test.cpp
@@ -32,6 +32,10 @@
 constexpr int kPlainAnswerMs = 100;
 /** Time in which a crash has been judged and all daemons know of it, in ms. */
 constexpr int kJudgedMs = 600;
+/** Time in which daemons that have just started let a suspect try three engines, in ms. */
+constexpr int kTrialsMs = 5000;
+/** Pause of a caller between two attempts, in ms. */
+constexpr int kCallerPauseMs = 50;
 /** Limit of a plain call, in ms. */
 constexpr int kCallLimitMs = 5000;
 constexpr int kPromptTokens = 2000;
@@ -353,9 +357,12 @@
 TEST(crashes, AStreamThatIsResumedCrashesNoFurtherEngineOnceThreeHaveCrashed)
 {
   StartFleet(3);
-  for (int i = 0; i < 4; ++i) {
-    Generate(kPoison, static_cast<std::size_t>(i) % 3, "/resumed/a");
+  const std::int64_t until = NowMs() + kTrialsMs;
+  for (std::size_t i = 0; CrashCount() < kCrashLimit && NowMs() < until; ++i) {
+    Generate(kPoison, i % mBed.Daemons(), "/resumed/a");
+    Wait(kCallerPauseMs);
   }
+  CHECK_TRUE(CrashCount() >= kCrashLimit);
   Wait(kPropagationMs);
   const std::size_t crashes = CrashCount();
   CheckQuarantinedEverywhere("/resumed/a");
