Fix: [Limits] daemons tell each other how many they have heard, so that a half that starts anew spends its part

Change: requests to a grantor and its replies carry the most daemons that their sender has heard, or was told of, and how long ago that was. The grantor grants by the larger of its own and the told count. The time is told on, so that hosts that were taken away are forgotten after five minutes as before. An earlier build's message counts as nothing told. Why it works: as long as one daemon of a half has lived since before the cut, or has talked with one that has, the count is known there.

--- a/src/limits/limit_type.h
+++ b/src/limits/limit_type.h
@@ -38,6 +38,15 @@
   auto operator<=>(const limit_notice&) const = default;
 };
 
+/** The most daemons that one knows to have served of late. */
+struct heard_daemons
+{
+  std::uint32_t mCount = 0; ///< Daemons.
+  duration mAge{ 0 };       ///< Time since they were heard.
+
+  auto operator<=>(const heard_daemons&) const = default;
+};
+
 /** Most permits that one request asks for. */
 inline constexpr std::uint32_t kMaxSendsPerRequest = 4;
 
@@ -51,6 +60,7 @@
   bool mCharge = false;      ///< The sends are made anyway: they are counted, unanswered.
   bool mRetries = false;     ///< For retries of a service: mRunner is RetryBudgetOf() it.
   std::optional<limit_notice> mKnown; ///< The limit as the sender knows it.
+  heard_daemons mHeard;               ///< As far as the sender knows.
 
   auto operator<=>(const permit_request&) const = default;
 };
@@ -73,7 +83,8 @@
   service_runner_id mRunner;                        ///< As in the request.
   std::uint32_t mRound = 0;                         ///< As in the request.
   permit_state mState = permit_state::eNotGranting; ///< Outcome.
-  duration mWait{ 0 }; ///< Time before the next request, if not granted.
+  duration mWait{ 0 };  ///< Time before the next request, if not granted.
+  heard_daemons mHeard; ///< As far as the sender knows.
 
   auto operator<=>(const permit_reply&) const = default;
 };
--- a/src/limits/permit_broker.cpp
+++ b/src/limits/permit_broker.cpp
@@ -56,6 +56,9 @@
   while (aNow - mHeardCounts.front().mAt > kMostHeardMemory) {
     mHeardCounts.pop_front();
   }
+  if (aNow - mToldCount.mAt > kMostHeardMemory) {
+    mToldCount = {};
+  }
   std::erase_if(mUnanswered, [&](const auto& aRow) { return !mServing.contains(aRow.first); });
 }
 
@@ -127,6 +130,7 @@
   request.mSends = aSends;
   request.mRank = aRank;
   request.mKnown = mLimits.NoticeOf(aRunner, aNow);
+  request.mHeard = MostHeard(aNow);
   return request;
 }
 
@@ -173,6 +177,7 @@
 void
 permit_broker::NoteReply(const permit_reply& aReply, std::uint32_t aRank, instant aNow)
 {
+  NoteTold(aReply.mHeard, aNow);
   if (aReply.mState != permit_state::eGranted) {
     const duration wait = std::clamp(aReply.mWait, kMinDeniedWait, kMaxDeniedWait);
     Hold(aReply.mRunner, aRank, aNow + wait);
@@ -195,13 +200,32 @@
   }
 }
 
+void
+permit_broker::NoteTold(const heard_daemons& aHeard, instant aNow)
+{
+  const instant at = aNow - std::max(aHeard.mAge, duration{ 0 });
+  if (aHeard.mCount > mToldCount.mCount) {
+    mToldCount = { at, aHeard.mCount };
+  } else if (aHeard.mCount == mToldCount.mCount) {
+    mToldCount.mAt = std::max(mToldCount.mAt, at);
+  }
+}
+
+heard_daemons
+permit_broker::MostHeard(instant aNow) const
+{
+  const bool told = mHeardCounts.empty() || mToldCount.mCount > mHeardCounts.front().mCount;
+  const heard_count& most = told ? mToldCount : mHeardCounts.front();
+  return { static_cast<std::uint32_t>(most.mCount), aNow - most.mAt };
+}
+
 double
 permit_broker::HeardShare() const
 {
   const auto silent = static_cast<std::size_t>(std::count_if(
     mServing.begin(), mServing.end(), [&](incarnation_id aDaemon) { return IsSilent(aDaemon); }));
   const auto heard = static_cast<double>(mServing.size() - silent);
-  const auto most = static_cast<double>(mHeardCounts.front().mCount);
+  const auto most = static_cast<double>(std::max(mHeardCounts.front().mCount, mToldCount.mCount));
   return heard >= kMajorShare * most ? 1.0 : heard / most;
 }
 
@@ -266,10 +290,12 @@
   if (aRequest.mKnown) {
     mLimits.Apply(*aRequest.mKnown, aNow);
   }
+  NoteTold(aRequest.mHeard, aNow);
   permit_reply reply;
   reply.mRunner = aRequest.mRunner;
   reply.mRound = aRequest.mRound;
   reply.mWait = kUngrantedWait;
+  reply.mHeard = MostHeard(aNow);
   const std::optional<incarnation_id> grantor = GrantorOf(aRequest.mRunner);
   if (aRequest.mSends == 0 || grantor != mSelf) {
     if (aRequest.mSends > 0) {
--- a/src/limits/permit_broker.h
+++ b/src/limits/permit_broker.h
@@ -134,6 +134,10 @@
   };
 
   bool IsSilent(incarnation_id aDaemon) const;
+  /** Records how many daemons another one knows to have served of late. */
+  void NoteTold(const heard_daemons& aHeard, instant aNow);
+  /** @return the most daemons that this one has heard of late, or was told of. */
+  heard_daemons MostHeard(instant aNow) const;
   /** @return the share of the rate that this daemon may grant, as far as it hears the others. */
   double HeardShare() const;
   /** @return the same for retries. A daemon that was cut off when it started, or has just started,
@@ -155,6 +159,8 @@
   instant mMembersChangedAt{ 0 };       ///< When grantors may last have changed.
   instant mOthersChangedAt{ 0 };        ///< The same; a daemon alone that begins to serve is none.
   std::deque<heard_count> mHeardCounts; ///< Falling counts, the highest first.
+  /** The highest count that another daemon told. Its time is told on, so that it's forgotten. */
+  heard_count mToldCount;
   std::map<incarnation_id, unanswered_row> mUnanswered; ///< Daemons without a reply.
   /** Runners and budgets that this daemon grants for. */
   std::map<service_runner_id, grant_row> mGrants;
--- a/src/messages/run_message.cpp
+++ b/src/messages/run_message.cpp
@@ -318,6 +318,12 @@
   return json::array({ aNotice.mRunner.mValue, limit, aNotice.mAge.count() });
 }
 
+json
+EncodeHeard(const heard_daemons& aHeard)
+{
+  return json::array({ aHeard.mCount, aHeard.mAge.count() });
+}
+
 json
 EncodePermits(const permit_message& aMessage)
 {
@@ -334,7 +340,8 @@
                             asked.mRank,
                             asked.mCharge,
                             asked.mKnown ? EncodeLimit(*asked.mKnown) : json(),
-                            asked.mRetries });
+                            asked.mRetries,
+                            EncodeHeard(asked.mHeard) });
   }
   json reply;
   if (aMessage.mReply) {
@@ -342,7 +349,8 @@
     reply = json::array({ answer.mRunner.mValue,
                           answer.mRound,
                           static_cast<int>(answer.mState),
-                          answer.mWait.count() });
+                          answer.mWait.count(),
+                          EncodeHeard(answer.mHeard) });
   }
   return json::array({ std::move(notices), std::move(request), std::move(reply) });
 }
@@ -362,6 +370,17 @@
   return isRate ? std::optional<limit_notice>(notice) : std::nullopt;
 }
 
+/** @return what stands at an index; nothing if an earlier version sent it. */
+heard_daemons
+DecodeHeard(const json& aItem, std::size_t aIndex)
+{
+  if (aItem.size() <= aIndex) {
+    return {};
+  }
+  const json& heard = aItem.at(aIndex);
+  return { heard.at(0).get<std::uint32_t>(), duration(heard.at(1).get<std::int64_t>()) };
+}
+
 permit_message
 DecodePermits(const json& aItem)
 {
@@ -383,6 +402,7 @@
       asked.mKnown = DecodeLimit(request.at(5));
     }
     asked.mRetries = request.size() > 6 && request.at(6).get<bool>(); // Earlier versions lack it.
+    asked.mHeard = DecodeHeard(request, 7);
   }
   const json& reply = aItem.at(2);
   if (!reply.is_null()) {
@@ -391,6 +411,7 @@
     answer.mRound = reply.at(1).get<std::uint32_t>();
     answer.mState = static_cast<permit_state>(reply.at(2).get<int>());
     answer.mWait = duration(reply.at(3).get<std::int64_t>());
+    answer.mHeard = DecodeHeard(reply, 4);
   }
   return message;
 }
