Fix: [Limits] a daemon that a new grantor denies asks again as soon as that one begins to grant

What callers saw: after a change of grantors (a start, a kill) an engine that names a limit was sent nothing for up to 5 s, though its grantor grants after one; requests were refused meanwhile (runner_limit). Cause: a denied daemon is told to come back when there will be a permit, computed by the rate of that moment; in the warm-up of 1 s this rate is 0, so that it got the longest wait there is, 5 s. Lines of one that failed: three runners with a limit of 5 a second got 3 to 5 requests at once, none in the four seconds after. Ruled out: a change of members (none in the lines), the counts of daemons (it fails without them). New test, which failed before: permit_broker.ADaemonThatANewGrantorDeniesAsksAgainSoonAfterItBeginsToGrant. Change: the wait is the rest of the warm-up and the wait at the rate that holds then. permit_message.SurvivesTheWire covers the told counts. After: permit_broker.*, permit_message.* and limit_share.* (no window above the rule) pass. Why it works: the grantor keeps what it grants by its bucket; the wait only says when asking can be of use.

--- a/src/limits/permit_broker.cpp
+++ b/src/limits/permit_broker.cpp
@@ -322,7 +322,9 @@
     return reply;
   }
   reply.mState = permit_state::eDenied;
-  reply.mWait = DeniedWait(row, aFrom, rate, aNow);
+  const instant grants = row.mRetries ? aNow : std::max(aNow, row.mSince + kGrantorWarmUp);
+  const double later = row.mRetries ? rate : RateOf(aRequest.mRunner, row, grants);
+  reply.mWait = grants - aNow + DeniedWait(row, aFrom, later, aNow);
   return reply;
 }
 
--- a/tests/unit/limit_test.cpp
+++ b/tests/unit/limit_test.cpp
@@ -254,6 +254,17 @@
   LONGS_EQUAL(0, mBroker.Held(3, kStart + milliseconds(300)).size());
 }
 
+TEST(permit_broker, ADaemonThatANewGrantorDeniesAsksAgainSoonAfterItBeginsToGrant)
+{
+  SetMembers({ kOne }, kStart);
+  mBroker.Limits().NoteNamed(kRunner, 5.0, kStart, kStart);
+  const permit_request request = mBroker.MakeRequest(kRunner, 1, 1, kStart);
+  const permit_reply reply = mBroker.Answer(request, kOne, kStart);
+  CHECK_TRUE(reply.mState == permit_state::eDenied);
+  CHECK_TRUE(reply.mWait >= kGrantorWarmUp);
+  CHECK_TRUE(reply.mWait <= kGrantorWarmUp + milliseconds(500));
+}
+
 TEST_GROUP(return_slots){};
 
 TEST(return_slots, RefusedCallersReturnOneAfterTheOther)
@@ -284,8 +295,10 @@
   request.mCharge = true;
   request.mRetries = true;
   request.mKnown = limit_notice{ kRunner, 5.8, milliseconds(20) };
+  request.mHeard = { 300, milliseconds(40) };
   permits.mRequest = request;
-  permits.mReply = permit_reply{ kRunner, 9, permit_state::eDenied, milliseconds(120) };
+  permits.mReply =
+    permit_reply{ kRunner, 9, permit_state::eDenied, milliseconds(120), { 58, milliseconds(10) } };
   const std::optional<run_message> got = DecodeRunMessage(Encode(sent, kStart), kStart);
   CHECK_TRUE(got.has_value());
   CHECK_TRUE(*got == sent);
