--- a/tests/unit/retry_share_test.cpp
+++ b/tests/unit/retry_share_test.cpp
@@ -411,3 +411,14 @@
     Play(plan);
   }
 }
+
+// Guards against halves in which nobody is left who has heard the others.
+TEST(retry_share, AHalfThatForgotTheOtherOneSpendsTheAllowanceOnce)
+{
+  for (const unsigned seed : { 112U, 138U, 198U }) {
+    retry_plan plan = PlanOfAllowance(seed);
+    plan.mRandomFaults = true;
+    plan.mHalved = true;
+    Play(plan);
+  }
+}
