Add: [Forward] [Test] prompts that share a part which crashes engines and nothing else, known red

Real processes: 8 daemons, 9 engines that crash 40 ms after they begin on a prompt with the part, requests no two alike at all daemons, sound ones with the same first part beside them.

--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -135,6 +135,7 @@
   std::int64_t mCutAt = -1;              ///< Bytes of a body after which it's cut off; -1: never.
   bool mCutByReset = false;              ///< A cut resets the connection; else it just closes.
   bool mCutsOnce = false;                ///< Only the first answer to a request is cut.
+  std::string mCrashesOnPart{};          ///< Prompts with this part, not the last, crash it.
   std::string mResumedFraming{};         ///< Framing of streams that go on; empty for mFraming.
 };
 
@@ -409,6 +410,7 @@
     runner.mCrashesReading = aBody.value("crashes_reading", runner.mCrashesReading);
     runner.mKeepsId = aBody.value("keeps_id", runner.mKeepsId);
     runner.mCrashesOn = aBody.value("crashes_on", runner.mCrashesOn);
+    runner.mCrashesOnPart = aBody.value("crashes_on_part", runner.mCrashesOnPart);
     runner.mDownFor =
       std::chrono::milliseconds(aBody.value("down_ms", runner.mDownFor.count() / 1000));
     if (aBody.value("reborn", false)) {
@@ -638,6 +640,9 @@
     if (!aRunner.mCrashesOn.empty() && crashes && runs) {
       Spawn(mIo, CrashSoon(aOwner, aRequest.body()));
     }
+    if (runs && HoldsPart(aRequest, aRunner.mCrashesOnPart)) {
+      Spawn(mIo, CrashSoon(aOwner, aRunner.mCrashesOnPart));
+    }
     if (aRequest["X-Stage"] == "prefill") {
       if (aRunner.mCrashesReading && crashes) {
         co_await Sleep(2 * kCrashAfter);
@@ -653,6 +658,15 @@
     co_return co_await AnswerPlain(aRunner, aStream, aRequest, own, mode);
   }
 
+  /** @return whether a prompt holds a part before its last one. */
+  static bool HoldsPart(const http::request<http::string_body>& aRequest, const std::string& aPart)
+  {
+    const std::string parts(aRequest["X-Prefix-Hash"]);
+    const std::size_t last = parts.rfind(',');
+    return !aPart.empty() && last != std::string::npos &&
+           Join(",", parts.substr(0, last)).find(Join(",", aPart, ":")) != std::string::npos;
+  }
+
   /** @return where the answer to a request is cut off; -1 if it isn't. */
   std::int64_t CutOf(const fake_runner& aRunner, const std::string& aRequest)
   {
