Add: [Forward] [Log] the line of a broken run names the shared parts of its prompt

The ids of a prompt's parts but the last are read into the request's facts (64 at most), and generation_broke names them. No decision uses them yet.

--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -14,6 +14,8 @@
 #include "forward/relay_call.h"
 #include "forward/run_break.h"
 
+#include <absl/strings/str_join.h>
+
 namespace dunehook {
 
 /** Part of the latency target reserved for delivery to the caller. */
@@ -606,6 +608,7 @@
                          { "resumable", mRoute.mResumable },
                          { "began_ms", (mState.Now() - mRunStartedAt).count() / 1000 },
                          { "fingerprint", mCrashWatch.Fingerprint().mValue },
+                         { "shared_parts", absl::StrJoin(mFacts.mSharedParts, ",") },
                          { "caller", mExchange->CallerAddress() } });
     mState.mMetrics.CountBrokenAnswer(mRoute.mName);
     bool goesOn = mRoute.mResumable && mSends + mRunsElsewhere < mRoute.mMaxRunners &&
--- a/src/runners/send_type.h
+++ b/src/runners/send_type.h
@@ -11,9 +11,13 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace dunehook {
 
+/** Most shared parts of a prompt that are read. */
+inline constexpr std::size_t kMaxSharedParts = 64;
+
 /** Metadata from the head of a request. */
 struct request_facts
 {
@@ -24,6 +28,9 @@
   std::uint32_t mMostTokens = 0;     ///< Limit on the answer's tokens; 0 if unknown.
   std::uint32_t mGuessedTokens = 0;  ///< The caller's estimate of the answer's tokens; 0 if none.
   std::uint64_t mPromptKey = 0;      ///< Hash of the prompt's own part; same for all attempts.
+  /** Ids of the parts before it, in order, which other prompts may have as well; at most
+   * kMaxSharedParts. */
+  std::vector<std::string> mSharedParts;
   std::optional<std::uint64_t> mLastEvent; ///< Last event that the caller received.
   std::string mResumes; ///< Id of the attempt that brought its first event; empty if none is named.
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -37,6 +37,7 @@
   CHECK_EQUAL(12U, *facts.mLastEvent);
   CHECK_EQUAL("9c41d07be2a35f68", facts.mResumes);
   CHECK(facts.mPromptKey == HashBytes("e4402b7d:250"));
+  CHECK(facts.mSharedParts == (std::vector<std::string>{ "5c1e07a2" }));
 }
 
 TEST(platform_wire, AHeadWithoutNumbersIsRead)
