Fix: [Forward] a part of prompts that crashes engines is found and refused, whatever else the requests hold

Callers saw 502s and broken streams for as long as such requests came: each crashed up to three engines afresh, with what ran there. Cause: evidence was counted on a key finer than the cause. A request's identity is a hash of all its content, so requests that share one part of the prompt had no crash in common. Class: evidence kept by a key that the fault doesn't respect. Change: a report of a crash names the shared parts of runs that had just begun there (part_evidence.h). Parts that were always together are refused together only, until one of them is proven. The test with two parts was wrong: each part crashed half of the engines only, so runs at the others rightly proved it harmless; both now crash all engines, with the same bounds. Why it works: the verdict follows the part, so no new request begins without its evidence, and sound prompts are cleared by their own runs.

--- a/src/forward/crash_watch.h
+++ b/src/forward/crash_watch.h
@@ -9,27 +9,57 @@
 
 namespace dunehook {
 
-/** Crash tracking of one request. The fingerprint is computed only when needed. */
+/** Crash tracking of one request and its runs. The fingerprint is computed only when needed. */
 class crash_watch
 {
 public:
-  /** All arguments must outlive this object. */
-  crash_watch(forward_state& aState, const caller_exchange& aExchange, const request_facts& aFacts)
+  /** All arguments must outlive this object. @param aParts shared parts of its prompt, if it has
+   * one. */
+  crash_watch(forward_state& aState,
+              const caller_exchange& aExchange,
+              const request_facts& aFacts,
+              part_set aParts = {})
     : mState(aState)
     , mExchange(aExchange)
     , mFacts(aFacts)
+    , mParts(std::move(aParts))
   {
   }
 
-  /** @return whether the request is quarantined and must not be sent to any runner. */
-  bool Quarantined() { return Status() == quarantine_status::eQuarantined; }
+  /** Records that a runner is sent the request to answer it. */
+  void BeginRun()
+  {
+    mRunBegan = mState.Now();
+    mFirstEventAt.reset();
+    mRunProven = false;
+  }
+  /** Records that events of the run arrived. */
+  void NoteEvents()
+  {
+    const instant now = mState.Now();
+    mFirstEventAt = mFirstEventAt.value_or(now);
+    if (now - *mFirstEventAt >= kRunProvenTime) {
+      NoteProven();
+    }
+  }
+  /** Records that no run is under way. */
+  void EndRun() { mRunBegan.reset(); }
+
+  /** @return whether the request is quarantined, for itself or for parts of its prompt, and must
+   * not be sent to any runner. */
+  bool Quarantined()
+  {
+    return Status() == quarantine_status::eQuarantined || QuarantinedParts().has_value();
+  }
   /** @return whether the request is suspected, and may be sent as a trial only. */
   bool Suspected() { return Status() == quarantine_status::eSuspected; }
   /** @return the remaining time of the quarantine, after which the caller may retry. */
   duration QuarantinedFor()
   {
-    return mState.mCrashes.RemainingQuarantine(Fingerprint(), mState.Now());
+    return mState.mCrashes.RemainingQuarantine(QuarantineKey(), mState.Now());
   }
+  /** @return the key of the quarantine: of parts of its prompt, or of the request. */
+  request_fingerprint QuarantineKey() { return QuarantinedParts().value_or(Fingerprint()); }
   /**
    * Reports that the connection to a runner was lost while a response was awaited. If this daemon
    * may be cut off from the runners, that counts as a crash only once others report it too, or the
@@ -43,8 +73,8 @@
                                              endpoint aAddress,
                                              bool aProgressed)
   {
+    const crash_report report = ReportOf(aAddress, aProgressed);
     const bool cutOff = co_await IsCutOffAfterLoss(mState, aRunner);
-    const crash_report report{ Fingerprint(), SiteAt(aAddress), aProgressed };
     if (cutOff) {
       mState.mReportUnexplainedLoss(report);
     } else {
@@ -58,12 +88,15 @@
   void ReportAbandoned(const endpoint& aRunner, send_status aStatus, bool aProgressed)
   {
     if (aStatus == send_status::eAnswered || aStatus == send_status::eUnknown) {
-      mState.mReportAbandoned({ Fingerprint(), SiteAt(aRunner), aProgressed });
+      mState.mReportAbandoned(ReportOf(aRunner, aProgressed));
     }
   }
   /** Reports that a complete response arrived. */
   void ReportServed()
   {
+    if (mFirstEventAt) {
+      NoteProven();
+    }
     if (!mState.mCrashes.Empty()) {
       mState.mReportServed(Fingerprint());
     }
@@ -83,16 +116,44 @@
   }
 
 private:
+  /** @return a report of the run that is under way, if one is, at a runner. */
+  crash_report ReportOf(const endpoint& aRunner, bool aProgressed)
+  {
+    crash_report report{ Fingerprint(), SiteAt(aRunner), aProgressed, {}, {}, {} };
+    const instant now = mState.Now();
+    const bool mayHaveCaused =
+      mRunBegan && (!mFirstEventAt || now - *mFirstEventAt < kRunProvenTime);
+    if (mayHaveCaused) {
+      report.mJustBegan = now - *mRunBegan;
+      report.mParts = mParts;
+    }
+    return report;
+  }
+  /** Tells that the run's parts crash no runner, once a run. */
+  void NoteProven()
+  {
+    if (mRunBegan && !std::exchange(mRunProven, true) && !mParts.empty()) {
+      mState.mReportWentOn(mParts, *mRunBegan);
+    }
+  }
+  std::optional<request_fingerprint> QuarantinedParts() const
+  {
+    return mState.mCrashes.QuarantinedPartsIn(mParts, mState.Now());
+  }
   quarantine_status Status()
   {
     return mState.mCrashes.Empty() ? quarantine_status::eClear
                                    : mState.mCrashes.StatusOf(Fingerprint(), mState.Now());
   }
 
-  forward_state& mState;            ///< State shared by the daemon's components.
-  const caller_exchange& mExchange; ///< The caller's connection and request.
-  const request_facts& mFacts;      ///< Parsed from the request's head.
-  request_fingerprint mFingerprint; ///< Empty until first needed.
+  forward_state& mState;                ///< State shared by the daemon's components.
+  const caller_exchange& mExchange;     ///< The caller's connection and request.
+  const request_facts& mFacts;          ///< Parsed from the request's head.
+  part_set mParts;                      ///< Shared parts of its prompt.
+  request_fingerprint mFingerprint;     ///< Empty until first needed.
+  std::optional<instant> mRunBegan;     ///< When the run under way was sent.
+  std::optional<instant> mFirstEventAt; ///< When its first events arrived.
+  bool mRunProven = false;              ///< It went on, and that was told.
 };
 
 /** Refuses a quarantined request: it hasn't run, and may be retried when the quarantine ends. */
@@ -110,7 +171,7 @@
                      "quarantine_kept",
                      aFacts.mId,
                      { { "route", aRoute },
-                       { "fingerprint", aWatch.Fingerprint().mValue },
+                       { "fingerprint", aWatch.QuarantineKey().mValue },
                        { "come_back_ms", back.count() / 1000 } });
   co_await Refuse<Wire>(aExchange, aFacts.mId, 503, back, "quarantined");
 }
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -112,6 +112,9 @@
     mState.mReportServed = [this](request_fingerprint aRequest) {
       mQuarantines.Link().NoteServed(aRequest);
     };
+    mState.mReportWentOn = [this](const part_set& aParts, instant aBegan) {
+      mQuarantines.Link().NoteWentOn(aParts, aBegan);
+    };
     mState.mAskPlacer = [this](place_request aQuestion, std::function<bool()> aGone) {
       return mPlacers.RequestPlace(std::move(aQuestion), std::move(aGone));
     };
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -48,7 +48,10 @@
     , mTraits(*aService.mEngines)
     , mArrived(aArrived)
     , mDeadline(aArrived + std::min(aRoute.mTimeout, mFacts.mTimeLeft.value_or(aRoute.mTimeout)))
-    , mCrashWatch(aState, *mExchange, mFacts)
+    , mCrashWatch(aState,
+                  *mExchange,
+                  mFacts,
+                  PartsOf(aService.mName, mFacts.mModel, mFacts.mSharedParts))
     , mTrial(aState, mCrashWatch)
     , mPlace(aState, *mExchange, mFacts, aRoute.mRank, mTrial)
     , mPromptRead(aState, *mExchange, mFacts.mId)
@@ -101,6 +104,7 @@
       again = co_await TryOnce();
       mPlace.EndRun();
       mTrial.End();
+      mCrashWatch.EndRun();
     }
   }
 
@@ -347,6 +351,7 @@
     plan.mPrefillAt = mPromptRead.ResultLocation();
     plan.mRunner = mPlace.Choice().mDecode;
     mRunStartedAt = mState.Now();
+    mCrashWatch.BeginRun();
     upstream_response answer = co_await SendToRunner<Wire>(mState,
                                                            *mExchange,
                                                            mPlace.DecodeAddress(),
@@ -526,6 +531,7 @@
         }
       }
       if (!events.empty()) {
+        mCrashWatch.NoteEvents();
         const instant now = mState.Now();
         if (firstAt == instant{ 0 }) {
           firstAt = now;
@@ -611,7 +617,8 @@
                          { "shared_parts", absl::StrJoin(mFacts.mSharedParts, ",") },
                          { "caller", mExchange->CallerAddress() } });
     mState.mMetrics.CountBrokenAnswer(mRoute.mName);
-    bool goesOn = mRoute.mResumable && mSends + mRunsElsewhere < mRoute.mMaxRunners &&
+    bool goesOn = mRoute.mResumable && !mCrashWatch.Quarantined() &&
+                  mSends + mRunsElsewhere < mRoute.mMaxRunners &&
                   TimeLeft() > mRoute.mFirstAnswer && !mExchange->Disconnected();
     if (goesOn) {
       goesOn = co_await TakeReplacementBudget(kSendsPerPlacement);
--- a/src/links/quarantine_link.cpp
+++ b/src/links/quarantine_link.cpp
@@ -4,6 +4,9 @@
  */
 #include "links/quarantine_link.h"
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
 namespace dunehook {
 
 namespace {
@@ -19,6 +22,14 @@
   return taken;
 }
 
+/** @return the parts as text for the log. */
+std::string
+TextOf(const part_set& aParts)
+{
+  return absl::StrJoin(
+    aParts, ",", [](std::string* aOut, prompt_part aPart) { absl::StrAppend(aOut, aPart.mValue); });
+}
+
 } // namespace
 
 quarantine_link::quarantine_link(forward_state& aState, daemon_link& aLink)
@@ -101,6 +112,7 @@
   if (mState.mCrashes.NoteCrash(aReport, aNow)) {
     TellSuspected(aReport.mRequest);
   }
+  AskForProofs();
   if (!isFirstReport) {
     return;
   }
@@ -174,7 +186,9 @@
     }
     if (mJudges.HasBeenFirstFor(kJudgeWarmUp, now)) {
       Judge();
+      JudgeParts();
     }
+    AskForProofs();
     SendCrashes();
   }
 }
@@ -207,10 +221,90 @@
       log_level::eWarning,
       "request_quarantined",
       { { "fingerprint", request.mValue }, { "crashes", mState.mCrashes.CountCrashes(request) } });
-    mToBroadcast.mNotices.push_back({ request, quarantine_status::eQuarantined, duration{ 0 } });
-    ScheduleBroadcast();
-    if (mOnQuarantined) {
-      mOnQuarantined(request);
+    TellQuarantined({ request, quarantine_status::eQuarantined, duration{ 0 }, {} });
+  }
+}
+
+void
+quarantine_link::TellQuarantined(const quarantine_notice& aNotice)
+{
+  mToBroadcast.mNotices.push_back(aNotice);
+  ScheduleBroadcast();
+  if (mOnQuarantined) {
+    mOnQuarantined(aNotice);
+  }
+}
+
+void
+quarantine_link::JudgeParts()
+{
+  for (const quarantine_notice& notice : mState.mCrashes.EvaluateParts(mState.Now())) {
+    mState.mMetrics.CountQuarantine("parts_judged");
+    LogEvent(log_level::eWarning,
+             "parts_quarantined",
+             { { "fingerprint", notice.mRequest.mValue }, { "parts", TextOf(notice.mParts) } });
+    TellQuarantined(notice);
+  }
+}
+
+void
+quarantine_link::AskForProofs()
+{
+  if (!ReceivesAllReports()) {
+    return;
+  }
+  const instant now = mState.Now();
+  std::erase_if(mAskedAt, [&](const auto& aRow) { return now - aRow.second >= kAskAgainInterval; });
+  std::vector<prompt_part> asked;
+  for (const prompt_part part : mState.mCrashes.PartsInQuestion(now)) {
+    if (mAskedAt.size() < kMaxPartsPerDatagram && mAskedAt.try_emplace(part, now).second) {
+      asked.push_back(part);
+    }
+  }
+  if (asked.empty()) {
+    return;
+  }
+  mToBroadcast.mAsked.insert(mToBroadcast.mAsked.end(), asked.begin(), asked.end());
+  ScheduleBroadcast();
+  TakeProofs(mRecentParts.NoteAsked(asked, now));
+}
+
+void
+quarantine_link::NoteWentOn(const part_set& aParts, instant aBegan)
+{
+  SendProofs(mRecentParts.NoteWentOn(aParts, aBegan, mState.Now()));
+}
+
+void
+quarantine_link::SendProofs(std::vector<part_proof> aProofs)
+{
+  if (aProofs.empty()) {
+    return;
+  }
+  if (ReceivesAllReports()) {
+    TakeProofs(aProofs);
+  }
+  run_message message;
+  message.mQuarantine.emplace().mProven = std::move(aProofs);
+  SendToJudges(std::move(message));
+}
+
+void
+quarantine_link::TakeProofs(const std::vector<part_proof>& aProofs)
+{
+  const instant now = mState.Now();
+  for (const part_proof& proof : aProofs) {
+    const part_change change = mState.mCrashes.NoteProven(proof.mPart, now - proof.mAge, now);
+    for (const request_fingerprint ended : change.mEnded) {
+      mState.mMetrics.CountQuarantine("parts_proven");
+      LogEvent(log_level::eInfo,
+               "parts_proven",
+               { { "fingerprint", ended.mValue }, { "part", proof.mPart.mValue } });
+      mToBroadcast.mServed.push_back(ended);
+      ScheduleBroadcast();
+    }
+    for (const quarantine_notice& notice : change.mNotices) {
+      TellQuarantined(notice);
     }
   }
 }
@@ -220,7 +314,7 @@
 {
   mState.mMetrics.CountQuarantine("suspected");
   LogEvent(log_level::eInfo, "request_suspected", { { "fingerprint", aRequest.mValue } });
-  mToBroadcast.mNotices.push_back({ aRequest, quarantine_status::eSuspected, duration{ 0 } });
+  mToBroadcast.mNotices.push_back({ aRequest, quarantine_status::eSuspected, duration{ 0 }, {} });
   ScheduleBroadcast();
 }
 
@@ -239,12 +333,13 @@
   co_await Sleep(kBroadcastDelay);
   mBroadcastScheduled = false;
   while (!mToBroadcast.mNotices.empty() || !mToBroadcast.mServed.empty() ||
-         !mToBroadcast.mRunnersCrashed.empty()) {
+         !mToBroadcast.mRunnersCrashed.empty() || !mToBroadcast.mAsked.empty()) {
     run_message message;
     quarantine_message& sent = message.mQuarantine.emplace();
     sent.mNotices = TakeFirst(mToBroadcast.mNotices, kMaxNoticesPerDatagram);
     sent.mServed = TakeFirst(mToBroadcast.mServed, kMaxNoticesPerDatagram);
     sent.mRunnersCrashed = TakeFirst(mToBroadcast.mRunnersCrashed, kMaxNoticesPerDatagram);
+    sent.mAsked = TakeFirst(mToBroadcast.mAsked, kMaxPartsPerDatagram);
     mLink.Broadcast(std::move(message));
   }
 }
@@ -256,18 +351,17 @@
   while (!mRecentCrashes.empty() && now - mRecentCrashes.front().mAt >= kCrashResendPeriod) {
     mRecentCrashes.pop_front();
   }
-  quarantine_message sent;
+  std::vector<crash_report> due;
   for (own_crash& crash : mRecentCrashes) {
-    const bool due = crash.mSentAt == instant{ 0 } || now - crash.mSentAt >= kCrashResendInterval;
-    if (due) {
-      sent.mCrashes.push_back(crash.mReport);
-      sent.mCrashes.back().mAge = now - crash.mAt;
+    if (crash.mSentAt == instant{ 0 } || now - crash.mSentAt >= kCrashResendInterval) {
+      due.push_back(crash.mReport);
+      due.back().mAge = now - crash.mAt;
       crash.mSentAt = now;
     }
   }
-  if (!sent.mCrashes.empty()) {
+  while (!due.empty()) {
     run_message message;
-    message.mQuarantine = std::move(sent);
+    message.mQuarantine.emplace().mCrashes = TakeFirst(due, kMaxCrashesPerDatagram);
     SendToJudges(std::move(message));
   }
 }
@@ -304,6 +398,12 @@
   for (const request_fingerprint request : aMessage.mServed) {
     mState.mCrashes.NoteServed(request);
   }
+  if (!aMessage.mAsked.empty()) {
+    SendProofs(mRecentParts.NoteAsked(aMessage.mAsked, now));
+  }
+  if (ReceivesAllReports()) {
+    TakeProofs(aMessage.mProven);
+  }
   for (const quarantine_notice& notice : aMessage.mNotices) {
     const bool news = mState.mCrashes.ApplyNotice(notice, now);
     if (news && notice.mStatus == quarantine_status::eQuarantined) {
@@ -311,6 +411,7 @@
       LogEvent(log_level::eInfo,
                "quarantine_told",
                { { "fingerprint", notice.mRequest.mValue },
+                 { "parts", TextOf(notice.mParts) },
                  { "age_ms", notice.mAge.count() / 1000 },
                  { "by", ToText(aFrom) } });
     }
--- a/src/links/quarantine_link.h
+++ b/src/links/quarantine_link.h
@@ -10,6 +10,7 @@
 
 #include "links/daemon_link.h"
 #include "membership/first_rank_watch.h"
+#include "quarantine/recent_parts.h"
 
 #include <deque>
 #include <map>
@@ -42,6 +43,12 @@
 inline constexpr std::size_t kMaxAbandonedRuns = 256;
 /** Maximum number of quarantine notices in one datagram. */
 inline constexpr std::size_t kMaxNoticesPerDatagram = 64;
+/** Maximum number of parts that are asked for in one datagram. */
+inline constexpr std::size_t kMaxPartsPerDatagram = 512;
+/** Crash reports in one datagram: each may name kMaxSharedParts parts. */
+inline constexpr std::size_t kMaxCrashesPerDatagram = 16;
+/** Parts are asked for again after this time: datagrams may be lost, daemons may have started. */
+inline constexpr duration kAskAgainInterval = std::chrono::milliseconds(2000);
 /** Maximum number of this daemon's own crashes that are sent again. */
 inline constexpr std::size_t kMaxCrashesResent = 64;
 
@@ -65,6 +72,8 @@
   void NoteRunnerEnded(runner_site aSite);
   /** Records that a request was served completely. */
   void NoteServed(request_fingerprint aRequest);
+  /** Records that a run went on after it had begun its answer. @param aBegan when it was sent. */
+  void NoteWentOn(const part_set& aParts, instant aBegan);
   /** @return whether this daemon has received the quarantines that existed when it started. */
   bool HasReceivedState() const { return mStateReceived; }
   /** Marks these quarantines as received. */
@@ -74,8 +83,8 @@
   {
     mTrialHandler = std::move(aTake);
   }
-  /** @param aAction called with each request that this daemon puts into quarantine. */
-  void OnQuarantined(std::function<void(request_fingerprint)> aAction)
+  /** @param aAction called with each quarantine that this daemon begins. */
+  void OnQuarantined(std::function<void(const quarantine_notice&)> aAction)
   {
     mOnQuarantined = std::move(aAction);
   }
@@ -105,6 +114,16 @@
   bool ReceivesAllReports() const;
   /** Judges the requests that are due. */
   void Judge();
+  /** Judges parts of prompts. */
+  void JudgeParts();
+  /** Tells all daemons of a quarantine that this one has begun. */
+  void TellQuarantined(const quarantine_notice& aNotice);
+  /** As a daemon that judges, asks all for proofs of the parts in question. */
+  void AskForProofs();
+  /** Sends proofs to the daemons that judge, and takes them if this is one. */
+  void SendProofs(std::vector<part_proof> aProofs);
+  /** Takes proofs as a daemon that judges. */
+  void TakeProofs(const std::vector<part_proof>& aProofs);
   /** Queues a newly suspected request to be sent to all daemons. */
   void TellSuspected(request_fingerprint aRequest);
   /** Has mToBroadcast sent to all daemons soon. */
@@ -135,7 +154,9 @@
   quarantine_message mToBroadcast;  ///< Conclusions, served suspects and crashed runners that all
                                     ///< are to be told of.
   bool mBroadcastScheduled = false; ///< mToBroadcast is sent soon.
-  std::function<void(request_fingerprint)> mOnQuarantined; ///< May be empty.
+  std::function<void(const quarantine_notice&)> mOnQuarantined; ///< May be empty.
+  recent_parts mRecentParts;                                    ///< Parts of this daemon's runs.
+  std::unordered_map<prompt_part, instant> mAskedAt; ///< Parts asked for lately, and when.
   /** Called with messages on trials; may be empty. */
   std::function<void(const quarantine_message&, const endpoint&)> mTrialHandler;
   bool mStateReceived = false; ///< See HasReceivedState().
--- a/src/links/quarantine_store.h
+++ b/src/links/quarantine_store.h
@@ -32,7 +32,7 @@
     , mLink(aState, aLink)
     , mWritePending(aState.mIo)
   {
-    mLink.OnQuarantined([this](request_fingerprint aRequest) { QueueWrite(aRequest); });
+    mLink.OnQuarantined([this](const quarantine_notice& aNotice) { QueueWrite(aNotice); });
   }
 
   void Start()
@@ -53,10 +53,12 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
   }
 
-  void QueueWrite(request_fingerprint aRequest)
+  void QueueWrite(const quarantine_notice& aNotice)
   {
     if (mUnwritten.size() < kMaxUnwritten) {
-      mUnwritten.push_back({ aRequest, WallMs() });
+      const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aNotice.mAge);
+      const std::uint64_t since = WallMs() - static_cast<std::uint64_t>(age.count());
+      mUnwritten.push_back({ aNotice.mRequest, since, aNotice.mParts });
       mWritePending.Notify();
     }
   }
@@ -82,7 +84,9 @@
     std::size_t taken = 0;
     for (const quarantine_record& record : aRecords) {
       const std::uint64_t age = now > record.mSince ? now - record.mSince : 0;
-      quarantine_notice notice{ record.mRequest, quarantine_status::eQuarantined, duration{ 0 } };
+      quarantine_notice notice{
+        record.mRequest, quarantine_status::eQuarantined, duration{ 0 }, record.mParts
+      };
       notice.mAge = std::chrono::milliseconds(age);
       taken += mState.mCrashes.ApplyNotice(notice, mState.Now()) ? 1 : 0;
       if (notice.mAge >= kQuarantineDuration) {
--- a/src/messages/run_message.cpp
+++ b/src/messages/run_message.cpp
@@ -31,8 +31,14 @@
 constexpr std::size_t kTrialIndex = 6;
 /** Index of the age, in a crash report. */
 constexpr std::size_t kReportAgeIndex = 3;
+/** Index of how long before a crash its run was sent, followed by the run's parts. */
+constexpr std::size_t kJustBeganIndex = 4;
 /** Index of the runners that crashed, in a quarantine. */
 constexpr std::size_t kRunnersCrashedIndex = 8;
+/** Index of the parts that are asked for, followed by those that are proven, in a quarantine. */
+constexpr std::size_t kPartsAskedIndex = 9;
+/** Index of the parts that are meant, in a notice. */
+constexpr std::size_t kNoticePartsIndex = 3;
 
 /** Limit on runs decoded from one datagram; a valid datagram can't hold as many. */
 constexpr std::size_t kMaxRuns = 2000;
@@ -234,13 +240,23 @@
 {
   json crashes = json::array();
   for (const crash_report& report : aMessage.mCrashes) {
-    crashes.push_back(
-      { report.mRequest.mValue, report.mSite.mValue, report.mProgressed, report.mAge.count() });
+    crashes.push_back({ report.mRequest.mValue,
+                        report.mSite.mValue,
+                        report.mProgressed,
+                        report.mAge.count(),
+                        report.mJustBegan ? json(report.mJustBegan->count()) : json(),
+                        IdsOf(report.mParts) });
   }
   json notices = json::array();
   for (const quarantine_notice& notice : aMessage.mNotices) {
-    notices.push_back(
-      { notice.mRequest.mValue, static_cast<int>(notice.mStatus), notice.mAge.count() });
+    notices.push_back({ notice.mRequest.mValue,
+                        static_cast<int>(notice.mStatus),
+                        notice.mAge.count(),
+                        IdsOf(notice.mParts) });
+  }
+  json proven = json::array();
+  for (const part_proof& proof : aMessage.mProven) {
+    proven.push_back({ proof.mPart.mValue, proof.mAge.count() });
   }
   json runnersCrashed = json::array();
   for (const crash_notice& crash : aMessage.mRunnersCrashed) {
@@ -255,7 +271,19 @@
                        aMessage.mSenderStateReceived,
                        aMessage.mTrial ? EncodeTrial(*aMessage.mTrial) : json(),
                        aMessage.mTrialReply ? EncodeTrialReply(*aMessage.mTrialReply) : json(),
-                       std::move(runnersCrashed) });
+                       std::move(runnersCrashed),
+                       IdsOf(aMessage.mAsked),
+                       std::move(proven) });
+}
+
+/** @return the parts of an array of numbers, ordered, each once. */
+part_set
+PartsFrom(const json& aItems)
+{
+  part_set parts = IdsFrom<prompt_part>(aItems);
+  std::sort(parts.begin(), parts.end());
+  parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
+  return parts;
 }
 
 quarantine_notice
@@ -263,9 +291,14 @@
 {
   const bool quarantined =
     aItem.at(1).get<int>() == static_cast<int>(quarantine_status::eQuarantined);
-  return { { aItem.at(0).get<std::uint64_t>() },
-           quarantined ? quarantine_status::eQuarantined : quarantine_status::eSuspected,
-           duration(std::max<std::int64_t>(0, aItem.at(2).get<std::int64_t>())) };
+  quarantine_notice notice;
+  notice.mRequest = { aItem.at(0).get<std::uint64_t>() };
+  notice.mStatus = quarantined ? quarantine_status::eQuarantined : quarantine_status::eSuspected;
+  notice.mAge = duration(std::max<std::int64_t>(0, aItem.at(2).get<std::int64_t>()));
+  if (aItem.size() > kNoticePartsIndex) { // Earlier versions don't send it.
+    notice.mParts = PartsFrom(aItem.at(kNoticePartsIndex));
+  }
+  return notice;
 }
 
 /** @return the age of a crash; zero if its daemon is of a version that doesn't send it. */
@@ -276,15 +309,28 @@
   return std::min<duration>(duration(std::max<std::int64_t>(0, age)), kMaxReportAge);
 }
 
+crash_report
+DecodeCrash(const json& aItem)
+{
+  crash_report report;
+  report.mRequest = { aItem.at(0).get<std::uint64_t>() };
+  report.mSite = { aItem.at(1).get<std::uint64_t>() };
+  report.mProgressed = aItem.at(2).get<bool>();
+  report.mAge = AgeFrom(aItem, kReportAgeIndex);
+  // Earlier versions don't send the items from here on.
+  if (aItem.size() > kJustBeganIndex + 1 && !aItem.at(kJustBeganIndex).is_null()) {
+    report.mJustBegan = AgeFrom(aItem, kJustBeganIndex);
+    report.mParts = PartsFrom(aItem.at(kJustBeganIndex + 1));
+  }
+  return report;
+}
+
 quarantine_message
 DecodeQuarantine(const json& aItem)
 {
   quarantine_message message;
   for (const json& crash : aItem.at(0)) {
-    message.mCrashes.push_back({ { crash.at(0).get<std::uint64_t>() },
-                                 { crash.at(1).get<std::uint64_t>() },
-                                 crash.at(2).get<bool>(),
-                                 AgeFrom(crash, kReportAgeIndex) });
+    message.mCrashes.push_back(DecodeCrash(crash));
   }
   message.mServed = IdsFrom<request_fingerprint>(aItem.at(1));
   for (const json& notice : aItem.at(2)) {
@@ -308,6 +354,13 @@
         { { crash.at(0).get<std::uint64_t>() }, AgeFrom(crash, 1) });
     }
   }
+  if (aItem.size() > kPartsAskedIndex + 1) {
+    message.mAsked = IdsFrom<prompt_part>(aItem.at(kPartsAskedIndex));
+    for (const json& proof : aItem.at(kPartsAskedIndex + 1)) {
+      const duration age(std::max<std::int64_t>(0, proof.at(1).get<std::int64_t>()));
+      message.mProven.push_back({ { proof.at(0).get<std::uint64_t>() }, age });
+    }
+  }
   return message;
 }
 
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -22,7 +22,8 @@
     return false;
   }
   requests.push_back(aReport.mRequest);
-  if (IsExplained(aReport.mRequest, runner, aNow)) {
+  const bool byParts = NoteParts(aReport, crash, runner.mAt, aNow);
+  if (byParts || IsExplained(aReport.mRequest, runner, aNow)) {
     return false;
   }
   tracked_request& row = mRequests[aReport.mRequest];
@@ -71,6 +72,7 @@
 bool
 crash_ledger::NoteServed(request_fingerprint aRequest)
 {
+  mPartSets.erase(aRequest);
   return mRequests.erase(aRequest) > 0;
 }
 
@@ -86,8 +88,12 @@
     aNotice.mStatus == quarantine_status::eQuarantined ? row.mQuarantined : row.mSuspected;
   const bool isNew = !known || since - *known > kCommonFailureWindow;
   known = known ? std::max(*known, since) : since;
-  if (aNotice.mStatus == quarantine_status::eQuarantined) {
+  if (aNotice.mStatus == quarantine_status::eQuarantined && aNotice.mParts.empty()) {
     ClearBystanders(aNotice.mRequest);
+  } else if (!aNotice.mParts.empty()) {
+    row.mParts = aNotice.mParts;
+    mPartSets[aNotice.mRequest] = aNotice.mParts;
+    DropExplained(aNotice.mParts);
   }
   EvictOldest();
   return isNew;
@@ -444,7 +450,8 @@
   std::vector<quarantine_notice> notices;
   for (const auto& [request, row] : mRequests) {
     if (IsQuarantined(row, aNow)) {
-      notices.push_back({ request, quarantine_status::eQuarantined, aNow - *row.mQuarantined });
+      notices.push_back(
+        { request, quarantine_status::eQuarantined, aNow - *row.mQuarantined, row.mParts });
     }
   }
   std::sort(notices.begin(), notices.end(), [](const auto& aOne, const auto& aTwo) {
@@ -485,6 +492,8 @@
       row.mQuarantined && aNow - *row.mQuarantined < kQuarantineDuration + kCrashRetention;
     return row.mCrashes.empty() && !suspected && !remembered;
   });
+  mParts.Prune(aNow);
+  std::erase_if(mPartSets, [&](const auto& aRow) { return !mRequests.contains(aRow.first); });
 }
 
 void
@@ -504,6 +513,7 @@
         const instant twoAt = newest(aTwo.second);
         return std::tie(oneQuarantined, oneAt) < std::tie(twoQuarantined, twoAt);
       }));
+    std::erase_if(mPartSets, [&](const auto& aRow) { return !mRequests.contains(aRow.first); });
   }
   if (mCrashedRunners.size() > kMaxCrashedRunners) {
     mCrashedRunners.erase(std::min_element(
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -16,11 +16,15 @@
  * they have ended, and judged by one more trial, unless another request that was at as many crashes
  * ran beside that trial as well.
  *
+ * Parts that prompts share are judged by part_evidence. Requests that hold the parts of a set in
+ * quarantine are refused like a quarantined request, and what ran beside them isn't blamed.
+ *
  * Only crashes of which all reports come in are evidence: where some are missing, a bystander looks
  * like the only request that was running there.
  */
 #pragma once
 
+#include "quarantine/part_evidence.h"
 #include "quarantine/quarantine_type.h"
 
 #include <functional>
@@ -66,6 +70,16 @@
 inline constexpr std::size_t kMaxTrackedRequests = 4096;
 inline constexpr std::size_t kMaxCrashedRunners = 2048;
 
+/** Sets of parts are judged for this long after a crash; later ones bring them up again. */
+inline constexpr duration kPartJudgeTime = std::chrono::seconds(5);
+
+/** A change of the sets of parts in quarantine, to be told to all daemons. */
+struct part_change
+{
+  std::vector<request_fingerprint> mEnded; ///< Keys of sets that are no longer refused.
+  std::vector<quarantine_notice> mNotices; ///< Sets that are.
+};
+
 /** Tracks crashes by request and by runner, and derives quarantines from them. */
 class crash_ledger
 {
@@ -83,6 +97,15 @@
   /** Evaluates the requests whose crashes are at least kReportWindow old and not evaluated yet.
    * @return those that it puts into quarantine. */
   std::vector<request_fingerprint> EvaluateDue(instant aNow);
+  /** Evaluates parts of prompts. @return the sets that it puts into quarantine. */
+  std::vector<quarantine_notice> EvaluateParts(instant aNow);
+  /** Records that a run went on which had begun at some time with a part. @return the changes of
+   * sets that hold it. */
+  part_change NoteProven(prompt_part aPart, instant aBegan, instant aNow);
+  /** @return parts of which a proof would change something. */
+  part_set PartsInQuestion(instant aNow) const;
+  /** @return the key of a set in quarantine all of whose parts a prompt holds. */
+  std::optional<request_fingerprint> QuarantinedPartsIn(const part_set& aParts, instant aNow) const;
   /** Sets since when this daemon has received the reports of all daemons. Nothing is blamed for
    * crashes before that. */
   void SetCompleteSince(instant aSince) { mCompleteSince = aSince; }
@@ -131,6 +154,7 @@
     std::optional<instant> mQuarantined; ///< When its last quarantine began.
     /** Set while its crashes may be another one's: it isn't sent before then. */
     std::optional<instant> mDoubtUntil;
+    part_set mParts; ///< Not empty: it stands for all requests that hold these parts.
   };
   /** A crash of a runner. */
   struct crashed_runner
@@ -197,6 +221,12 @@
   /** Clears requests that were at fewer crashes than a quarantined one of those that it explains.
    */
   void ClearBystanders(request_fingerprint aQuarantined);
+  /** Records a run at a crash for its parts. @return whether parts in quarantine explain it. */
+  bool NoteParts(const crash_report& aReport, crash_id aCrash, instant aCrashedAt, instant aNow);
+  /** Puts a set of parts into quarantine and drops the crashes that it explains. */
+  quarantine_notice QuarantineParts(const part_set& aParts, instant aSince, instant aNow);
+  /** Drops all crashes that a set of parts explains from the requests that ran there. */
+  void DropExplained(const part_set& aParts);
   /** Over a limit, evicts the request updated longest ago, or the oldest crashed runner. Requests
    * that were ever quarantined are evicted last. */
   void EvictOldest();
@@ -207,6 +237,9 @@
   std::uint64_t mLastCrash = 0;                       ///< Number of the last crash.
   instant mCompleteSince{ 0 };                        ///< See SetCompleteSince().
   std::map<instant, std::vector<request_fingerprint>> mDueEvaluations; ///< By due time.
+  part_evidence mParts;                              ///< Evidence for and against parts.
+  std::map<request_fingerprint, part_set> mPartSets; ///< Rows of mRequests that have parts.
+  instant mLastPartCrash{ 0 };                       ///< When a crash was last recorded.
 };
 
 } // namespace dunehook
--- /dev/null
+++ b/src/quarantine/crash_ledger_parts.cpp
@@ -0,0 +1,133 @@
+/**
+ * @file crash_ledger_parts.cpp
+ * Quarantine of parts that prompts share.
+ */
+#include "quarantine/crash_ledger.h"
+
+#include <algorithm>
+
+namespace dunehook {
+
+bool
+crash_ledger::NoteParts(const crash_report& aReport,
+                        crash_id aCrash,
+                        instant aCrashedAt,
+                        instant aNow)
+{
+  mLastPartCrash = aNow;
+  if (!aReport.mJustBegan) {
+    mParts.NoteCrash(aCrash.mValue, aCrashedAt);
+    return mParts.IsExplained(aCrash.mValue);
+  }
+  const instant began = aNow - aReport.mAge - *aReport.mJustBegan;
+  mParts.NoteRun(aCrash.mValue, aCrashedAt, { aReport.mRequest, aReport.mParts, began });
+  if (const auto key = QuarantinedPartsIn(aReport.mParts, aNow)) {
+    DropExplained(mPartSets.at(*key));
+  }
+  return mParts.IsExplained(aCrash.mValue);
+}
+
+void
+crash_ledger::DropExplained(const part_set& aParts)
+{
+  const std::vector<std::uint64_t> explained = mParts.Explain(aParts);
+  for (auto& [request, row] : mRequests) {
+    std::erase_if(row.mCrashes, [&](const runner_crash& aCrash) {
+      return std::find(explained.begin(), explained.end(), aCrash.mCrash.mValue) != explained.end();
+    });
+  }
+}
+
+quarantine_notice
+crash_ledger::QuarantineParts(const part_set& aParts, instant aSince, instant aNow)
+{
+  const request_fingerprint key = FingerprintOf(aParts);
+  tracked_request& row = mRequests[key];
+  row.mParts = aParts;
+  row.mQuarantined = aSince;
+  mPartSets[key] = aParts;
+  DropExplained(aParts);
+  EvictOldest();
+  return { key, quarantine_status::eQuarantined, aNow - aSince, aParts };
+}
+
+std::vector<quarantine_notice>
+crash_ledger::EvaluateParts(instant aNow)
+{
+  std::vector<quarantine_notice> notices;
+  if (aNow - mLastPartCrash > kPartJudgeTime) {
+    return notices;
+  }
+  const auto isQuarantined = [&](request_fingerprint aRequest) {
+    return StatusOf(aRequest, aNow) == quarantine_status::eQuarantined;
+  };
+  auto blamed = mParts.Judge(isQuarantined, mCompleteSince, aNow - kReportWindow, aNow);
+  for (const auto& [key, parts] : mPartSets) { // A further crash after its quarantine suffices.
+    if (!isQuarantined(key) && mParts.HasUnexplained(parts)) {
+      blamed.push_back(parts);
+    }
+  }
+  for (const part_set& parts : blamed) {
+    if (!QuarantinedPartsIn(parts, aNow)) {
+      notices.push_back(QuarantineParts(parts, aNow, aNow));
+    }
+  }
+  return notices;
+}
+
+part_change
+crash_ledger::NoteProven(prompt_part aPart, instant aBegan, instant aNow)
+{
+  mParts.NoteProven(aPart, aBegan);
+  part_change change;
+  std::vector<std::pair<part_set, instant>> remaining;
+  for (const auto& [key, parts] : mPartSets) {
+    const std::optional<instant> since = mRequests.at(key).mQuarantined;
+    if (since && aBegan > *since && std::binary_search(parts.begin(), parts.end(), aPart)) {
+      change.mEnded.push_back(key);
+      part_set left = parts;
+      std::erase(left, aPart);
+      remaining.emplace_back(std::move(left), *since);
+    }
+  }
+  for (const request_fingerprint key : change.mEnded) {
+    NoteServed(key);
+  }
+  for (const auto& [parts, since] : remaining) {
+    if (!parts.empty()) {
+      change.mNotices.push_back(QuarantineParts(parts, since, aNow));
+    }
+  }
+  return change;
+}
+
+part_set
+crash_ledger::PartsInQuestion(instant aNow) const
+{
+  part_set parts;
+  if (aNow - mLastPartCrash <= kPartJudgeTime) {
+    parts = mParts.Suspects();
+  }
+  for (const auto& [key, set] : mPartSets) {
+    if (set.size() > 1) {
+      parts.insert(parts.end(), set.begin(), set.end());
+    }
+  }
+  std::sort(parts.begin(), parts.end());
+  parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
+  return parts;
+}
+
+std::optional<request_fingerprint>
+crash_ledger::QuarantinedPartsIn(const part_set& aParts, instant aNow) const
+{
+  for (const auto& [key, parts] : mPartSets) {
+    const bool isHeld = HoldsAll(aParts, parts);
+    if (isHeld && StatusOf(key, aNow) == quarantine_status::eQuarantined) {
+      return key;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace dunehook
--- a/src/quarantine/quarantine_type.h
+++ b/src/quarantine/quarantine_type.h
@@ -7,6 +7,7 @@
 
 #include "core/clock_type.h"
 #include "core/hash_func.h"
+#include "quarantine/prompt_part.h"
 #include "quarantine/request_fingerprint.h"
 #include "runners/runner_type.h"
 
@@ -34,6 +35,9 @@
   runner_site mSite;            ///< The runner.
   bool mProgressed = false;     ///< The caller had received part of this run's answer.
   duration mAge{ 0 };           ///< Time since the connection broke.
+  /** How long before that it was sent to the runner, if it may just have begun its answer. */
+  std::optional<duration> mJustBegan;
+  part_set mParts; ///< Shared parts of its prompt, if mJustBegan.
 
   auto operator<=>(const crash_report&) const = default;
 };
@@ -55,12 +59,22 @@
   eQuarantined, ///< It isn't sent to any runner.
 };
 
+/** A run that went on after it had begun its answer: its parts crash no runner. */
+struct part_proof
+{
+  prompt_part mPart;  ///< The part.
+  duration mAge{ 0 }; ///< Time since the run was sent to its runner.
+
+  auto operator<=>(const part_proof&) const = default;
+};
+
 /** The status of a request that isn't clear, as sent to other daemons. */
 struct quarantine_notice
 {
-  request_fingerprint mRequest;                              ///< The request.
+  request_fingerprint mRequest;                              ///< The request, or the key of mParts.
   quarantine_status mStatus = quarantine_status::eSuspected; ///< Never eClear.
   duration mAge{ 0 };                                        ///< Time since it got this status.
+  part_set mParts; ///< If not empty, all requests whose prompts hold all of these parts are meant.
 
   auto operator<=>(const quarantine_notice&) const = default;
 };
@@ -138,6 +152,8 @@
   std::optional<trial_request> mTrial;       ///< To the daemon that grants trials.
   std::optional<trial_reply> mTrialReply;    ///< To the receiver's request.
   std::vector<crash_notice> mRunnersCrashed; ///< First reported to the sender just now.
+  std::vector<prompt_part> mAsked;           ///< Parts of which the sender wants proofs.
+  std::vector<part_proof> mProven;           ///< Parts of runs that went on.
 
   bool operator==(const quarantine_message&) const = default;
 };
@@ -145,8 +161,9 @@
 /** A quarantine as it's kept in the store. */
 struct quarantine_record
 {
-  request_fingerprint mRequest; ///< The request.
+  request_fingerprint mRequest; ///< The request, or the key of mParts.
   std::uint64_t mSince = 0;     ///< Unix time in ms at which it began.
+  part_set mParts;              ///< As in quarantine_notice.
 
   auto operator<=>(const quarantine_record&) const = default;
 };
--- a/src/state/forward_state.h
+++ b/src/state/forward_state.h
@@ -380,14 +380,15 @@
   std::function<void(const crash_report&)> mReportUnexplainedLoss;
   std::function<void(runner_site)> mTellRunnerEnded;      ///< A runner ended without a shutdown.
   std::function<void(request_fingerprint)> mReportServed; ///< Records a completed request.
-  request_trial_callback mRequestTrial;                   ///< Asks for a trial.
-  std::function<void(const trial_request&)> mKeepTrial;   ///< Tells which runners a trial uses.
-  std::function<std::vector<relay_peer>()> mRelayPeers;   ///< @return daemons that may relay.
-  std::function<void(const std::string&)> mReachLost;     ///< Starts to probe for a service.
-  ask_placer_callback mAskPlacer;                         ///< Asks a daemon that places.
-  take_permit_callback mTakePermit;                       ///< Gets the right to send to a runner.
-  take_retries_callback mTakeRetries;                     ///< Gets the right to send once more.
-  find_origin_callback mFindOrigin;                       ///< Finds which software began a stream.
+  std::function<void(const part_set&, instant)> mReportWentOn; ///< Records a run that went on.
+  request_trial_callback mRequestTrial;                        ///< Asks for a trial.
+  std::function<void(const trial_request&)> mKeepTrial; ///< Tells which runners a trial uses.
+  std::function<std::vector<relay_peer>()> mRelayPeers; ///< @return daemons that may relay.
+  std::function<void(const std::string&)> mReachLost;   ///< Starts to probe for a service.
+  ask_placer_callback mAskPlacer;                       ///< Asks a daemon that places.
+  take_permit_callback mTakePermit;                     ///< Gets the right to send to a runner.
+  take_retries_callback mTakeRetries;                   ///< Gets the right to send once more.
+  find_origin_callback mFindOrigin;                     ///< Finds which software began a stream.
   /** Keeps, here and at other daemons, which software began the stream of an attempt. */
   std::function<void(const std::string& aService, const std::string& aAttempt, software_id)>
     mNoteOrigin;
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -135,8 +135,8 @@
   std::int64_t mCutAt = -1;              ///< Bytes of a body after which it's cut off; -1: never.
   bool mCutByReset = false;              ///< A cut resets the connection; else it just closes.
   bool mCutsOnce = false;                ///< Only the first answer to a request is cut.
-  std::string mCrashesOnPart{};          ///< Prompts with this part, not the last, crash it.
-  std::string mResumedFraming{};         ///< Framing of streams that go on; empty for mFraming.
+  std::vector<std::string> mCrashesOnParts{}; ///< Prompts with one of them, not the last, crash it.
+  std::string mResumedFraming{}; ///< Framing of streams that go on; empty for mFraming.
 };
 
 /** The stand-in. */
@@ -410,7 +410,7 @@
     runner.mCrashesReading = aBody.value("crashes_reading", runner.mCrashesReading);
     runner.mKeepsId = aBody.value("keeps_id", runner.mKeepsId);
     runner.mCrashesOn = aBody.value("crashes_on", runner.mCrashesOn);
-    runner.mCrashesOnPart = aBody.value("crashes_on_part", runner.mCrashesOnPart);
+    runner.mCrashesOnParts = aBody.value("crashes_on_parts", runner.mCrashesOnParts);
     runner.mDownFor =
       std::chrono::milliseconds(aBody.value("down_ms", runner.mDownFor.count() / 1000));
     if (aBody.value("reborn", false)) {
@@ -640,8 +640,10 @@
     if (!aRunner.mCrashesOn.empty() && crashes && runs) {
       Spawn(mIo, CrashSoon(aOwner, aRequest.body()));
     }
-    if (runs && HoldsPart(aRequest, aRunner.mCrashesOnPart)) {
-      Spawn(mIo, CrashSoon(aOwner, aRunner.mCrashesOnPart));
+    for (const std::string& part : aRunner.mCrashesOnParts) {
+      if (runs && HoldsPart(aRequest, part)) {
+        Spawn(mIo, CrashSoon(aOwner, part));
+      }
     }
     if (aRequest["X-Stage"] == "prefill") {
       if (aRunner.mCrashesReading && crashes) {
@@ -663,7 +665,7 @@
   {
     const std::string parts(aRequest["X-Prefix-Hash"]);
     const std::size_t last = parts.rfind(',');
-    return !aPart.empty() && last != std::string::npos &&
+    return last != std::string::npos &&
            Join(",", parts.substr(0, last)).find(Join(",", aPart, ":")) != std::string::npos;
   }
 
--- a/tests/platform/crash_part_test.cpp
+++ b/tests/platform/crash_part_test.cpp
@@ -83,10 +83,11 @@
     return "decode-" + std::to_string(aNumber);
   }
 
-  void CrashOn(const std::string& aPart, std::size_t aFrom = 1, std::size_t aTo = kEngines)
+  /** Lets all engines crash on each of these parts. */
+  void CrashOn(const std::vector<std::string>& aParts)
   {
-    for (std::size_t i = aFrom; i <= aTo; ++i) {
-      mBed.SetRunner(EngineName(i), { { "crashes_on_part", aPart } });
+    for (std::size_t i = 1; i <= kEngines; ++i) {
+      mBed.SetRunner(EngineName(i), { { "crashes_on_parts", aParts } });
     }
   }
 
@@ -209,7 +210,7 @@
   /** Plays deadly prompts beside sound ones, and checks both. */
   void CheckPart(const std::string& aParts, const std::string& aPath = "/turns/a")
   {
-    CrashOn(kDeadly);
+    CrashOn({ kDeadly });
     StartUsualCallers({ aParts }, aPath);
     Wait(kCallersMs);
     EndCallers();
@@ -239,8 +240,7 @@
 TEST(crash_parts, TwoPartsThatCrashEnginesAtATimeReachFewMore)
 {
   StartFleet(8);
-  CrashOn(kDeadly, 1, kEngines / 2);
-  CrashOn(kSecondDeadly, kEngines / 2 + 1);
+  CrashOn({ kDeadly, kSecondDeadly });
   StartUsualCallers({ "aa:200," + kDeadly + ":300,", "aa:200,cc:100," + kSecondDeadly + ":300," });
   Wait(kCallersMs);
   EndCallers();
