Fix: [Forward] sound parts aren't refused where engines crash for other reasons, and what is refused is tried once

Causes: crashes of a rack count like those of a part; popular parts that no run had time to prove were blamed with the culprit; a set that holds the culprit hid it; nothing could prove what is refused. Change: crashes around which as many other runners crash without the parts count once; parts that went on before are blamed only at five crashes in a row over 1.5 s, and not where a part that never went on explains the crash; a part of a set goes on being judged by the set's crashes. The first quarantine of a set lasts 10 s, then one trial lifts or confirms it.

--- a/src/forward/crash_watch.h
+++ b/src/forward/crash_watch.h
@@ -52,12 +52,17 @@
     return Status() == quarantine_status::eQuarantined || QuarantinedParts().has_value();
   }
   /** @return whether the request is suspected, and may be sent as a trial only. */
-  bool Suspected() { return Status() == quarantine_status::eSuspected; }
+  bool Suspected()
+  {
+    return Status() == quarantine_status::eSuspected || SuspectedParts().has_value();
+  }
   /** @return the remaining time of the quarantine, after which the caller may retry. */
   duration QuarantinedFor()
   {
     return mState.mCrashes.RemainingQuarantine(QuarantineKey(), mState.Now());
   }
+  /** @return what a trial is asked for: parts of its prompt, or the request. */
+  request_fingerprint TrialKey() { return SuspectedParts().value_or(Fingerprint()); }
   /** @return the key of the quarantine: of parts of its prompt, or of the request. */
   request_fingerprint QuarantineKey() { return QuarantinedParts().value_or(Fingerprint()); }
   /**
@@ -136,6 +141,10 @@
       mState.mReportWentOn(mParts, *mRunBegan);
     }
   }
+  std::optional<request_fingerprint> SuspectedParts() const
+  {
+    return mState.mCrashes.SuspectedPartsIn(mParts, mState.Now());
+  }
   std::optional<request_fingerprint> QuarantinedParts() const
   {
     return mState.mCrashes.QuarantinedPartsIn(mParts, mState.Now());
--- a/src/forward/suspect_trial.h
+++ b/src/forward/suspect_trial.h
@@ -37,13 +37,14 @@
     if (!mWaitsSince) {
       mWaitsSince = mState.Now();
     }
-    const duration held = mState.mCrashes.HeldUntil(mWatch.Fingerprint()) - mState.Now();
+    mKey = mWatch.TrialKey();
+    const duration held = mState.mCrashes.HeldUntil(mKey) - mState.Now();
     if (held > duration{ 0 }) {
-      mDenied = trial_reply{ mWatch.Fingerprint(), 0, trial_state::eHeld, held, {} };
+      mDenied = trial_reply{ mKey, 0, trial_state::eHeld, held, {} };
       co_return false;
     }
     mTrial = { mState.mRandom() | 1U };
-    trial_request request{ mTrial, mWatch.Fingerprint(), {}, 0 };
+    trial_request request{ mTrial, mKey, {}, 0 };
     mSites.clear();
     for (const service_runner_id runner : aRunners) {
       mSites[runner] = mWatch.SiteOf(runner);
@@ -71,7 +72,7 @@
   void KeepOnly(service_runner_id aRunner)
   {
     if (mUnderWay) {
-      mState.mKeepTrial({ mTrial, mWatch.Fingerprint(), { mSites.at(aRunner) }, 0 });
+      mState.mKeepTrial({ mTrial, mKey, { mSites.at(aRunner) }, 0 });
     }
   }
 
@@ -116,7 +117,7 @@
   {
     if (mUnderWay) {
       mUnderWay = false;
-      mState.mKeepTrial({ mTrial, mWatch.Fingerprint(), {}, 0 });
+      mState.mKeepTrial({ mTrial, mKey, {}, 0 });
     }
   }
 
@@ -136,9 +137,10 @@
   /** Shortest time before a trial is asked for again. */
   static constexpr duration kMinWait = std::chrono::milliseconds(10);
 
-  forward_state& mState; ///< State shared by the daemon's components.
-  crash_watch& mWatch;   ///< Tells whether the request is suspected.
-  trial_id mTrial;       ///< The last trial that was asked for.
+  forward_state& mState;    ///< State shared by the daemon's components.
+  crash_watch& mWatch;      ///< Tells whether the request is suspected.
+  trial_id mTrial;          ///< The last trial that was asked for.
+  request_fingerprint mKey; ///< What it was asked for: the request, or parts of its prompt.
   /** The runners it was asked for: their rows may be replaced while it's under way. */
   std::map<service_runner_id, runner_site> mSites;
   bool mUnderWay = false;             ///< A trial was granted, and hasn't ended.
--- a/src/links/quarantine_link.cpp
+++ b/src/links/quarantine_link.cpp
@@ -112,6 +112,11 @@
   if (mState.mCrashes.NoteCrash(aReport, aNow)) {
     TellSuspected(aReport.mRequest);
   }
+  const bool isKnownPart =
+    mState.mCrashes.HasPartSets() && mJudges.HasBeenFirstFor(kJudgeWarmUp, aNow);
+  if (isKnownPart) { // A trial has crashed its runner: no other one may begin.
+    JudgeParts();
+  }
   AskForProofs();
   if (!isFirstReport) {
     return;
@@ -221,7 +226,7 @@
       log_level::eWarning,
       "request_quarantined",
       { { "fingerprint", request.mValue }, { "crashes", mState.mCrashes.CountCrashes(request) } });
-    TellQuarantined({ request, quarantine_status::eQuarantined, duration{ 0 }, {} });
+    TellQuarantined({ request, quarantine_status::eQuarantined, duration{ 0 }, {}, false });
   }
 }
 
@@ -242,7 +247,9 @@
     mState.mMetrics.CountQuarantine("parts_judged");
     LogEvent(log_level::eWarning,
              "parts_quarantined",
-             { { "fingerprint", notice.mRequest.mValue }, { "parts", TextOf(notice.mParts) } });
+             { { "fingerprint", notice.mRequest.mValue },
+               { "parts", TextOf(notice.mParts) },
+               { "confirmed", notice.mConfirmed } });
     TellQuarantined(notice);
   }
 }
@@ -314,7 +321,8 @@
 {
   mState.mMetrics.CountQuarantine("suspected");
   LogEvent(log_level::eInfo, "request_suspected", { { "fingerprint", aRequest.mValue } });
-  mToBroadcast.mNotices.push_back({ aRequest, quarantine_status::eSuspected, duration{ 0 }, {} });
+  mToBroadcast.mNotices.push_back(
+    { aRequest, quarantine_status::eSuspected, duration{ 0 }, {}, false });
   ScheduleBroadcast();
 }
 
--- a/src/messages/run_message.cpp
+++ b/src/messages/run_message.cpp
@@ -37,7 +37,7 @@
 constexpr std::size_t kRunnersCrashedIndex = 8;
 /** Index of the parts that are asked for, followed by those that are proven, in a quarantine. */
 constexpr std::size_t kPartsAskedIndex = 9;
-/** Index of the parts that are meant, in a notice. */
+/** Index of the parts that are meant, followed by whether they are confirmed, in a notice. */
 constexpr std::size_t kNoticePartsIndex = 3;
 
 /** Limit on runs decoded from one datagram; a valid datagram can't hold as many. */
@@ -252,7 +252,8 @@
     notices.push_back({ notice.mRequest.mValue,
                         static_cast<int>(notice.mStatus),
                         notice.mAge.count(),
-                        IdsOf(notice.mParts) });
+                        IdsOf(notice.mParts),
+                        notice.mConfirmed });
   }
   json proven = json::array();
   for (const part_proof& proof : aMessage.mProven) {
@@ -295,8 +296,9 @@
   notice.mRequest = { aItem.at(0).get<std::uint64_t>() };
   notice.mStatus = quarantined ? quarantine_status::eQuarantined : quarantine_status::eSuspected;
   notice.mAge = duration(std::max<std::int64_t>(0, aItem.at(2).get<std::int64_t>()));
-  if (aItem.size() > kNoticePartsIndex) { // Earlier versions don't send it.
+  if (aItem.size() > kNoticePartsIndex + 1) { // Earlier versions don't send them.
     notice.mParts = PartsFrom(aItem.at(kNoticePartsIndex));
+    notice.mConfirmed = aItem.at(kNoticePartsIndex + 1).get<bool>();
   }
   return notice;
 }
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -92,6 +92,7 @@
     ClearBystanders(aNotice.mRequest);
   } else if (!aNotice.mParts.empty()) {
     row.mParts = aNotice.mParts;
+    row.mConfirmed = row.mConfirmed || aNotice.mConfirmed;
     mPartSets[aNotice.mRequest] = aNotice.mParts;
     DropExplained(aNotice.mParts);
   }
@@ -369,7 +370,7 @@
 bool
 crash_ledger::IsQuarantined(const tracked_request& aRow, instant aNow) const
 {
-  return aRow.mQuarantined && aNow - *aRow.mQuarantined < kQuarantineDuration;
+  return aRow.mQuarantined && aNow - *aRow.mQuarantined < QuarantineOf(aRow);
 }
 
 quarantine_status
@@ -426,7 +427,7 @@
   if (found == mRequests.end() || !IsQuarantined(found->second, aNow)) {
     return duration{ 0 };
   }
-  return *found->second.mQuarantined + kQuarantineDuration - aNow;
+  return *found->second.mQuarantined + QuarantineOf(found->second) - aNow;
 }
 
 std::size_t
@@ -450,8 +451,11 @@
   std::vector<quarantine_notice> notices;
   for (const auto& [request, row] : mRequests) {
     if (IsQuarantined(row, aNow)) {
-      notices.push_back(
-        { request, quarantine_status::eQuarantined, aNow - *row.mQuarantined, row.mParts });
+      notices.push_back({ request,
+                          quarantine_status::eQuarantined,
+                          aNow - *row.mQuarantined,
+                          row.mParts,
+                          row.mConfirmed });
     }
   }
   std::sort(notices.begin(), notices.end(), [](const auto& aOne, const auto& aTwo) {
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -48,6 +48,9 @@
 inline constexpr duration kSameCrashTime = std::chrono::milliseconds(500);
 /** Length of a quarantine. After it, a single further crash quarantines the request again. */
 inline constexpr duration kQuarantineDuration = std::chrono::minutes(10);
+/** Length of the first quarantine of a set of parts: a single trial then tells whether it was
+ * right, since no run could prove it while it was refused. */
+inline constexpr duration kFirstPartQuarantine = std::chrono::seconds(10);
 /** Crashes are kept for this long. */
 inline constexpr duration kCrashRetention = std::chrono::minutes(10);
 /** Time after a crash for other daemons' reports of it to arrive; it's evaluated after that. */
@@ -106,6 +109,11 @@
   part_set PartsInQuestion(instant aNow) const;
   /** @return the key of a set in quarantine all of whose parts a prompt holds. */
   std::optional<request_fingerprint> QuarantinedPartsIn(const part_set& aParts, instant aNow) const;
+  /** @return the key of a set, all of whose parts a prompt holds, that may be sent as a trial only,
+   * since its quarantine is over and nothing has proven it. */
+  std::optional<request_fingerprint> SuspectedPartsIn(const part_set& aParts, instant aNow) const;
+  /** @return whether sets of parts are in quarantine, or were lately. */
+  bool HasPartSets() const { return !mPartSets.empty(); }
   /** Sets since when this daemon has received the reports of all daemons. Nothing is blamed for
    * crashes before that. */
   void SetCompleteSince(instant aSince) { mCompleteSince = aSince; }
@@ -154,7 +162,8 @@
     std::optional<instant> mQuarantined; ///< When its last quarantine began.
     /** Set while its crashes may be another one's: it isn't sent before then. */
     std::optional<instant> mDoubtUntil;
-    part_set mParts; ///< Not empty: it stands for all requests that hold these parts.
+    part_set mParts;         ///< Not empty: it stands for all requests that hold these parts.
+    bool mConfirmed = false; ///< They crashed a runner again after a quarantine.
   };
   /** A crash of a runner. */
   struct crashed_runner
@@ -224,7 +233,19 @@
   /** Records a run at a crash for its parts. @return whether parts in quarantine explain it. */
   bool NoteParts(const crash_report& aReport, crash_id aCrash, instant aCrashedAt, instant aNow);
   /** Puts a set of parts into quarantine and drops the crashes that it explains. */
-  quarantine_notice QuarantineParts(const part_set& aParts, instant aSince, instant aNow);
+  quarantine_notice QuarantineParts(const part_set& aParts,
+                                    instant aSince,
+                                    bool aConfirmed,
+                                    instant aNow);
+  /** @return the key of a set with a status, all of whose parts a prompt holds. */
+  std::optional<request_fingerprint> FindPartSet(const part_set& aParts,
+                                                 bool aQuarantined,
+                                                 instant aNow) const;
+  /** @return the length of a row's quarantine. */
+  static duration QuarantineOf(const tracked_request& aRow)
+  {
+    return aRow.mParts.empty() || aRow.mConfirmed ? kQuarantineDuration : kFirstPartQuarantine;
+  }
   /** Drops all crashes that a set of parts explains from the requests that ran there. */
   void DropExplained(const part_set& aParts);
   /** Over a limit, evicts the request updated longest ago, or the oldest crashed runner. Requests
--- a/src/quarantine/crash_ledger_parts.cpp
+++ b/src/quarantine/crash_ledger_parts.cpp
@@ -39,16 +39,17 @@
 }
 
 quarantine_notice
-crash_ledger::QuarantineParts(const part_set& aParts, instant aSince, instant aNow)
+crash_ledger::QuarantineParts(const part_set& aParts, instant aSince, bool aConfirmed, instant aNow)
 {
   const request_fingerprint key = FingerprintOf(aParts);
   tracked_request& row = mRequests[key];
   row.mParts = aParts;
   row.mQuarantined = aSince;
+  row.mConfirmed = aConfirmed;
   mPartSets[key] = aParts;
   DropExplained(aParts);
   EvictOldest();
-  return { key, quarantine_status::eQuarantined, aNow - aSince, aParts };
+  return { key, quarantine_status::eQuarantined, aNow - aSince, aParts, aConfirmed };
 }
 
 std::vector<quarantine_notice>
@@ -61,15 +62,16 @@
   const auto isQuarantined = [&](request_fingerprint aRequest) {
     return StatusOf(aRequest, aNow) == quarantine_status::eQuarantined;
   };
-  auto blamed = mParts.Judge(isQuarantined, mCompleteSince, aNow - kReportWindow, aNow);
-  for (const auto& [key, parts] : mPartSets) { // A further crash after its quarantine suffices.
+  const auto judged = mParts.Judge(isQuarantined, mCompleteSince, aNow - kReportWindow);
+  const std::map<request_fingerprint, part_set> known = mPartSets;
+  for (const auto& [key, parts] : known) {
     if (!isQuarantined(key) && mParts.HasUnexplained(parts)) {
-      blamed.push_back(parts);
+      notices.push_back(QuarantineParts(parts, aNow, true, aNow));
     }
   }
-  for (const part_set& parts : blamed) {
+  for (const part_set& parts : judged) {
     if (!QuarantinedPartsIn(parts, aNow)) {
-      notices.push_back(QuarantineParts(parts, aNow, aNow));
+      notices.push_back(QuarantineParts(parts, aNow, false, aNow));
     }
   }
   return notices;
@@ -80,22 +82,25 @@
 {
   mParts.NoteProven(aPart, aBegan);
   part_change change;
-  std::vector<std::pair<part_set, instant>> remaining;
+  std::vector<quarantine_notice> remaining;
   for (const auto& [key, parts] : mPartSets) {
-    const std::optional<instant> since = mRequests.at(key).mQuarantined;
-    if (since && aBegan > *since && std::binary_search(parts.begin(), parts.end(), aPart)) {
+    const tracked_request& row = mRequests.at(key);
+    const bool isRefuted = row.mQuarantined && aBegan > *row.mQuarantined &&
+                           std::binary_search(parts.begin(), parts.end(), aPart);
+    if (isRefuted) {
       change.mEnded.push_back(key);
       part_set left = parts;
       std::erase(left, aPart);
-      remaining.emplace_back(std::move(left), *since);
+      remaining.push_back({ {}, {}, aNow - *row.mQuarantined, std::move(left), row.mConfirmed });
     }
   }
   for (const request_fingerprint key : change.mEnded) {
     NoteServed(key);
   }
-  for (const auto& [parts, since] : remaining) {
-    if (!parts.empty()) {
-      change.mNotices.push_back(QuarantineParts(parts, since, aNow));
+  for (const quarantine_notice& left : remaining) {
+    if (!left.mParts.empty()) {
+      change.mNotices.push_back(
+        QuarantineParts(left.mParts, aNow - left.mAge, left.mConfirmed, aNow));
     }
   }
   return change;
@@ -109,9 +114,7 @@
     parts = mParts.Suspects();
   }
   for (const auto& [key, set] : mPartSets) {
-    if (set.size() > 1) {
-      parts.insert(parts.end(), set.begin(), set.end());
-    }
+    parts.insert(parts.end(), set.begin(), set.end());
   }
   std::sort(parts.begin(), parts.end());
   parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
@@ -119,15 +122,27 @@
 }
 
 std::optional<request_fingerprint>
-crash_ledger::QuarantinedPartsIn(const part_set& aParts, instant aNow) const
+crash_ledger::FindPartSet(const part_set& aParts, bool aQuarantined, instant aNow) const
 {
   for (const auto& [key, parts] : mPartSets) {
-    const bool isHeld = HoldsAll(aParts, parts);
-    if (isHeld && StatusOf(key, aNow) == quarantine_status::eQuarantined) {
+    const bool isQuarantined = StatusOf(key, aNow) == quarantine_status::eQuarantined;
+    if (isQuarantined == aQuarantined && HoldsAll(aParts, parts)) {
       return key;
     }
   }
   return std::nullopt;
 }
 
+std::optional<request_fingerprint>
+crash_ledger::QuarantinedPartsIn(const part_set& aParts, instant aNow) const
+{
+  return FindPartSet(aParts, true, aNow);
+}
+
+std::optional<request_fingerprint>
+crash_ledger::SuspectedPartsIn(const part_set& aParts, instant aNow) const
+{
+  return FindPartSet(aParts, false, aNow);
+}
+
 } // namespace dunehook
--- a/src/quarantine/part_evidence.cpp
+++ b/src/quarantine/part_evidence.cpp
@@ -86,7 +86,7 @@
   suspect_table suspects;
   std::vector<const part_crash*> crashes;
   for (const auto& [id, crash] : mCrashes) {
-    if (!crash.mExplained && crash.mAt >= aFrom && crash.mAt <= aUntil) {
+    if (crash.mAt >= aFrom && crash.mAt <= aUntil) {
       crashes.push_back(&crash);
     }
   }
@@ -96,7 +96,10 @@
   for (const part_crash* const crash : crashes) {
     for (const part_run& run : crash->mRuns) {
       for (const prompt_part part : run.mParts) {
-        if (IsProvenSince(part, crash->mAt)) {
+        // A part of the set that explains it may be the cause by itself.
+        const part_set& by = crash->mExplainedBy;
+        const bool isExplained = !by.empty() && !std::binary_search(by.begin(), by.end(), part);
+        if (isExplained || IsProvenSince(part, crash->mAt)) {
           continue;
         }
         suspect& row = suspects[part];
@@ -132,7 +135,7 @@
   return static_cast<std::size_t>(
     std::count_if(mCrashes.begin(), mCrashes.end(), [&](const auto& aRow) {
       const std::vector<part_run>& runs = aRow.second.mRuns;
-      return !aRow.second.mExplained &&
+      return aRow.second.mExplainedBy.empty() &&
              std::any_of(runs.begin(), runs.end(), [&](const part_run& aRun) {
                return aRun.mRequest == aRequest;
              });
@@ -145,25 +148,25 @@
                                     const suspect_table& aSuspects) const
 {
   const std::size_t own = aSuspect.mCrashes.size();
-  // In doubt for long, only what is at more crashes goes before it.
-  const std::size_t enough = own >= kMaxPartCrashesInDoubt ? own + 1 : own;
-  for (const part_run& run : aCrash.mRuns) {
-    if (HoldsAll(run.mParts, aSuspect.mTogether)) {
-      continue;
-    }
-    if (CountCrashes(run.mRequest) >= enough) {
-      return true;
+  const bool wasProven = WasProven(aSuspect.mTogether);
+  const auto isStronger = [&](const suspect& aOther) {
+    const std::size_t count = aOther.mCrashes.size();
+    if (WasProven(aOther.mTogether) != wasProven) { // What never went on is the likelier cause.
+      return wasProven && count >= kPartCrashes;
     }
-    for (const prompt_part part : run.mParts) {
-      const auto other = aSuspects.find(part);
-      const bool explains = other != aSuspects.end() && other->second.mCrashes.size() >= enough &&
-                            !HoldsAll(aSuspect.mTogether, other->second.mTogether);
-      if (explains) {
-        return true;
-      }
+    return count >= own;
+  };
+  return std::any_of(aCrash.mRuns.begin(), aCrash.mRuns.end(), [&](const part_run& aRun) {
+    if (HoldsAll(aRun.mParts, aSuspect.mTogether)) {
+      return false;
     }
-  }
-  return false;
+    const bool byPart = std::any_of(aRun.mParts.begin(), aRun.mParts.end(), [&](prompt_part aPart) {
+      const auto other = aSuspects.find(aPart);
+      return other != aSuspects.end() && isStronger(other->second) &&
+             !HoldsAll(aSuspect.mTogether, other->second.mTogether);
+    });
+    return byPart || CountCrashes(aRun.mRequest) >= own;
+  });
 }
 
 std::set<request_fingerprint>
@@ -198,25 +201,48 @@
   return count;
 }
 
+std::size_t
+part_evidence::CountOthersNear(const part_set& aParts, instant aFrom, instant aUntil) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mCrashes.begin(), mCrashes.end(), [&](const auto& aRow) {
+      const part_crash& other = aRow.second;
+      const bool isNear =
+        other.mAt > aFrom - kCommonCauseTime && other.mAt < aUntil + kCommonCauseTime;
+      return isNear && other.mExplainedBy.empty() && !HasRunWith(other.mRuns, aParts);
+    }));
+}
+
+std::size_t
+part_evidence::CountSeparate(const suspect& aSuspect) const
+{
+  std::size_t count = 0;
+  for (std::size_t i = 0; i < aSuspect.mCrashes.size();) {
+    const instant begin = aSuspect.mCrashes[i]->mAt;
+    std::size_t next = i;
+    while (next < aSuspect.mCrashes.size() &&
+           aSuspect.mCrashes[next]->mAt - begin < kCommonCauseTime) {
+      ++next;
+    }
+    const instant end = aSuspect.mCrashes[next - 1]->mAt;
+    const bool mayHaveCommonCause = CountOthersNear(aSuspect.mTogether, begin, end) >= next - i;
+    count += mayHaveCommonCause ? 1 : next - i;
+    i = next;
+  }
+  return count;
+}
+
 bool
-part_evidence::HasOthersAtTheTime(const suspect& aSuspect) const
+part_evidence::WasProven(const part_set& aParts) const
 {
-  return std::any_of(mCrashes.begin(), mCrashes.end(), [&](const auto& aRow) {
-    const part_crash& other = aRow.second;
-    const bool isNear = std::any_of(
-      aSuspect.mCrashes.begin(), aSuspect.mCrashes.end(), [&](const part_crash* aCrash) {
-        return std::max(aCrash->mAt, other.mAt) - std::min(aCrash->mAt, other.mAt) <
-               kCommonCauseTime;
-      });
-    return isNear && !other.mExplained && !HasRunWith(other.mRuns, aSuspect.mTogether);
-  });
+  return std::all_of(
+    aParts.begin(), aParts.end(), [&](prompt_part aPart) { return mProven.contains(aPart); });
 }
 
 bool
 part_evidence::IsBlamed(const suspect& aSuspect,
                         const suspect_table& aSuspects,
-                        const std::function<bool(request_fingerprint)>& aIsQuarantined,
-                        instant aNow) const
+                        const std::function<bool(request_fingerprint)>& aIsQuarantined) const
 {
   suspect counted{ {}, aSuspect.mTogether };
   std::set<request_fingerprint> repeated;
@@ -236,27 +262,30 @@
   if (counted.mCrashes.size() < kPartCrashes || RequestsOf(counted).size() < 2) {
     return false;
   }
-  const bool wasProven = std::all_of(counted.mTogether.begin(),
-                                     counted.mTogether.end(),
-                                     [&](prompt_part aPart) { return WasProven(aPart); });
-  const bool mayHaveCommonCause = wasProven || HasOthersAtTheTime(counted);
-  if (mayHaveCommonCause && CountInRow(counted) < kPartCrashes) {
+  const bool isNew =
+    std::any_of(counted.mCrashes.begin(), counted.mCrashes.end(), [](const part_crash* aCrash) {
+      return aCrash->mExplainedBy.empty();
+    });
+  if (!isNew || CountSeparate(counted) < kPartCrashes) {
     return false;
   }
-  return !wasProven || aNow - counted.mCrashes[kPartCrashes - 1]->mAt >= kProofWait;
+  if (!WasProven(counted.mTogether)) {
+    return true;
+  }
+  const duration span = counted.mCrashes.back()->mAt - counted.mCrashes.front()->mAt;
+  return CountInRow(counted) >= kProvenPartCrashes && span >= kProofWait;
 }
 
 std::vector<part_set>
 part_evidence::Judge(const std::function<bool(request_fingerprint)>& aIsQuarantined,
                      instant aFrom,
-                     instant aUntil,
-                     instant aNow) const
+                     instant aUntil) const
 {
   const suspect_table suspects = FindSuspects(aFrom, aUntil);
   std::vector<part_set> blamed;
   for (const auto& [part, row] : suspects) {
     const bool isBlamed = row.mCrashes.size() >= kPartCrashes && !row.mTogether.empty() &&
-                          IsBlamed(row, suspects, aIsQuarantined, aNow);
+                          IsBlamed(row, suspects, aIsQuarantined);
     if (isBlamed && std::find(blamed.begin(), blamed.end(), row.mTogether) == blamed.end()) {
       blamed.push_back(row.mTogether);
     }
@@ -277,7 +306,7 @@
   std::vector<std::uint64_t> explained;
   for (auto& [id, crash] : mCrashes) {
     if (HasRunWith(crash.mRuns, aParts)) {
-      crash.mExplained = true;
+      crash.mExplainedBy = aParts;
       explained.push_back(id);
     }
   }
@@ -288,7 +317,7 @@
 part_evidence::HasUnexplained(const part_set& aParts) const
 {
   return std::any_of(mCrashes.begin(), mCrashes.end(), [&](const auto& aRow) {
-    return !aRow.second.mExplained && HasRunWith(aRow.second.mRuns, aParts);
+    return aRow.second.mExplainedBy.empty() && HasRunWith(aRow.second.mRuns, aParts);
   });
 }
 
@@ -296,7 +325,7 @@
 part_evidence::IsExplained(std::uint64_t aCrash) const
 {
   const auto found = mCrashes.find(aCrash);
-  return found != mCrashes.end() && found->second.mExplained;
+  return found != mCrashes.end() && !found->second.mExplainedBy.empty();
 }
 
 } // namespace dunehook
--- a/src/quarantine/part_evidence.h
+++ b/src/quarantine/part_evidence.h
@@ -12,9 +12,11 @@
  * are refused. Once a run proves one of them harmless, it's taken out of the set. For the same
  * reason the largest such set is blamed, not the popular part that many prompts begin with.
  *
- * Crashes that other runners had at the same time without the part may have a common cause. They
- * count only in a row: each at a run that began after the one before. For parts that were proven
- * harmless before, this holds always, and kProofWait must pass for runs that prove them again.
+ * Crashes around which as many other runners crash without the parts may have a common cause, and
+ * count once. Parts that went on before the crashes are blamed at kProvenPartCrashes, and only if
+ * the crashes go on for kProofWait, each at a run that began after the one before: else nothing had
+ * time to prove them again. At a crash that a part explains which never went on, they aren't
+ * blamed.
  */
 #pragma once
 
@@ -32,8 +34,8 @@
 inline constexpr duration kRunProvenTime = std::chrono::milliseconds(500);
 /** Parts are blamed for this many crashes. */
 inline constexpr std::size_t kPartCrashes = 3;
-/** Parts are blamed for so many even if others explain them as well. */
-inline constexpr std::size_t kMaxPartCrashesInDoubt = 5;
+/** The same for parts that were proven harmless before. */
+inline constexpr std::size_t kProvenPartCrashes = 5;
 /** Time for runs that began after a crash to prove their parts, and for the news of it. */
 inline constexpr duration kProofWait = std::chrono::milliseconds(1500);
 /** Other runners that crash within this time of a crash may have a common cause. */
@@ -68,8 +70,6 @@
   /** Removes expired crashes and proofs. */
   void Prune(instant aNow);
 
-  /** @return whether a part was proven harmless at any time. */
-  bool WasProven(prompt_part aPart) const { return mProven.contains(aPart); }
   /** @return whether it was proven by a run that began after a time. */
   bool IsProvenSince(prompt_part aPart, instant aSince) const;
   /** @return parts at two crashes or more, of which proofs are wanted. */
@@ -82,8 +82,7 @@
    */
   std::vector<part_set> Judge(const std::function<bool(request_fingerprint)>& aIsQuarantined,
                               instant aFrom,
-                              instant aUntil,
-                              instant aNow) const;
+                              instant aUntil) const;
   /** Marks the crashes at which a run held all of these parts as explained by them: they are no
    * evidence against others. @return these crashes. */
   std::vector<std::uint64_t> Explain(const part_set& aParts);
@@ -99,7 +98,7 @@
   struct part_crash
   {
     instant mAt{ 0 };            ///< When the runner crashed, as first reported.
-    bool mExplained = false;     ///< See Explain().
+    part_set mExplainedBy;       ///< See Explain(); empty if nothing explains it.
     std::vector<part_run> mRuns; ///< At most kMaxRunsPerCrash.
   };
   /** Crashes that may be due to a part. */
@@ -116,8 +115,7 @@
   /** @return whether the evidence against a suspect suffices. */
   bool IsBlamed(const suspect& aSuspect,
                 const suspect_table& aSuspects,
-                const std::function<bool(request_fingerprint)>& aIsQuarantined,
-                instant aNow) const;
+                const std::function<bool(request_fingerprint)>& aIsQuarantined) const;
   /** @return whether another suspect, or one request, explains a crash as well. */
   bool IsExplainedOtherwise(const suspect& aSuspect,
                             const part_crash& aCrash,
@@ -128,8 +126,13 @@
   static std::set<request_fingerprint> RequestsOf(const suspect& aSuspect);
   /** @return how many crashes are in a row, each at a run that began after the one before. */
   static std::size_t CountInRow(const suspect& aSuspect);
-  /** @return whether other runners crashed at the time of one of its crashes without the parts. */
-  bool HasOthersAtTheTime(const suspect& aSuspect) const;
+  /** @return how many crashes count: those around which as many other runners crashed without the
+   * parts may have a common cause, and count once. */
+  std::size_t CountSeparate(const suspect& aSuspect) const;
+  /** @return how many other runners crashed around a time without the parts. */
+  std::size_t CountOthersNear(const part_set& aParts, instant aFrom, instant aUntil) const;
+  /** @return whether all of these parts were ever proven harmless. */
+  bool WasProven(const part_set& aParts) const;
 
   std::map<std::uint64_t, part_crash> mCrashes;     ///< At most kMaxPartCrashesKept.
   std::unordered_map<prompt_part, instant> mProven; ///< Latest begin of a run that went on.
--- a/src/quarantine/quarantine_type.h
+++ b/src/quarantine/quarantine_type.h
@@ -75,6 +75,7 @@
   quarantine_status mStatus = quarantine_status::eSuspected; ///< Never eClear.
   duration mAge{ 0 };                                        ///< Time since it got this status.
   part_set mParts; ///< If not empty, all requests whose prompts hold all of these parts are meant.
+  bool mConfirmed = false; ///< A trial of the parts has crashed a runner again.
 
   auto operator<=>(const quarantine_notice&) const = default;
 };
