Fix: [Streams] a stream without the end of an event is cut off after 1 MB

A decode engine that did so was read until the caller's time limit, with all it sent kept in memory for the next event's end. Seen: endless.AStreamOfADecodeEngineIsCutOff, real processes, failed before (no answer within 3 s), passes now. Heads of decode, prefill and plain runners and bodies of prefill engines without end had been bounded: their tests passed from the start. Not tested: a plain answer's body (passed on as it comes, memory bounded), the store, other daemons.

--- a/src/forward/event_splitter.cpp
+++ b/src/forward/event_splitter.cpp
@@ -19,6 +19,7 @@
 event_splitter::Feed(std::string_view aBytes)
 {
   mPartialEvent.append(aBytes);
+  mSinceEvent += aBytes.size();
   std::size_t whole = 0;
   for (; mScanned < mPartialEvent.size(); ++mScanned) {
     const char byte = mPartialEvent[mScanned];
@@ -48,6 +49,7 @@
 event_splitter::DropPartialEvent()
 {
   mPartialEvent.clear();
+  mSinceEvent = 0;
   mScanned = 0;
   mLineStart = 0;
   mAfterReturn = false;
@@ -65,6 +67,7 @@
   mAtStart = false;
   if (line.empty()) {
     mCount += mHasField ? 1 : 0;
+    mSinceEvent = mHasField ? 0 : mSinceEvent;
     mLastId = mPartialId ? mPartialId : mLastId;
     mPartialId.reset();
     mHasField = false;
--- a/src/forward/event_splitter.h
+++ b/src/forward/event_splitter.h
@@ -13,6 +13,9 @@
 
 namespace dunehook {
 
+/** Bytes without the end of an event after which a stream is no stream of events. */
+inline constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+
 /** Splits the events of one stream. */
 class event_splitter
 {
@@ -30,6 +33,8 @@
    * comment lines belong to no event.
    */
   bool InsideEvent() const { return mHasField || mLineStart < mPartialEvent.size(); }
+  /** @return whether so much came without a whole event that it's no stream of events. */
+  bool IsOverlong() const { return mSinceEvent > kMaxEventBytes; }
   /** Drops the bytes after the last complete event: another runner generates that event again. */
   void DropPartialEvent();
   /** @return the id of the last complete event that had a numeric one. */
@@ -50,6 +55,7 @@
   std::optional<std::uint64_t> mPartialId; ///< Id in mPartialEvent.
   std::optional<std::uint64_t> mLastId;    ///< Id of the last complete event that had one.
   std::uint32_t mCount = 0;                ///< Complete events.
+  std::size_t mSinceEvent = 0;             ///< Bytes of the stream since the last one.
 };
 
 } // namespace dunehook
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -490,6 +490,9 @@
       return aRead.error() == errc::eConnectionLost ? run_break::eConnectionLost
                                                     : run_break::eTimedOut;
     }
+    if (mEvents.IsOverlong()) {
+      return run_break::eWrongAnswer;
+    }
     if (aRead.value() || ProvesEnd(aFraming)) {
       return std::nullopt;
     }
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -5,7 +5,7 @@
  * Control calls: POST /control/config, /control/server?id=, /control/store, /control/runner?id=,
  * /control/crash?id=, /control/view (another address of the store, where runners are listed at
  * other addresses, as from the body's "addresses"); GET /control/seen, /control/holds,
- * /control/terms, /control/crashes, /control/birth?id=.
+ * /control/terms, /control/endless, /control/crashes, /control/birth?id=.
  */
 #include "core/text_func.h"
 #include "standins/common/standin.h"
@@ -339,6 +339,8 @@
       answer = OpenView(body);
     } else if (aWhat == "crash") {
       Crash(mRunners.at(id), "");
+    } else if (aWhat == "endless") {
+      answer["open"] = mEndless;
     } else if (aWhat == "crashes") {
       answer["crashes"] = mCrashes;
     } else if (aWhat == "birth") {
@@ -618,6 +620,10 @@
       aStream.socket().set_option(asio::socket_base::linger(true, 0));
       co_return false;
     }
+    if (mode == "endless_head" || mode == "endless_body") {
+      const std::string head = mode == "endless_body" ? own : std::string();
+      co_return co_await WriteWithoutEnd(aStream, head);
+    }
     if (mode == "hang") { // Until the connection closes.
       char rest = 0;
       boost::system::error_code closed;
@@ -660,6 +666,25 @@
     co_return co_await AnswerPlain(aRunner, aStream, aRequest, own, mode);
   }
 
+  /** Sends bytes that are no answer until the caller closes: in a body after a head with
+   * @p aOwn, or in the head if that's empty. */
+  asio::awaitable<bool> WriteWithoutEnd(beast::tcp_stream& aStream, const std::string& aOwn)
+  {
+    const std::string head = aOwn.empty() ? "" : Join(aOwn, "\r\n");
+    bool open = co_await Write(aStream, Join("HTTP/1.1 200 OK\r\n", head));
+    const std::string line = Join("X-Filler: ", std::string(1000, 'x'), "\r\n");
+    std::string filler;
+    for (int i = 0; i < 64; ++i) {
+      filler += aOwn.empty() ? line : std::string(1000, 'x');
+    }
+    ++mEndless;
+    while (open) {
+      open = co_await Write(aStream, filler);
+    }
+    --mEndless;
+    co_return false;
+  }
+
   /** @return whether a prompt holds a part before its last one. */
   static bool HoldsPart(const http::request<http::string_body>& aRequest, const std::string& aPart)
   {
@@ -873,6 +898,7 @@
   std::uint64_t mWholeReads = 0;      ///< Reads of a whole topic, but for quarantines.
   std::uint64_t mQuarantineReads = 0; ///< Reads of all quarantines.
   std::uint64_t mHolds = 0;           ///< Reservations granted.
+  int mEndless = 0;                   ///< Answers without an end that are being sent.
   json mCrashes = json::array();      ///< Lives that crashed, and when.
 };
 
--- /dev/null
+++ b/tests/platform/endless_test.cpp
@@ -0,0 +1,107 @@
+/**
+ * @file endless_test.cpp
+ * Tests with real processes that bytes without an end, which a runner sends in place of an answer,
+ * cost little memory and time, wherever they are read, and aren't passed on as an answer.
+ */
+#include "tests/platform/fleet_bed.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <fstream>
+#include <thread>
+
+using namespace dunehook;
+using namespace dunehook::test;
+
+namespace {
+
+/** Time within which a caller is answered, and the runner's connection is closed; ms. A stream of
+ * the usual length takes a tenth of it. */
+constexpr std::int64_t kMaxAnswerMs = 3000;
+/** Memory that a daemon may take for a few such answers; MB. The smallest host has 110. */
+constexpr std::int64_t kMaxGrowthMb = 24;
+constexpr int kCallLimitMs = 8000;
+constexpr int kCalls = 6;
+constexpr std::int64_t kPageBytes = 4096;
+
+} // namespace
+
+TEST_GROUP(endless)
+{
+  fleet_bed mBed;
+
+  /** @param aKind begins the ids of the two runners that send without an end. */
+  void Start(const std::string& aKind, const std::string& aMode)
+  {
+    for (int i = 1; i <= 2; ++i) {
+      mBed.AddRunner("desk-" + std::to_string(i));
+      mBed.AddRunner("prefill-" + std::to_string(i), { "tutor", "prefill" });
+      mBed.AddRunner("decode-" + std::to_string(i), { "tutor", "decode" });
+    }
+    mBed.PutConfig(1);
+    mBed.StartDaemon();
+    mBed.SetRunner(aKind + "-1", { { "mode", aMode } });
+    mBed.SetRunner(aKind + "-2", { { "mode", aMode } });
+  }
+
+  std::int64_t MemoryMb()
+  {
+    std::ifstream statm("/proc/" + std::to_string(mBed.Daemon().Pid()) + "/statm");
+    std::int64_t all = 0;
+    std::int64_t resident = 0;
+    statm >> all >> resident;
+    return resident * kPageBytes / (1 << 20);
+  }
+
+  void CheckBounded(const std::string& aMethod, const std::string& aPath, const headers& aHeaders)
+  {
+    const std::int64_t before = MemoryMb();
+    for (int i = 0; i < kCalls; ++i) {
+      headers all = aHeaders;
+      for (auto& [name, value] : all) {
+        value = name == "X-Request-Id" ? value + std::to_string(i) : value;
+      }
+      const std::int64_t sent = NowMs();
+      const answer got = Call(mBed.Callers(), aMethod, aPath, "", all, kCallLimitMs);
+      CHECK_TRUE(NowMs() - sent <= kMaxAnswerMs);
+      CHECK_TRUE(got.mStatus == 0 || got.mStatus == 502 || got.mStatus == 503);
+      CHECK_TRUE(got.mBody.find("xxxx") == std::string::npos);
+    }
+    const std::int64_t until = NowMs() + kMaxAnswerMs;
+    while (mBed.EndlessAnswers() > 0 && NowMs() < until) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    LONGS_EQUAL(0, mBed.EndlessAnswers());
+    CHECK_TRUE(MemoryMb() - before <= kMaxGrowthMb);
+  }
+};
+
+TEST(endless, AHeadOfADecodeEngineIsCutOff)
+{
+  Start("decode", "endless_head");
+  CheckBounded("POST", "/turns/a", GenerationHeaders("g", 2000, 10));
+}
+
+TEST(endless, AStreamOfADecodeEngineIsCutOff)
+{
+  Start("decode", "endless_body");
+  CheckBounded("POST", "/turns/a", GenerationHeaders("g", 2000, 10));
+}
+
+TEST(endless, AHeadOfAPrefillEngineIsCutOff)
+{
+  Start("prefill", "endless_head");
+  CheckBounded("POST", "/turns/a", GenerationHeaders("g", 2000, 10));
+}
+
+TEST(endless, ABodyOfAPrefillEngineIsCutOff)
+{
+  Start("prefill", "endless_body");
+  CheckBounded("POST", "/turns/a", GenerationHeaders("g", 2000, 10));
+}
+
+TEST(endless, AHeadOfAPlainRunnerIsCutOff)
+{
+  Start("desk", "endless_head");
+  CheckBounded("GET", "/pages/a", CallerHeaders("p"));
+}
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -572,6 +572,12 @@
   entry["born"] = std::max(born, entry.value("born", std::uint64_t{ 0 }));
 }
 
+int
+fleet_bed::EndlessAnswers() const
+{
+  return Control("endless", "").at("open").get<int>();
+}
+
 std::vector<json>
 fleet_bed::Crashes() const
 {
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -143,6 +143,8 @@
   /** Takes over the start time of a runner's incarnation as it's listed now, after a crash under
    * the id that it keeps. */
   void TakeBirth(const std::string& aId);
+  /** @return how many answers without an end runners are sending. */
+  int EndlessAnswers() const;
   /** @return lives of runners that crashed: "runner", "at_ms" and "by", the body that did it. */
   std::vector<json> Crashes() const;
   /** @return the runner's reservations and open requests. */
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -101,6 +101,8 @@
 {
 public:
   process(std::vector<std::string> aCommand, std::string aOutput);
+  /** @return its process id. */
+  pid_t Pid() const { return mPid; }
   ~process();
   process(const process&) = delete;
   process& operator=(const process&) = delete;
