--- a/tests/platform/crash_part_test.cpp
+++ b/tests/platform/crash_part_test.cpp
@@ -42,6 +42,8 @@
 constexpr int kPromptTokens = 2000;
 constexpr int kEvents = 12;
 constexpr std::size_t kEngines = 9;
+/** Daemons that judge, which a test kills. */
+constexpr std::size_t kKilled = 2;
 const std::string kDeadly = "dead01";
 const std::string kSecondDeadly = "dead02";
 
@@ -59,12 +61,13 @@
 
 TEST_GROUP(crash_parts)
 {
-  fleet_bed mBed;                       ///< The deployment.
-  std::atomic<int> mRequests{ 0 };      ///< Requests so far, over all callers.
-  std::atomic<bool> mStopping{ false }; ///< Callers end.
-  std::mutex mMutex;                    ///< Guards mEnded.
-  std::vector<ended_call> mEnded;       ///< Calls that have ended.
-  std::vector<std::thread> mCallers;    ///< Under way.
+  fleet_bed mBed;                            ///< The deployment.
+  std::atomic<int> mRequests{ 0 };           ///< Requests so far, over all callers.
+  std::atomic<bool> mStopping{ false };      ///< Callers end.
+  std::atomic<std::size_t> mFirstAlive{ 0 }; ///< Daemons before it are dead.
+  std::mutex mMutex;                         ///< Guards mEnded.
+  std::vector<ended_call> mEnded;            ///< Calls that have ended.
+  std::vector<std::thread> mCallers;         ///< Under way.
 
   void StartFleet(std::size_t aDaemons)
   {
@@ -113,7 +116,7 @@
   {
     ended_call call;
     call.mSound = aSound;
-    call.mDaemon = static_cast<std::size_t>(aNumber) % mBed.Daemons();
+    call.mDaemon = mFirstAlive + static_cast<std::size_t>(aNumber) % (mBed.Daemons() - mFirstAlive);
     call.mSentAt = NowMs();
     headers all = GenerationHeaders("part" + std::to_string(aNumber), kPromptTokens, kEvents, {});
     for (auto& [name, value] : all) {
@@ -143,6 +146,15 @@
     }
   }
 
+  /** Waits until engines have crashed so often. */
+  void AwaitCrashes(std::size_t aCount) const
+  {
+    const std::int64_t until = NowMs() + kCallLimitMs;
+    while (mBed.Crashes().size() < aCount && NowMs() < until) {
+      Wait(kPauseMs / 4);
+    }
+  }
+
   void EndCallers()
   {
     mStopping = true;
@@ -248,3 +260,44 @@
   CheckStopped(kSecondDeadly);
   CheckSoundServed(KnownAt(kDeadly) + 2 * kContactMs);
 }
+
+TEST(crash_parts, APartIsStoppedWhereTheDaemonsThatJudgeAreKilledMeanwhile)
+{
+  StartFleet(8);
+  CrashOn({ kDeadly });
+  StartUsualCallers({ "aa:200," + kDeadly + ":300," });
+  AwaitCrashes(2);
+  mFirstAlive = kKilled;
+  for (std::size_t i = 0; i < kKilled; ++i) {
+    mBed.Daemon(i).Signal(SIGKILL);
+  }
+  Wait(kCallersMs);
+  EndCallers();
+  CheckStopped(kDeadly);
+  CheckSoundServed(KnownAt(kDeadly) + 2 * kContactMs);
+}
+
+TEST(crash_parts, APartThatIsRefusedReachesFewEnginesAfterAllDaemonsWereKilled)
+{
+  StartFleet(4);
+  CrashOn({ kDeadly });
+  StartUsualCallers({ "aa:200," + kDeadly + ":300," });
+  Wait(kCallersMs / 2);
+  EndCallers();
+  const std::int64_t known = KnownAt(kDeadly);
+  for (std::size_t i = 0; i < mBed.Daemons(); ++i) {
+    mBed.Daemon(i).Signal(SIGKILL);
+  }
+  for (std::size_t i = 0; i < mBed.Daemons(); ++i) {
+    mBed.RestartDaemon(i);
+  }
+  for (std::size_t i = 0; i < mBed.Daemons(); ++i) {
+    mBed.AwaitReady(i);
+  }
+  Wait(kSettleMs);
+  StartUsualCallers({ "aa:200," + kDeadly + ":300," });
+  Wait(kCallersMs);
+  EndCallers();
+  CHECK_TRUE(CountReached(kDeadly, known + kContactMs) <= kMaxLaterRequests);
+  CheckSoundServed(known + 2 * kContactMs);
+}
