Fix: [Forward] a popular part isn't refused for requests that crash engines by themselves

With two engines that requests crash one after the other no run proved it for 1.5 s, and the trial met another such request, so that it was refused for ten minutes.

--- a/soak/soak_callers.cpp
+++ b/soak/soak_callers.cpp
@@ -26,6 +26,13 @@
 constexpr int kMostRepeats = 4;
 /** Rest between two requests of a caller, in ms. */
 constexpr int kMostRest = 60;
+/** @return whether a part of a call's prompt crashes engines. */
+bool
+IsPoisonPart(const call_record& aCall)
+{
+  return aCall.mPoison.starts_with(kPoisonPart);
+}
+
 /** Events of a stream; the stand-in makes one each 10 ms. */
 constexpr int kMostEvents = 40;
 constexpr int kPromptTokens = 2000;
@@ -67,13 +74,19 @@
     if (aCall.mFirstEvent > 0) {
       fields.emplace_back("Last-Event-Id", std::to_string(aCall.mFirstEvent - 1));
     }
+    if (IsPoisonPart(aCall)) {
+      std::erase_if(fields, [](const auto& aField) { return aField.first == "X-Prefix-Hash"; });
+      fields.emplace_back("X-Prefix-Hash",
+                          "aa:200," + aCall.mPoison + ":100," + aCall.mId + ":900");
+    }
   }
   for (const auto& [name, value] : fields) {
     request.set(name, value);
   }
   if (!reads) {
     const std::string& first = aCall.mSameAs.empty() ? aCall.mId : aCall.mSameAs;
-    request.body() = aCall.mPoison.empty() ? "body of " + first : aCall.mPoison;
+    request.body() =
+      aCall.mPoison.empty() || IsPoisonPart(aCall) ? "body of " + first : aCall.mPoison;
   }
   request.prepare_payload();
   return request;
@@ -183,7 +196,9 @@
     // Tries of one request are alike in all but their ids, so its kind follows from its number.
     call.mKind = poison % 2 == 0 ? call_kind::eTurn : call_kind::eResumed;
     call.mEvents = kMostEvents;
-    call.mPoison = kPoison + std::to_string(poison);
+    call.mPoison = mWorld.mPoisonParts
+                     ? kPoisonPart + std::to_string(std::min(poison, kPoisonParts))
+                     : kPoison + std::to_string(poison);
   }
   return call;
 }
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -17,6 +17,10 @@
 
 /** What a body that crashes runners begins with. */
 inline const std::string kPoison = "poison-";
+/** What a part of prompts that crashes engines begins with; the number follows. */
+inline const std::string kPoisonPart = "bad";
+/** Such parts that engines know. */
+inline constexpr int kPoisonParts = 60;
 
 /** What callers and faults share. */
 struct caller_world
@@ -27,6 +31,9 @@
 
   std::atomic<int> mPoison{ 0 }; ///< Number of the body that crashes runners; 0: none.
 
+  /** That number names a part of prompts which are no two alike, and not a body. */
+  std::atomic<bool> mPoisonParts{ false };
+
   std::atomic<bool> mRepeats{ false }; ///< Callers send again what a runner's end has broken.
 
   explicit caller_world(std::size_t aDaemons)
--- a/soak/soak_check.cpp
+++ b/soak/soak_check.cpp
@@ -5,6 +5,7 @@
 #include "soak/soak_check.h"
 
 #include "core/text_func.h"
+#include "soak/soak_callers.h"
 
 #include <algorithm>
 #include <limits>
@@ -22,6 +23,8 @@
 /** Runners that a request may crash, and its tries that may reach one later than the time in which
  * all daemons that are in contact learn of it, in ms. */
 constexpr int kCrashesAllowed = 3;
+/** The same for a part of prompts. */
+constexpr int kPartCrashesAllowed = 5;
 constexpr std::size_t kRetriesAllowed = 3;
 constexpr std::int64_t kContactTime = 3000;
 
@@ -242,14 +245,15 @@
   }
 }
 
-/** @return when a body had crashed as many runners as it may; nothing if it hasn't. */
+/** @return when a body, or a part, had crashed as many runners as it may; nothing if it hasn't. */
 std::optional<std::int64_t>
 LastAllowedCrash(const evidence& aEvidence, const std::string& aPoison)
 {
+  const int allowed = aPoison.starts_with(kPoisonPart) ? kPartCrashesAllowed : kCrashesAllowed;
   int crashes = 0;
   for (const json& crash : aEvidence.mCrashes) {
     crashes += crash.value("by", "") == aPoison ? 1 : 0;
-    if (crashes == kCrashesAllowed) {
+    if (crashes == allowed) {
       return crash.value("at_ms", std::int64_t{ 0 });
     }
   }
@@ -269,11 +273,11 @@
     }
   }
   for (const json& one : aEvidence.mSeen) {
-    const std::string poison = one.value("body", "");
     const auto call = calls.find(one.at("headers").value("X-Request-Id", ""));
     if (call == calls.end()) {
       continue;
     }
+    const std::string& poison = call->second->mPoison;
     const std::optional<std::int64_t> third = LastAllowedCrash(aEvidence, poison);
     const std::int64_t at = one.value("at_ms", std::int64_t{ 0 });
     const bool excused = std::any_of(
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -35,6 +35,9 @@
  * no runner is listed anew: each daemon knows runners by addresses of its own, and daemons tell
  * each other of changed entries. */
 constexpr unsigned kFirstWithCuts = 5000;
+/** Seeds from here on play parts of prompts that crash engines in place of requests, and what 2000
+ * plays. */
+constexpr unsigned kFirstWithParts = 6000;
 /** Length of a long cut, and of one in a series; time between the begins of those; in ms. */
 constexpr std::int64_t kLongCutMs = 6000;
 constexpr std::int64_t kSerialCutMs = 500;
@@ -68,11 +71,16 @@
   , mOnly(aOnly)
   , mMemory(aOnly == fault_kind::eMemory ||
             (aOnly == fault_kind::eAll && aSeed >= kFirstWithMemory && aSeed < kFirstWithCuts))
-  , mPoisons(aOnly == fault_kind::ePoison ||
-             (aOnly == fault_kind::eAll && aSeed >= kFirstWithPoison && aSeed < kFirstWithLimits))
-  , mLimits(aOnly == fault_kind::eLimit || (aOnly == fault_kind::eAll && aSeed >= kFirstWithLimits))
+  , mPoisons(
+      aOnly == fault_kind::ePoison ||
+      (aOnly == fault_kind::eAll &&
+       ((aSeed >= kFirstWithPoison && aSeed < kFirstWithLimits) || aSeed >= kFirstWithParts)))
+  , mPoisonParts(mPoisons && aSeed >= kFirstWithParts && aOnly == fault_kind::eAll)
+  , mLimits(aOnly == fault_kind::eLimit ||
+            (aOnly == fault_kind::eAll && aSeed >= kFirstWithLimits && !mPoisonParts))
   , mFramesStreams(aOnly != fault_kind::eAll || aSeed < kFirstWithoutFraming)
-  , mCuts(aOnly == fault_kind::eCut || (aOnly == fault_kind::eAll && aSeed >= kFirstWithCuts))
+  , mCuts(aOnly == fault_kind::eCut ||
+          (aOnly == fault_kind::eAll && aSeed >= kFirstWithCuts && !mPoisonParts))
   , mRunners{ "desk-1", "desk-2", "prefill-1", "decode-1", "decode-2" }
 {
 }
@@ -218,9 +226,17 @@
     return;
   }
   mWorld.mRepeats = true;
+  mWorld.mPoisonParts = mPoisonParts;
+  json faults{ { "down_ms", kDownMs }, { "keeps_id", true } };
+  if (mPoisonParts) {
+    for (int number = 1; number <= kPoisonParts; ++number) {
+      faults["crashes_on_parts"].push_back(kPoisonPart + std::to_string(number));
+    }
+  } else {
+    faults["crashes_on"] = kPoison;
+  }
   for (const std::string& runner : mRunners) {
-    mBed.SetRunner(runner,
-                   { { "crashes_on", kPoison }, { "down_ms", kDownMs }, { "keeps_id", true } });
+    mBed.SetRunner(runner, faults);
   }
 }
 
--- a/soak/soak_faults.h
+++ b/soak/soak_faults.h
@@ -127,6 +127,7 @@
   fault_kind mOnly;                             ///< Kind of unplanned faults, or eAll.
   bool mMemory;                                 ///< eMemory is among what is played.
   bool mPoisons;                                ///< ePoison is among what is played.
+  bool mPoisonParts;                            ///< They are parts of prompts.
   bool mLimits;                                 ///< eLimit is among what is played.
   bool mFramesStreams;                          ///< Streams are chunked.
   bool mCuts;                                   ///< eCut is among what is played.
--- a/soak/soak_type.h
+++ b/soak/soak_type.h
@@ -37,10 +37,11 @@
   std::string mBody;                    ///< What came of the body.
   std::uint64_t mFirstEvent = 0;        ///< Streams: first event that the caller lacks.
   std::uint64_t mEvents = 0;            ///< Streams: events of the whole answer.
-  std::string mPoison;                  ///< Body that crashes runners; empty for a body of its own.
-  std::string mSameAs;                  ///< First try of the same request; empty if it's this one.
-  int mRepeats = 0;                     ///< Tries of the same request before this one.
-  std::uint64_t mVersion = 0;           ///< eVersion: the configuration that brought the route.
+  /** Body, or part of its prompt, that crashes runners; empty if it does no harm. */
+  std::string mPoison;
+  std::string mSameAs;        ///< First try of the same request; empty if it's this one.
+  int mRepeats = 0;           ///< Tries of the same request before this one.
+  std::uint64_t mVersion = 0; ///< eVersion: the configuration that brought the route.
 };
 
 /** Something that the soak did to a daemon. */
--- a/src/quarantine/crash_ledger_parts.cpp
+++ b/src/quarantine/crash_ledger_parts.cpp
@@ -66,7 +66,8 @@
   const std::map<request_fingerprint, part_set> known = mPartSets;
   for (const auto& [key, parts] : known) {
     if (!isQuarantined(key) && mParts.HasUnexplained(parts)) {
-      notices.push_back(QuarantineParts(parts, aNow, true, aNow));
+      // What once went on is tried again soon: its trial may have been of a request that crashes.
+      notices.push_back(QuarantineParts(parts, aNow, !mParts.WasProven(parts), aNow));
     }
   }
   for (const part_set& parts : judged) {
--- a/src/quarantine/part_evidence.h
+++ b/src/quarantine/part_evidence.h
@@ -35,9 +35,9 @@
 /** Parts are blamed for this many crashes. */
 inline constexpr std::size_t kPartCrashes = 3;
 /** The same for parts that were proven harmless before. */
-inline constexpr std::size_t kProvenPartCrashes = 5;
-/** Time for runs that began after a crash to prove their parts, and for the news of it. */
-inline constexpr duration kProofWait = std::chrono::milliseconds(1500);
+inline constexpr std::size_t kProvenPartCrashes = 8;
+/** Time for runs that began after a crash to prove their parts, while several engines are down. */
+inline constexpr duration kProofWait = std::chrono::milliseconds(6000);
 /** Other runners that crash within this time of a crash may have a common cause. */
 inline constexpr duration kCommonCauseTime = std::chrono::milliseconds(1000);
 /** Crashes and proofs are kept for this long. */
@@ -72,6 +72,8 @@
 
   /** @return whether it was proven by a run that began after a time. */
   bool IsProvenSince(prompt_part aPart, instant aSince) const;
+  /** @return whether all of these parts were ever proven harmless. */
+  bool WasProven(const part_set& aParts) const;
   /** @return parts at two crashes or more, of which proofs are wanted. */
   part_set Suspects() const;
   /**
@@ -131,8 +133,6 @@
   std::size_t CountSeparate(const suspect& aSuspect) const;
   /** @return how many other runners crashed around a time without the parts. */
   std::size_t CountOthersNear(const part_set& aParts, instant aFrom, instant aUntil) const;
-  /** @return whether all of these parts were ever proven harmless. */
-  bool WasProven(const part_set& aParts) const;
 
   std::map<std::uint64_t, part_crash> mCrashes;     ///< At most kMaxPartCrashesKept.
   std::unordered_map<prompt_part, instant> mProven; ///< Latest begin of a run that went on.
