--- a/src/forward/event_splitter.h
+++ b/src/forward/event_splitter.h
@@ -14,7 +14,7 @@
 namespace dunehook {
 
 /** Bytes without the end of an event after which a stream is no stream of events. */
-inline constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+inline constexpr std::size_t kMaxEventBytes = std::size_t{ 1024 } * 1024;
 
 /** Splits the events of one stream. */
 class event_splitter
--- a/tests/platform/endless_test.cpp
+++ b/tests/platform/endless_test.cpp
@@ -59,7 +59,9 @@
     for (int i = 0; i < kCalls; ++i) {
       headers all = aHeaders;
       for (auto& [name, value] : all) {
-        value = name == "X-Request-Id" ? value + std::to_string(i) : value;
+        if (name == "X-Request-Id") {
+          value += std::to_string(i);
+        }
       }
       const std::int64_t sent = NowMs();
       const answer got = Call(mBed.Callers(), aMethod, aPath, "", all, kCallLimitMs);
