Fix: [Forward] engines that fail at the same moment have no part refused

Crashes of three runners or more within 0.1 s have a cause that no request is, and count for no part.

--- a/src/quarantine/part_evidence.cpp
+++ b/src/quarantine/part_evidence.cpp
@@ -201,6 +201,16 @@
   return count;
 }
 
+bool
+part_evidence::IsSimultaneous(const part_crash& aCrash) const
+{
+  const auto count = std::count_if(mCrashes.begin(), mCrashes.end(), [&](const auto& aRow) {
+    const instant at = aRow.second.mAt;
+    return std::max(at, aCrash.mAt) - std::min(at, aCrash.mAt) < kSimultaneousTime;
+  });
+  return static_cast<std::size_t>(count) >= kSimultaneousCrashes;
+}
+
 std::size_t
 part_evidence::CountOthersNear(const part_set& aParts, instant aFrom, instant aUntil) const
 {
@@ -247,7 +257,7 @@
   suspect counted{ {}, aSuspect.mTogether };
   std::set<request_fingerprint> repeated;
   for (const part_crash* const crash : aSuspect.mCrashes) {
-    if (IsExplainedOtherwise(aSuspect, *crash, aSuspects)) {
+    if (IsSimultaneous(*crash) || IsExplainedOtherwise(aSuspect, *crash, aSuspects)) {
       continue;
     }
     // All crashes of a request that is quarantined for itself count as one.
--- a/src/quarantine/part_evidence.h
+++ b/src/quarantine/part_evidence.h
@@ -12,11 +12,11 @@
  * are refused. Once a run proves one of them harmless, it's taken out of the set. For the same
  * reason the largest such set is blamed, not the popular part that many prompts begin with.
  *
- * Crashes around which as many other runners crash without the parts may have a common cause, and
- * count once. Parts that went on before the crashes are blamed at kProvenPartCrashes, and only if
- * the crashes go on for kProofWait, each at a run that began after the one before: else nothing had
- * time to prove them again. At a crash that a part explains which never went on, they aren't
- * blamed.
+ * Crashes of several runners at the same moment are nobody's. Those around which as many other
+ * runners crash without the parts may have a common cause, and count once. Parts that went on
+ * before the crashes are blamed at kProvenPartCrashes, and only if the crashes go on for
+ * kProofWait, each at a run that began after the one before: else nothing had time to prove them
+ * again. At a crash that a part explains which never went on, they aren't blamed.
  */
 #pragma once
 
@@ -40,6 +40,9 @@
 inline constexpr duration kProofWait = std::chrono::milliseconds(6000);
 /** Other runners that crash within this time of a crash may have a common cause. */
 inline constexpr duration kCommonCauseTime = std::chrono::milliseconds(1000);
+/** So many runners that crash within this time have a common cause that isn't a request. */
+inline constexpr std::size_t kSimultaneousCrashes = 3;
+inline constexpr duration kSimultaneousTime = std::chrono::milliseconds(100);
 /** Crashes and proofs are kept for this long. */
 inline constexpr duration kPartRetention = std::chrono::minutes(10);
 /** Limits on what is kept; the oldest gives way. */
@@ -131,6 +134,8 @@
   /** @return how many crashes count: those around which as many other runners crashed without the
    * parts may have a common cause, and count once. */
   std::size_t CountSeparate(const suspect& aSuspect) const;
+  /** @return whether several runners crashed at the moment of a crash. */
+  bool IsSimultaneous(const part_crash& aCrash) const;
   /** @return how many other runners crashed around a time without the parts. */
   std::size_t CountOthersNear(const part_set& aParts, instant aFrom, instant aUntil) const;
 
--- a/tests/unit/part_evidence_test.cpp
+++ b/tests/unit/part_evidence_test.cpp
@@ -105,6 +105,17 @@
   }
 }
 
+TEST(part_evidence, APartThatNothingEverProvedIsNotRefusedWhereAllEnginesFailAtOnce)
+{
+  for (int failure = 0; failure < 3; ++failure) {
+    for (int engine = 0; engine < 6; ++engine) {
+      Crash({ { kFirst }, { kFirst } });
+    }
+    Advance(seconds(2));
+    CHECK_FALSE(IsRefused({ kFirst }));
+  }
+}
+
 TEST(part_evidence, ARunThatGoesOnAfterTheCrashesClearsItsParts)
 {
   for (int i = 0; i < 6; ++i) {
