--- a/src/quarantine/part_evidence.h
+++ b/src/quarantine/part_evidence.h
@@ -41,8 +41,8 @@
 /** Other runners that crash within this time of a crash may have a common cause. */
 inline constexpr duration kCommonCauseTime = std::chrono::milliseconds(1000);
 /** So many runners that crash within this time have a common cause that isn't a request. */
-inline constexpr std::size_t kSimultaneousCrashes = 3;
-inline constexpr duration kSimultaneousTime = std::chrono::milliseconds(100);
+inline constexpr std::size_t kSimultaneousCrashes = 4;
+inline constexpr duration kSimultaneousTime = std::chrono::milliseconds(50);
 /** Crashes and proofs are kept for this long. */
 inline constexpr duration kPartRetention = std::chrono::minutes(10);
 /** Limits on what is kept; the oldest gives way. */
