--- a/soak/soak_callers.cpp
+++ b/soak/soak_callers.cpp
@@ -26,6 +26,10 @@
 constexpr int kMostRepeats = 4;
 /** Rest between two requests of a caller, in ms. */
 constexpr int kMostRest = 60;
+/** Events of a stream; the stand-in makes one each 10 ms. */
+constexpr int kMostEvents = 40;
+constexpr int kPromptTokens = 2000;
+
 /** @return whether a part of a call's prompt crashes engines. */
 bool
 IsPoisonPart(const call_record& aCall)
@@ -33,10 +37,6 @@
   return aCall.mPoison.starts_with(kPoisonPart);
 }
 
-/** Events of a stream; the stand-in makes one each 10 ms. */
-constexpr int kMostEvents = 40;
-constexpr int kPromptTokens = 2000;
-
 std::string
 TargetOf(const call_record& aCall)
 {
