Fix: [Forward] a plain answer without an end ends with the request's time, and one that isn't the runner's own isn't passed on

Callers of a plain service whose runner sent bytes without an end, after a head of its own, were sent them for as long as they read: each read found bytes at once, so that its time limit never ran. A body of over 64 KB after a head without the runner's receipt was passed on too, where a smaller one is replaced. A large answer that broke off counted as served, and its crash was told to nobody. Change: the remaining time is looked at before each read, the receipt before the first byte goes out; what broke is told like other lost answers. Why it works: no read begins once the time is over, and a head without a receipt never reaches the caller.

--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -278,9 +278,8 @@
       const result<void> read =
         co_await ReadBody(*aAnswer.mConnection, body, kMaxBufferedBytes, aLimit);
       NoteOrigin(aAnswer, body);
-      if (!read && read.error() == errc::eBodyTooLarge) {
-        co_await Stream(aAddress, aAnswer, body);
-        NoteOutcome(aRunner, send_outcome::eServed);
+      if (!read && read.error() == errc::eBodyTooLarge && IsOfRunner(aAnswer)) {
+        co_await Stream(aRunner, aAddress, aAnswer, body);
         co_return false;
       }
       ReturnConnection(mState, *mExchange, aAddress, aAnswer.mConnection);
@@ -297,9 +296,8 @@
       }
       co_return false;
     }
-    const bool success = aAnswer.mFacts.mStatus < 300;
-    if (aAnswer.mSendStatus == send_status::eAnswered && success && !aAnswer.mFacts.mHasReceipt) {
-      aAnswer.mSendStatus = send_status::eUnknown; // The response isn't the runner's own.
+    if (aAnswer.mSendStatus == send_status::eAnswered && !IsOfRunner(aAnswer)) {
+      aAnswer.mSendStatus = send_status::eUnknown;
     }
     bool again = false;
     if (aAnswer.mSendStatus == send_status::eNotRun) {
@@ -312,6 +310,12 @@
     co_return again;
   }
 
+  /** @return whether a response is the runner's own: a success has its receipt. */
+  static bool IsOfRunner(const upstream_response& aAnswer)
+  {
+    return aAnswer.mFacts.mStatus >= 300 || aAnswer.mFacts.mHasReceipt;
+  }
+
   /** Keeps which software began a stream that its caller may take up. */
   void NoteOrigin(const upstream_response& aAnswer, const std::string& aBody) const
   {
@@ -335,16 +339,17 @@
   }
 
   /**
-   * Handles a request that may have run without a complete response.
-   * @return whether to try another runner.
+   * Records that a response wasn't received whole.
+   * @param aProgressed the caller has received part of it.
    */
-  asio::awaitable<bool> HandleLostResponse(service_runner_id aRunner,
-                                           endpoint aAddress,
-                                           const upstream_response& aAnswer)
+  asio::awaitable<void> NoteLostResponse(service_runner_id aRunner,
+                                         endpoint aAddress,
+                                         const upstream_response& aAnswer,
+                                         bool aProgressed)
   {
     bool atFault = true;
     if (aAnswer.mConnectionLost) {
-      atFault = co_await mCrashWatch.ReportConnectionLost(aRunner, aAddress, false);
+      atFault = co_await mCrashWatch.ReportConnectionLost(aRunner, aAddress, aProgressed);
     }
     NoteOutcome(aRunner, atFault ? OutcomeOf(aAnswer) : send_outcome::eUnreachable);
     mState.LogDecision(log_level::eWarning,
@@ -352,11 +357,22 @@
                        mFacts.mId,
                        { { "runner", mRunnerName },
                          { "outcome", OutcomeName(OutcomeOf(aAnswer)) },
-                         { "may_repeat", MayRetry() },
+                         { "may_repeat", MayRetry() && !aProgressed },
                          { "sends", mSends },
                          { "fingerprint", mCrashWatch.Fingerprint().mValue },
                          { "caller", mExchange->CallerAddress() } });
     mState.mMetrics.CountBrokenAnswer(mRoute.mName);
+  }
+
+  /**
+   * Handles a request that may have run without a complete response.
+   * @return whether to try another runner.
+   */
+  asio::awaitable<bool> HandleLostResponse(service_runner_id aRunner,
+                                           endpoint aAddress,
+                                           const upstream_response& aAnswer)
+  {
+    co_await NoteLostResponse(aRunner, aAddress, aAnswer, false);
     mMayHaveRun = true;
     bool again = MayRetry();
     if (again) {
@@ -414,8 +430,9 @@
                          { "ms", took.count() / 1000 } });
   }
 
-  /** Forwards a large response piece by piece. */
-  asio::awaitable<void> Stream(const endpoint& aAddress,
+  /** Forwards a large response piece by piece, until the request's time is over. */
+  asio::awaitable<void> Stream(service_runner_id aRunner,
+                               const endpoint& aAddress,
                                upstream_response& aAnswer,
                                std::string& aHeld)
   {
@@ -426,10 +443,19 @@
     while (open && more) {
       open = co_await mExchange->Write(aHeld);
       aHeld.clear();
-      const result<bool> read = co_await upstream.ReadSome(aHeld, TimeLeft() + kResponseSlack);
+      const duration limit = TimeLeft() + kResponseSlack;
+      result<bool> read = make_error_code(errc::eDeadlinePassed);
+      if (limit > duration{ 0 }) { // A response that never ends is always there to be read.
+        read = co_await upstream.ReadSome(aHeld, limit);
+      }
       if (!read) {
         upstream.Abort();
         mExchange->ResetConnection();
+        aAnswer.mSendStatus = send_status::eUnknown;
+        aAnswer.mConnectionLost = read.error() == errc::eConnectionLost;
+        aAnswer.mTimedOut = !aAnswer.mConnectionLost;
+        mState.mMetrics.CountAnswerEnd(FramingName(aAnswer.mFraming), false);
+        co_await NoteLostResponse(aRunner, aAddress, aAnswer, true);
         co_return;
       }
       more = read.value();
@@ -440,6 +466,7 @@
     if (open) {
       co_await mExchange->EndBody(aAnswer.mFraming);
     }
+    NoteOutcome(aRunner, more ? send_outcome::eAbandoned : send_outcome::eServed);
     ReturnConnection(mState, *mExchange, aAddress, aAnswer.mConnection);
   }
 
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -620,8 +620,11 @@
       aStream.socket().set_option(asio::socket_base::linger(true, 0));
       co_return false;
     }
-    if (mode == "endless_head" || mode == "endless_body") {
-      const std::string head = mode == "endless_body" ? own : std::string();
+    if (mode == "endless_head" || mode == "endless_body" || mode == "endless_unsigned") {
+      std::string head = mode == "endless_body" ? own : std::string();
+      if (mode == "endless_unsigned") {
+        head = Join("X-Request-Id: ", id, "\r\n");
+      }
       co_return co_await WriteWithoutEnd(aStream, head);
     }
     if (mode == "hang") { // Until the connection closes.
--- a/tests/platform/endless_test.cpp
+++ b/tests/platform/endless_test.cpp
@@ -24,6 +24,10 @@
 constexpr int kCalls = 6;
 const std::string kLastEvent = "data: piece 9\n\n";
 constexpr std::int64_t kPageBytes = 4096;
+/** Time limit of a caller that reads an answer without an end; ms. */
+constexpr std::int64_t kShortDeadlineMs = 1500;
+/** Pause between the reads of such a caller; ms. */
+constexpr std::int64_t kReadPauseMs = 5;
 
 } // namespace
 
@@ -74,12 +78,42 @@
       CHECK_TRUE(mayServe || got.mStatus == 0 || got.mStatus == 502 || got.mStatus == 503);
       CHECK_TRUE(got.mBody.find("xxxx") == std::string::npos);
     }
+    CheckAllClosed();
+    CHECK_TRUE(MemoryMb() - before <= kMaxGrowthMb);
+  }
+
+  /** Checks that nobody reads an answer without an end any more. */
+  void CheckAllClosed()
+  {
     const std::int64_t until = NowMs() + kMaxAnswerMs;
     while (mBed.EndlessAnswers() > 0 && NowMs() < until) {
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
     LONGS_EQUAL(0, mBed.EndlessAnswers());
-    CHECK_TRUE(MemoryMb() - before <= kMaxGrowthMb);
+  }
+
+  /** Calls a page and drops what comes. @return why the answer ended. */
+  boost::system::error_code ReadPageUntilItEnds()
+  {
+    namespace ip = boost::asio::ip;
+    const std::string at = mBed.Callers();
+    const std::size_t colon = at.rfind(':');
+    boost::asio::io_context io;
+    ip::tcp::socket socket(io);
+    const auto port = static_cast<std::uint16_t>(std::stoi(at.substr(colon + 1)));
+    socket.connect({ ip::make_address(at.substr(0, colon)), port });
+    const std::string request = "GET /pages/a HTTP/1.1\r\nHost: calls.example\r\n"
+                                "X-Request-Id: p1\r\nX-Deadline-Ms: " +
+                                std::to_string(kShortDeadlineMs) + "\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(request));
+    std::vector<char> bytes(1U << 16U);
+    boost::system::error_code error;
+    const std::int64_t until = NowMs() + kCallLimitMs;
+    while (!error && NowMs() < until) {
+      socket.read_some(boost::asio::buffer(bytes), error);
+      std::this_thread::sleep_for(std::chrono::milliseconds(kReadPauseMs));
+    }
+    return error;
   }
 };
 
@@ -114,3 +148,20 @@
   Start("desk", "endless_head");
   CheckBounded("GET", "/pages/a", CallerHeaders("p"));
 }
+
+TEST(endless, ABodyThatIsNotThePlainRunnersOwnIsNotPassedOn)
+{
+  Start("desk", "endless_unsigned");
+  CheckBounded("GET", "/pages/a", CallerHeaders("p"));
+}
+
+TEST(endless, ABodyOfAPlainRunnerIsCutOffOnceTheRequestsTimeIsOver)
+{
+  Start("desk", "endless_body");
+  const std::int64_t before = MemoryMb();
+  const std::int64_t sent = NowMs();
+  CHECK_TRUE(ReadPageUntilItEnds() == boost::asio::error::connection_reset);
+  CHECK_TRUE(NowMs() - sent <= kMaxAnswerMs);
+  CheckAllClosed();
+  CHECK_TRUE(MemoryMb() - before <= kMaxGrowthMb);
+}
