--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kOffsetBytes = 8;
 constexpr std::uint64_t kTokensPerEvent = 64;
+/** Size of the pieces of an answer without an end. */
+constexpr std::size_t kFillerBytes = 64000;
 /** Time after which a runner resets late. */
 constexpr duration kLateReset = std::chrono::milliseconds(50);
 /** Time that a slow store takes more for each call, unless a test sets another. */
@@ -203,6 +205,10 @@
     if (mStoreMode == "slow") {
       co_await Sleep(mSlowStore);
     }
+    if (mStoreMode == "endless") {
+      co_await RespondWithoutEnd(aExchange);
+      co_return;
+    }
     if (mStoreMode == "busy") {
       co_await aExchange->Respond(503, "{}", era);
       co_return;
@@ -239,6 +245,19 @@
     }
   }
 
+  /** Sends an answer of the store that goes on until the caller closes. */
+  asio::awaitable<void> RespondWithoutEnd(exchange_ptr aExchange)
+  {
+    const header_list noHeaders;
+    const std::string filler(kFillerBytes, 'x');
+    ++mEndless;
+    bool open = co_await aExchange->StartStream(200, noHeaders, "application/json");
+    while (open) {
+      open = co_await aExchange->Write(filler);
+    }
+    --mEndless;
+  }
+
   /** Holds a read of the runners while a test wants it held. */
   asio::awaitable<void> HoldRead()
   {
--- a/tests/platform/endless_test.cpp
+++ b/tests/platform/endless_test.cpp
@@ -24,6 +24,11 @@
 constexpr int kCalls = 6;
 const std::string kLastEvent = "data: piece 9\n\n";
 constexpr std::int64_t kPageBytes = 4096;
+/** Memory that a daemon may take for several reads of the store at a time; MB. The smallest host
+ * has 88. */
+constexpr std::int64_t kMaxStoreGrowthMb = 48;
+/** How long the store sends without an end; ms. */
+constexpr std::int64_t kStoreMs = 3000;
 /** Time limit of a caller that reads an answer without an end; ms. */
 constexpr std::int64_t kShortDeadlineMs = 1500;
 /** Pause between the reads of such a caller; ms. */
@@ -165,3 +170,20 @@
   CheckAllClosed();
   CHECK_TRUE(MemoryMb() - before <= kMaxGrowthMb);
 }
+
+TEST(endless, AnAnswerOfTheStoreIsCutOff)
+{
+  Start("desk", "");
+  std::int64_t most = MemoryMb();
+  const std::int64_t before = most;
+  mBed.SetStore("endless");
+  const std::int64_t until = NowMs() + kStoreMs;
+  while (NowMs() < until) {
+    most = std::max(most, MemoryMb());
+    std::this_thread::sleep_for(std::chrono::milliseconds(kReadPauseMs));
+  }
+  LONGS_EQUAL(200, Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders("p")).mStatus);
+  mBed.SetStore("");
+  CheckAllClosed();
+  CHECK_TEXT(most - before <= kMaxStoreGrowthMb, std::to_string(most - before).c_str());
+}
