Fix: [Forward] two parts that crash engines in turn are both refused within two seconds

Cause, from the lines of two failed plays: each part's crashes had as many crashes of the other one around them, were taken for a common cause, and counted once a second. Class: evidence weakened by what has an explanation of its own. Change: crashes that may be due to a part which never went on, at three crashes over more than a second, are no sign of a common cause.

--- a/src/quarantine/part_evidence.cpp
+++ b/src/quarantine/part_evidence.cpp
@@ -211,20 +211,39 @@
   return static_cast<std::size_t>(count) >= kSimultaneousCrashes;
 }
 
+part_evidence::crash_set
+part_evidence::FindCrashesOfParts(const suspect_table& aSuspects) const
+{
+  crash_set crashes;
+  for (const auto& [part, row] : aSuspects) {
+    const duration span = row.mCrashes.back()->mAt - row.mCrashes.front()->mAt;
+    const bool isLikely =
+      row.mCrashes.size() >= kPartCrashes && span > kCommonCauseTime && !WasProven(row.mTogether);
+    if (isLikely) {
+      crashes.insert(row.mCrashes.begin(), row.mCrashes.end());
+    }
+  }
+  return crashes;
+}
+
 std::size_t
-part_evidence::CountOthersNear(const part_set& aParts, instant aFrom, instant aUntil) const
+part_evidence::CountOthersNear(const part_set& aParts,
+                               const crash_set& aOfParts,
+                               instant aFrom,
+                               instant aUntil) const
 {
   return static_cast<std::size_t>(
     std::count_if(mCrashes.begin(), mCrashes.end(), [&](const auto& aRow) {
       const part_crash& other = aRow.second;
       const bool isNear =
         other.mAt > aFrom - kCommonCauseTime && other.mAt < aUntil + kCommonCauseTime;
-      return isNear && other.mExplainedBy.empty() && !HasRunWith(other.mRuns, aParts);
+      return isNear && other.mExplainedBy.empty() && !HasRunWith(other.mRuns, aParts) &&
+             !aOfParts.contains(&other);
     }));
 }
 
 std::size_t
-part_evidence::CountSeparate(const suspect& aSuspect) const
+part_evidence::CountSeparate(const suspect& aSuspect, const crash_set& aOfParts) const
 {
   std::size_t count = 0;
   for (std::size_t i = 0; i < aSuspect.mCrashes.size();) {
@@ -235,7 +254,8 @@
       ++next;
     }
     const instant end = aSuspect.mCrashes[next - 1]->mAt;
-    const bool mayHaveCommonCause = CountOthersNear(aSuspect.mTogether, begin, end) >= next - i;
+    const bool mayHaveCommonCause =
+      CountOthersNear(aSuspect.mTogether, aOfParts, begin, end) >= next - i;
     count += mayHaveCommonCause ? 1 : next - i;
     i = next;
   }
@@ -252,6 +272,7 @@
 bool
 part_evidence::IsBlamed(const suspect& aSuspect,
                         const suspect_table& aSuspects,
+                        const crash_set& aOfParts,
                         const std::function<bool(request_fingerprint)>& aIsQuarantined) const
 {
   suspect counted{ {}, aSuspect.mTogether };
@@ -276,7 +297,7 @@
     std::any_of(counted.mCrashes.begin(), counted.mCrashes.end(), [](const part_crash* aCrash) {
       return aCrash->mExplainedBy.empty();
     });
-  if (!isNew || CountSeparate(counted) < kPartCrashes) {
+  if (!isNew || CountSeparate(counted, aOfParts) < kPartCrashes) {
     return false;
   }
   if (!WasProven(counted.mTogether)) {
@@ -292,10 +313,11 @@
                      instant aUntil) const
 {
   const suspect_table suspects = FindSuspects(aFrom, aUntil);
+  const crash_set ofParts = FindCrashesOfParts(suspects);
   std::vector<part_set> blamed;
   for (const auto& [part, row] : suspects) {
     const bool isBlamed = row.mCrashes.size() >= kPartCrashes && !row.mTogether.empty() &&
-                          IsBlamed(row, suspects, aIsQuarantined);
+                          IsBlamed(row, suspects, ofParts, aIsQuarantined);
     if (isBlamed && std::find(blamed.begin(), blamed.end(), row.mTogether) == blamed.end()) {
       blamed.push_back(row.mTogether);
     }
--- a/src/quarantine/part_evidence.h
+++ b/src/quarantine/part_evidence.h
@@ -13,7 +13,8 @@
  * reason the largest such set is blamed, not the popular part that many prompts begin with.
  *
  * Crashes of several runners at the same moment are nobody's. Those around which as many other
- * runners crash without the parts may have a common cause, and count once. Parts that went on
+ * runners crash without the parts, and without others that explain them, may have a common cause,
+ * and count once. Parts that went on
  * before the crashes are blamed at kProvenPartCrashes, and only if the crashes go on for
  * kProofWait, each at a run that began after the one before: else nothing had time to prove them
  * again. At a crash that a part explains which never went on, they aren't blamed.
@@ -113,6 +114,7 @@
     part_set mTogether; ///< Parts in all its runs there that weren't proven since the first one.
   };
   using suspect_table = std::map<prompt_part, suspect>;
+  using crash_set = std::set<const part_crash*>;
 
   /** @return the crash with this number, new or known; null if it's too old to be kept. */
   part_crash* FindOrAdd(std::uint64_t aCrash, instant aCrashedAt);
@@ -120,6 +122,7 @@
   /** @return whether the evidence against a suspect suffices. */
   bool IsBlamed(const suspect& aSuspect,
                 const suspect_table& aSuspects,
+                const crash_set& aOfParts,
                 const std::function<bool(request_fingerprint)>& aIsQuarantined) const;
   /** @return whether another suspect, or one request, explains a crash as well. */
   bool IsExplainedOtherwise(const suspect& aSuspect,
@@ -133,11 +136,17 @@
   static std::size_t CountInRow(const suspect& aSuspect);
   /** @return how many crashes count: those around which as many other runners crashed without the
    * parts may have a common cause, and count once. */
-  std::size_t CountSeparate(const suspect& aSuspect) const;
+  std::size_t CountSeparate(const suspect& aSuspect, const crash_set& aOfParts) const;
   /** @return whether several runners crashed at the moment of a crash. */
   bool IsSimultaneous(const part_crash& aCrash) const;
-  /** @return how many other runners crashed around a time without the parts. */
-  std::size_t CountOthersNear(const part_set& aParts, instant aFrom, instant aUntil) const;
+  /** @return crashes that may be due to parts which never went on, and were at crashes for longer
+   * than a common cause lasts. */
+  crash_set FindCrashesOfParts(const suspect_table& aSuspects) const;
+  /** @return how many other runners crashed around a time without the parts, for no such reason. */
+  std::size_t CountOthersNear(const part_set& aParts,
+                              const crash_set& aOfParts,
+                              instant aFrom,
+                              instant aUntil) const;
 
   std::map<std::uint64_t, part_crash> mCrashes;     ///< At most kMaxPartCrashesKept.
   std::unordered_map<prompt_part, instant> mProven; ///< Latest begin of a run that went on.
--- a/tests/unit/part_evidence_test.cpp
+++ b/tests/unit/part_evidence_test.cpp
@@ -116,6 +116,20 @@
   }
 }
 
+TEST(part_evidence, TwoPartsThatCrashEnginesInTurnAreRefusedWithinTwoSeconds)
+{
+  Prove({ kFirst }, milliseconds(0));
+  for (int i = 0; i < 4; ++i) {
+    Crash({ { kFirst, kDeadly } });
+    Advance(milliseconds(200));
+    Crash({ { kFirst, kBeside } });
+    Advance(milliseconds(200));
+  }
+  Advance(milliseconds(400));
+  CHECK_TRUE(IsRefused({ kFirst, kDeadly }));
+  CHECK_TRUE(IsRefused({ kFirst, kBeside }));
+}
+
 TEST(part_evidence, ARunThatGoesOnAfterTheCrashesClearsItsParts)
 {
   for (int i = 0; i < 6; ++i) {
