Fix: [Forward] a part that crashes several engines at the same moment again and again is refused

Requests with a part that came four or more at a time were never stopped: crashes of four engines within 0.05 s counted for nobody, since racks fail so.

--- a/src/quarantine/part_evidence.cpp
+++ b/src/quarantine/part_evidence.cpp
@@ -277,10 +277,19 @@
 {
   suspect counted{ {}, aSuspect.mTogether };
   std::set<request_fingerprint> repeated;
+  std::optional<instant> simultaneous; // The last crashes of several runners.
   for (const part_crash* const crash : aSuspect.mCrashes) {
-    if (IsSimultaneous(*crash) || IsExplainedOtherwise(aSuspect, *crash, aSuspects)) {
+    if (IsExplainedOtherwise(aSuspect, *crash, aSuspects)) {
       continue;
     }
+    if (IsSimultaneous(*crash)) {
+      const bool isFirst = !simultaneous;
+      const bool isSame = !isFirst && crash->mAt - *simultaneous < kSimultaneousTime;
+      simultaneous = isSame ? *simultaneous : crash->mAt;
+      if (isFirst || isSame) {
+        continue;
+      }
+    }
     // All crashes of a request that is quarantined for itself count as one.
     const auto found =
       std::find_if(crash->mRuns.begin(), crash->mRuns.end(), [&](const part_run& aRun) {
--- a/src/quarantine/part_evidence.h
+++ b/src/quarantine/part_evidence.h
@@ -12,9 +12,9 @@
  * are refused. Once a run proves one of them harmless, it's taken out of the set. For the same
  * reason the largest such set is blamed, not the popular part that many prompts begin with.
  *
- * Crashes of several runners at the same moment are nobody's. Those around which as many other
- * runners crash without the parts, and without others that explain them, may have a common cause,
- * and count once. Parts that went on
+ * Crashes of several runners at the same moment are nobody's the first time, and count as one each
+ * time after. Those around which as many other runners crash without the parts may have a common
+ * cause, and count once, but for crashes that another part explains. Parts that went on
  * before the crashes are blamed at kProvenPartCrashes, and only if the crashes go on for
  * kProofWait, each at a run that began after the one before: else nothing had time to prove them
  * again. At a crash that a part explains which never went on, they aren't blamed.
@@ -26,6 +26,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -41,7 +42,7 @@
 inline constexpr duration kProofWait = std::chrono::milliseconds(6000);
 /** Other runners that crash within this time of a crash may have a common cause. */
 inline constexpr duration kCommonCauseTime = std::chrono::milliseconds(1000);
-/** So many runners that crash within this time have a common cause that isn't a request. */
+/** So many runners that crash within this time are likely to have a common cause. */
 inline constexpr std::size_t kSimultaneousCrashes = 4;
 inline constexpr duration kSimultaneousTime = std::chrono::milliseconds(50);
 /** Crashes and proofs are kept for this long. */
--- a/tests/unit/part_evidence_test.cpp
+++ b/tests/unit/part_evidence_test.cpp
@@ -130,6 +130,19 @@
   CHECK_TRUE(IsRefused({ kFirst, kBeside }));
 }
 
+TEST(part_evidence, APartThatCrashesSeveralEnginesAtTheSameMomentAgainAndAgainIsRefused)
+{
+  Prove({ kFirst }, milliseconds(0));
+  for (int i = 0; i < 4; ++i) {
+    for (std::size_t engine = 0; engine < kSimultaneousCrashes; ++engine) {
+      Crash({ { kFirst, kDeadly } });
+    }
+    Advance(milliseconds(400));
+  }
+  CHECK_TRUE(IsRefused({ kFirst, kDeadly }));
+  CHECK_FALSE(IsRefused({ kFirst, kBeside }));
+}
+
 TEST(part_evidence, ARunThatGoesOnAfterTheCrashesClearsItsParts)
 {
   for (int i = 0; i < 6; ++i) {
@@ -240,6 +253,7 @@
   std::size_t mMostParts = 8;    ///< Most parts of a prompt, but the last one.
   duration mArrivals{ 0 };       ///< Mean time between sound requests.
   duration mDeadlyArrivals{ 0 }; ///< The same for those that crash engines.
+  std::size_t mTogether = 1;     ///< So many of these come at a time.
   std::size_t mRack = 0;         ///< Engines that fail together, at mRackFor.
   duration mRackFor{ 0 };        ///< From the first to the last failure of the rack.
   duration mSingleCrashes{ 0 };  ///< Mean time between crashes of single engines; 0: none.
@@ -361,8 +375,10 @@
     const bool deadly = mPlan.mDeadlyParts > 0 && mNow >= mNextDeadly;
     if (deadly) {
       mNextDeadly = mNow + FromSeconds(ToSeconds(mPlan.mDeadlyArrivals) * (0.5 + Fraction()));
-      const std::size_t which = Pick(mPlan.mDeadlyParts);
-      Send({ { ++mRequests }, NewParts(which), which });
+      for (std::size_t i = 0; i < mPlan.mTogether; ++i) {
+        const std::size_t which = Pick(mPlan.mDeadlyParts);
+        Send({ { ++mRequests }, NewParts(which), which });
+      }
     }
     std::vector<fake_run> due;
     std::erase_if(mRepeats, [&](const auto& aRepeat) {
@@ -600,6 +616,22 @@
     });
 }
 
+TEST(part_fleet, DeadlyPartsInRequestsThatComeTogetherAreStopped)
+{
+  PlaySeeds(
+    6001,
+    60,
+    [](fleet_plan& aPlan, std::uint64_t aSeed) {
+      aPlan.mRunners = std::max<std::size_t>(aPlan.mRunners, 8);
+      aPlan.mDeadlyParts = 1 + aSeed % 2;
+      aPlan.mDeadlyArrivals = milliseconds(400);
+      aPlan.mTogether = 2 + aSeed % 4;
+    },
+    [](const part_fleet& aFleet) {
+      return aFleet.MostSentLater() <= 3 && aFleet.SoundRefused() * 100 <= aFleet.SoundSent();
+    });
+}
+
 TEST(part_fleet, ADeadlyPartInRareRequestsCrashesFiveEnginesAtMost)
 {
   PlaySeeds(
