Fix: [Forward] two parts that are at the same crashes in different requests are refused at five

Where few engines are up, two such parts meet at nearly every crash, and each explained the other one's: neither was ever refused (up to 204 requests later than 3 s after the fifth crash).

--- a/src/quarantine/part_evidence.cpp
+++ b/src/quarantine/part_evidence.cpp
@@ -154,7 +154,7 @@
     if (WasProven(aOther.mTogether) != wasProven) { // What never went on is the likelier cause.
       return wasProven && count >= kPartCrashes;
     }
-    return count >= own;
+    return own >= kSurePartCrashes ? count > own : count >= own;
   };
   return std::any_of(aCrash.mRuns.begin(), aCrash.mRuns.end(), [&](const part_run& aRun) {
     if (HoldsAll(aRun.mParts, aSuspect.mTogether)) {
--- a/src/quarantine/part_evidence.h
+++ b/src/quarantine/part_evidence.h
@@ -36,7 +36,9 @@
 inline constexpr duration kRunProvenTime = std::chrono::milliseconds(500);
 /** Parts are blamed for this many crashes. */
 inline constexpr std::size_t kPartCrashes = 3;
-/** The same for parts that were proven harmless before. */
+/** At so many crashes parts are blamed beside others that explain them as well, but not better. */
+inline constexpr std::size_t kSurePartCrashes = 5;
+/** The same as kPartCrashes for parts that were proven harmless before. */
 inline constexpr std::size_t kProvenPartCrashes = 8;
 /** Time for runs that began after a crash to prove their parts, while several engines are down. */
 inline constexpr duration kProofWait = std::chrono::milliseconds(6000);
--- a/tests/unit/part_evidence_test.cpp
+++ b/tests/unit/part_evidence_test.cpp
@@ -130,6 +130,17 @@
   CHECK_TRUE(IsRefused({ kFirst, kBeside }));
 }
 
+TEST(part_evidence, TwoPartsThatAreAtTheSameCrashesInDifferentRequestsAreRefused)
+{
+  Prove({ kFirst }, milliseconds(0));
+  for (std::size_t i = 0; i < kSurePartCrashes; ++i) {
+    Crash({ { kFirst, kDeadly }, { kFirst, kBeside } });
+    Advance(milliseconds(400));
+  }
+  CHECK_TRUE(IsRefused({ kFirst, kDeadly }));
+  CHECK_TRUE(IsRefused({ kFirst, kBeside }));
+}
+
 TEST(part_evidence, APartThatCrashesSeveralEnginesAtTheSameMomentAgainAndAgainIsRefused)
 {
   Prove({ kFirst }, milliseconds(0));
