Fix: [Forward] a daemon that starts is told of parts that await their trial

After the first quarantine of a set of parts, a daemon that started was told nothing of it, and sent requests with them as if they were new. Found by reading. Now comparisons between daemons hold such sets too; the age of the quarantine tells the receiver that only trials are allowed. part_evidence.ADaemonThatStartsIsToldOfASet... failed before.

--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -373,6 +373,13 @@
   return aRow.mQuarantined && aNow - *aRow.mQuarantined < QuarantineOf(aRow);
 }
 
+bool
+crash_ledger::AwaitsTrial(const tracked_request& aRow, instant aNow)
+{
+  return !aRow.mParts.empty() && aRow.mQuarantined &&
+         aNow - *aRow.mQuarantined < kQuarantineDuration;
+}
+
 quarantine_status
 crash_ledger::StatusOf(request_fingerprint aRequest, instant aNow) const
 {
@@ -450,7 +457,7 @@
 {
   std::vector<quarantine_notice> notices;
   for (const auto& [request, row] : mRequests) {
-    if (IsQuarantined(row, aNow)) {
+    if (IsQuarantined(row, aNow) || AwaitsTrial(row, aNow)) {
       notices.push_back({ request,
                           quarantine_status::eQuarantined,
                           aNow - *row.mQuarantined,
@@ -470,7 +477,7 @@
 {
   std::uint64_t digest = 0;
   for (const auto& [request, row] : mRequests) {
-    if (IsQuarantined(row, aNow)) {
+    if (IsQuarantined(row, aNow) || AwaitsTrial(row, aNow)) {
       const std::uint64_t value = request.mValue;
       digest ^= HashBytes({ reinterpret_cast<const char*>(&value), sizeof value });
     }
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -138,9 +138,10 @@
   std::size_t CountCrashes(request_fingerprint aRequest) const;
   /** @return how many requests are quarantined. */
   std::size_t CountQuarantined(instant aNow) const;
-  /** @return at most @p aMaxCount quarantined requests, the newest quarantine first. */
+  /** @return at most @p aMaxCount quarantined requests, and sets of parts that await a trial, the
+   * newest quarantine first. */
   std::vector<quarantine_notice> NewestQuarantined(instant aNow, std::size_t aMaxCount) const;
-  /** @return an order-independent hash of the quarantined requests; 0 if there are none. */
+  /** @return an order-independent hash of these; 0 if there are none. */
   std::uint64_t Digest(instant aNow) const;
 
 private:
@@ -223,6 +224,8 @@
                                   instant aUntil,
                                   instant aNow) const;
   bool IsQuarantined(const tracked_request& aRow, instant aNow) const;
+  /** @return whether a row stands for parts that may be sent as a trial only, now or soon. */
+  static bool AwaitsTrial(const tracked_request& aRow, instant aNow);
   /** @return whether all reports of a crash have come in. */
   bool IsComplete(const crashed_runner& aRunner) const { return aRunner.mAt >= mCompleteSince; }
   /** @return whether a quarantined request that was at more crashes explains that of a runner. */
--- a/tests/unit/part_evidence_test.cpp
+++ b/tests/unit/part_evidence_test.cpp
@@ -217,6 +217,22 @@
   CHECK_TRUE(IsRefused({ kDeadly }));
 }
 
+TEST(part_evidence, ADaemonThatStartsIsToldOfASetThatAwaitsItsTrial)
+{
+  for (int i = 0; i < 3; ++i) {
+    Crash({ { kDeadly } });
+    Advance(kVerdictTime);
+  }
+  Advance(kFirstPartQuarantine);
+  crash_ledger started;
+  CHECK_TRUE(started.Digest(mNow) != mLedger.Digest(mNow));
+  for (const quarantine_notice& notice : mLedger.NewestQuarantined(mNow, 10)) {
+    started.ApplyNotice(notice, mNow);
+  }
+  CHECK_TRUE(started.SuspectedPartsIn({ kFirst, kDeadly }, mNow).has_value());
+  CHECK_TRUE(started.Digest(mNow) == mLedger.Digest(mNow));
+}
+
 TEST(part_evidence, ATrialThatGoesOnLiftsTheQuarantine)
 {
   for (int i = 0; i < 3; ++i) {
