Fix: [Forward] a part that a trial has confirmed stays so when a larger set with it is cleared

Change: what is left of a set keeps the later and stronger of both quarantines. part_evidence.APartThatATrialHasConfirmed... failed before.

--- a/src/quarantine/crash_ledger_parts.cpp
+++ b/src/quarantine/crash_ledger_parts.cpp
@@ -43,13 +43,16 @@
 {
   const request_fingerprint key = FingerprintOf(aParts);
   tracked_request& row = mRequests[key];
+  // What is left of a larger set may have a quarantine of its own.
+  const instant since = std::max(row.mQuarantined.value_or(aSince), aSince);
   row.mParts = aParts;
-  row.mQuarantined = aSince;
-  row.mConfirmed = aConfirmed;
+  row.mQuarantined = since;
+  row.mConfirmed = row.mConfirmed || aConfirmed;
+  const bool isConfirmed = row.mConfirmed;
   mPartSets[key] = aParts;
   DropExplained(aParts);
   EvictOldest();
-  return { key, quarantine_status::eQuarantined, aNow - aSince, aParts, aConfirmed };
+  return { key, quarantine_status::eQuarantined, aNow - since, aParts, isConfirmed };
 }
 
 std::vector<quarantine_notice>
--- a/tests/unit/part_evidence_test.cpp
+++ b/tests/unit/part_evidence_test.cpp
@@ -217,6 +217,28 @@
   CHECK_TRUE(IsRefused({ kDeadly }));
 }
 
+TEST(part_evidence, APartThatATrialHasConfirmedStaysSoWhenALargerSetOfItIsCleared)
+{
+  Prove({ kFirst }, milliseconds(0));
+  for (int i = 0; i < 3; ++i) {
+    Crash({ { kDeadly } });
+    Advance(kVerdictTime);
+  }
+  Advance(kFirstPartQuarantine);
+  Crash({ { kDeadly } });
+  Advance(kVerdictTime);
+  mLedger.ApplyNotice({ FingerprintOf(part_set{ kFirst, kDeadly }),
+                        quarantine_status::eQuarantined,
+                        kFirstPartQuarantine,
+                        { kFirst, kDeadly },
+                        false },
+                      mNow);
+  Advance(seconds(1));
+  Prove({ kFirst }, milliseconds(700));
+  Advance(kFirstPartQuarantine);
+  CHECK_TRUE(IsRefused({ kDeadly }));
+}
+
 TEST(part_evidence, ADaemonThatStartsIsToldOfASetThatAwaitsItsTrial)
 {
   for (int i = 0; i < 3; ++i) {
