Fix: [Forward] [Log] the store keeps whether parts are confirmed, and forgets sets that were cleared

Change: the record says so in a word of its own; a daemon that clears a set removes its record, and tries again while the store is down.

--- a/src/links/quarantine_link.cpp
+++ b/src/links/quarantine_link.cpp
@@ -309,6 +309,9 @@
                { { "fingerprint", ended.mValue }, { "part", proof.mPart.mValue } });
       mToBroadcast.mServed.push_back(ended);
       ScheduleBroadcast();
+      if (mOnCleared) {
+        mOnCleared(ended);
+      }
     }
     for (const quarantine_notice& notice : change.mNotices) {
       TellQuarantined(notice);
--- a/src/links/quarantine_link.h
+++ b/src/links/quarantine_link.h
@@ -88,6 +88,11 @@
   {
     mOnQuarantined = std::move(aAction);
   }
+  /** @param aAction called with the key of each set of parts that this daemon finds harmless. */
+  void OnCleared(std::function<void(request_fingerprint)> aAction)
+  {
+    mOnCleared = std::move(aAction);
+  }
 
 private:
   /** A run whose caller left, or whose connection was lost for an unknown reason. */
@@ -155,6 +160,7 @@
                                     ///< are to be told of.
   bool mBroadcastScheduled = false; ///< mToBroadcast is sent soon.
   std::function<void(const quarantine_notice&)> mOnQuarantined; ///< May be empty.
+  std::function<void(request_fingerprint)> mOnCleared;          ///< May be empty.
   recent_parts mRecentParts;                                    ///< Parts of this daemon's runs.
   std::unordered_map<prompt_part, instant> mAskedAt; ///< Parts asked for lately, and when.
   /** Called with messages on trials; may be empty. */
--- a/src/links/quarantine_store.h
+++ b/src/links/quarantine_store.h
@@ -8,6 +8,8 @@
 #include "links/quarantine_link.h"
 #include "messages/wire_type.h"
 
+#include <algorithm>
+
 namespace dunehook {
 
 /** After its start a daemon waits this long for another one's quarantines before it reads the
@@ -33,6 +35,7 @@
     , mWritePending(aState.mIo)
   {
     mLink.OnQuarantined([this](const quarantine_notice& aNotice) { QueueWrite(aNotice); });
+    mLink.OnCleared([this](request_fingerprint aKey) { QueueRemoval(aKey); });
   }
 
   void Start()
@@ -58,7 +61,18 @@
     if (mUnwritten.size() < kMaxUnwritten) {
       const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aNotice.mAge);
       const std::uint64_t since = WallMs() - static_cast<std::uint64_t>(age.count());
-      mUnwritten.push_back({ aNotice.mRequest, since, aNotice.mParts });
+      std::erase(mUnneeded, aNotice.mRequest);
+      mUnwritten.push_back({ aNotice.mRequest, since, aNotice.mParts, aNotice.mConfirmed });
+      mWritePending.Notify();
+    }
+  }
+
+  void QueueRemoval(request_fingerprint aKey)
+  {
+    std::erase_if(mUnwritten,
+                  [&](const quarantine_record& aRecord) { return aRecord.mRequest == aKey; });
+    if (mUnneeded.size() < kMaxUnwritten) {
+      mUnneeded.push_back(aKey);
       mWritePending.Notify();
     }
   }
@@ -84,13 +98,15 @@
     std::size_t taken = 0;
     for (const quarantine_record& record : aRecords) {
       const std::uint64_t age = now > record.mSince ? now - record.mSince : 0;
-      quarantine_notice notice{
-        record.mRequest, quarantine_status::eQuarantined, duration{ 0 }, record.mParts
-      };
+      quarantine_notice notice{ record.mRequest,
+                                quarantine_status::eQuarantined,
+                                duration{ 0 },
+                                record.mParts,
+                                record.mConfirmed };
       notice.mAge = std::chrono::milliseconds(age);
       taken += mState.mCrashes.ApplyNotice(notice, mState.Now()) ? 1 : 0;
       if (notice.mAge >= kQuarantineDuration) {
-        mExpired.push_back(record.mRequest);
+        mUnneeded.push_back(record.mRequest);
       }
     }
     LogEvent(log_level::eInfo,
@@ -99,28 +115,62 @@
     mLink.MarkStateReceived();
   }
 
-  /** Writes the quarantines of this daemon, and removes expired records. */
+  /** Writes the quarantines of this daemon, and removes records that aren't needed any more. */
   asio::awaitable<void> WriteRecords()
   {
     for (;;) {
+      if (mUnwritten.empty()) {
+        co_await RemoveUnneeded();
+      }
       if (mUnwritten.empty()) {
         co_await mWritePending.Wait(kQuarantineDuration);
         continue;
       }
       const quarantine_record record = mUnwritten.front();
+      mUnwritten.pop_front();
       const result<void> written = co_await mStore.WriteQuarantine(record);
       if (!written) { // It may have been written; writing it twice does no harm.
+        PutBack(record);
         co_await Sleep(kStoreRetryDelay);
-        continue;
       }
-      mUnwritten.pop_front();
-      while (!mExpired.empty()) {
-        const request_fingerprint passed = mExpired.back();
-        mExpired.pop_back();
-        const result<void> removed = co_await mStore.RemoveQuarantine(passed);
-        if (!removed) {
-          mExpired.clear(); // The next daemon to start finds them again.
-        }
+    }
+  }
+
+  bool IsToBeWritten(request_fingerprint aKey) const
+  {
+    return std::any_of(mUnwritten.begin(), mUnwritten.end(), [&](const quarantine_record& aRecord) {
+      return aRecord.mRequest == aKey;
+    });
+  }
+
+  /** Has a record written once more, unless it was cleared or written anew meanwhile. */
+  void PutBack(const quarantine_record& aRecord)
+  {
+    const bool isCleared =
+      std::find(mUnneeded.begin(), mUnneeded.end(), aRecord.mRequest) != mUnneeded.end();
+    if (!isCleared && !IsToBeWritten(aRecord.mRequest)) {
+      mUnwritten.push_front(aRecord);
+    }
+  }
+
+  /** Has the removal of a record tried again, unless it's to be written anew. */
+  void KeepUnneeded(request_fingerprint aKey)
+  {
+    if (!IsToBeWritten(aKey)) {
+      mUnneeded.push_back(aKey);
+    }
+  }
+
+  asio::awaitable<void> RemoveUnneeded()
+  {
+    while (!mUnneeded.empty()) {
+      const request_fingerprint key = mUnneeded.back();
+      mUnneeded.pop_back();
+      const result<void> removed = co_await mStore.RemoveQuarantine(key);
+      if (!removed) {
+        KeepUnneeded(key);
+        co_await Sleep(kStoreRetryDelay);
+        co_return;
       }
     }
   }
@@ -131,8 +181,8 @@
   wake_list mWritePending; ///< Woken when there is a record to write.
   /** Quarantines of this daemon to write; at most kMaxUnwritten. */
   std::deque<quarantine_record> mUnwritten;
-  /** Records that had expired at the start, to be removed. */
-  std::vector<request_fingerprint> mExpired;
+  /** Records to remove: expired at the start, or cleared since. */
+  std::vector<request_fingerprint> mUnneeded;
 };
 
 } // namespace dunehook
--- a/src/quarantine/quarantine_type.h
+++ b/src/quarantine/quarantine_type.h
@@ -165,6 +165,7 @@
   request_fingerprint mRequest; ///< The request, or the key of mParts.
   std::uint64_t mSince = 0;     ///< Unix time in ms at which it began.
   part_set mParts;              ///< As in quarantine_notice.
+  bool mConfirmed = false;      ///< As in quarantine_notice.
 
   auto operator<=>(const quarantine_record&) const = default;
 };
--- a/tests/platform/crash_part_test.cpp
+++ b/tests/platform/crash_part_test.cpp
@@ -44,6 +44,11 @@
 constexpr std::size_t kEngines = 9;
 /** Daemons that judge, which a test kills. */
 constexpr std::size_t kKilled = 2;
+/** The same, which a test freezes, and for how long; ms. */
+constexpr std::size_t kFrozen = 2;
+constexpr int kFrozenMs = 5000;
+/** Time until the trial after the first quarantine has ended; ms. */
+constexpr int kUntilConfirmedMs = 16000;
 const std::string kDeadly = "dead01";
 const std::string kSecondDeadly = "dead02";
 
@@ -165,6 +170,20 @@
     mStopping = false;
   }
 
+  /** Kills all daemons at once, starts them again, and waits until they are ready. */
+  void KillAndRestartAll()
+  {
+    for (std::size_t i = 0; i < mBed.Daemons(); ++i) {
+      mBed.Daemon(i).Signal(SIGKILL);
+    }
+    for (std::size_t i = 0; i < mBed.Daemons(); ++i) {
+      mBed.RestartDaemon(i);
+    }
+    for (std::size_t i = 0; i < mBed.Daemons(); ++i) {
+      mBed.AwaitReady(i);
+    }
+  }
+
   /** @return when the part had crashed kCrashesKnown engines; when the last one crashed, if fewer.
    */
   std::int64_t KnownAt(const std::string& aPart) const
@@ -277,6 +296,49 @@
   CheckSoundServed(KnownAt(kDeadly) + 2 * kContactMs);
 }
 
+TEST(crash_parts, APartIsStoppedWhereTheDaemonsThatJudgeAreFrozenMeanwhile)
+{
+  StartFleet(8);
+  CrashOn({ kDeadly });
+  StartUsualCallers({ "aa:200," + kDeadly + ":300," });
+  AwaitCrashes(2);
+  mFirstAlive = kFrozen;
+  for (std::size_t i = 0; i < kFrozen; ++i) {
+    mBed.Daemon(i).Signal(SIGSTOP);
+  }
+  Wait(kFrozenMs);
+  for (std::size_t i = 0; i < kFrozen; ++i) {
+    mBed.Daemon(i).Signal(SIGCONT);
+  }
+  mFirstAlive = 0;
+  Wait(kCallersMs);
+  EndCallers();
+  CheckStopped(kDeadly);
+  CheckSoundServed(KnownAt(kDeadly) + 2 * kContactMs);
+}
+
+TEST(crash_parts, APartIsStoppedAmongFiftyEightDaemons)
+{
+  StartFleet(58);
+  CheckPart("aa:200," + kDeadly + ":300,");
+}
+
+TEST(crash_parts, APartThatATrialHasConfirmedReachesNoEngineAfterAllDaemonsWereKilled)
+{
+  StartFleet(4);
+  CrashOn({ kDeadly });
+  StartUsualCallers({ "aa:200," + kDeadly + ":300," });
+  Wait(kUntilConfirmedMs);
+  EndCallers();
+  const std::int64_t killed = NowMs();
+  KillAndRestartAll();
+  Wait(kSettleMs);
+  StartUsualCallers({ "aa:200," + kDeadly + ":300," });
+  Wait(kCallersMs / 2);
+  EndCallers();
+  LONGS_EQUAL(0, CountReached(kDeadly, killed));
+}
+
 TEST(crash_parts, APartThatIsRefusedReachesFewEnginesAfterAllDaemonsWereKilled)
 {
   StartFleet(4);
@@ -285,15 +347,7 @@
   Wait(kCallersMs / 2);
   EndCallers();
   const std::int64_t known = KnownAt(kDeadly);
-  for (std::size_t i = 0; i < mBed.Daemons(); ++i) {
-    mBed.Daemon(i).Signal(SIGKILL);
-  }
-  for (std::size_t i = 0; i < mBed.Daemons(); ++i) {
-    mBed.RestartDaemon(i);
-  }
-  for (std::size_t i = 0; i < mBed.Daemons(); ++i) {
-    mBed.AwaitReady(i);
-  }
+  KillAndRestartAll();
   Wait(kSettleMs);
   StartUsualCallers({ "aa:200," + kDeadly + ":300," });
   Wait(kCallersMs);
