Fix: [Decide] an owner forgets requests that another daemon owns, and transfers anew what only it takes for decoding

From its lines: a frontend told three owners in turn; requests that ended while it had another owner stayed with the first, with their chunks on its link and their slots, and two such chunks stop all transfers. One more call waited for a chunk of an owner that took it for decoding, since another owner's chunk had been counted there; being announced again changed nothing. Change: each daemon that an attempt was announced to before, or that its end isn't sent to, is told to forget it, for up to 5 s, unless it's the owner again. A request that is announced as waiting is transferred anew if it counts as decoding here. An older build takes the message for the end of a stream, which releases the same. decide.ARequestThatWaitsForAChunk... failed before (by its rule); decide.ARequestThatAnotherDaemonOwns... is of the new message.

--- a/src/control/cell_owner.cpp
+++ b/src/control/cell_owner.cpp
@@ -86,6 +86,15 @@
   Dispatch(aCell.mCore.Handle(aEvent, Now()));
 }
 
+void
+cell_owner::Forget(const cell_key& aKey, const attempt_id& aAttempt)
+{
+  const auto cell = mCells.find(aKey);
+  if (cell != mCells.end()) {
+    ApplyEvent(*cell->second, request_moved{ aAttempt });
+  }
+}
+
 void
 cell_owner::HandleDaemonGone(incarnation_id aIncarnation)
 {
--- a/src/control/cell_owner.h
+++ b/src/control/cell_owner.h
@@ -44,6 +44,8 @@
   void Start();
   /** Processes an event that a frontend sent. */
   void Handle(const cell_key& aKey, const decide_event& aEvent);
+  /** Forgets an attempt that another daemon owns now. */
+  void Forget(const cell_key& aKey, const attempt_id& aAttempt);
   /** Releases all attempts of a daemon process that ended. */
   void HandleDaemonGone(incarnation_id aIncarnation);
   /** Updates the settings and engines of every cell from the configuration and the host list. */
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -98,6 +98,14 @@
   {
     return { { "type", "cancelled" }, { "attempt", ToText(aEvent.mAttempt) } };
   }
+  json operator()(const request_moved& aEvent) const
+  {
+    // Earlier versions take it for the end of the stream, which releases the engines as well.
+    return { { "type", "finished" },
+             { "attempt", ToText(aEvent.mAttempt) },
+             { "tokens", 0 },
+             { "moved", true } };
+  }
   template<typename Other>
   json operator()(const Other& /*aEvent*/) const
   {
@@ -127,6 +135,9 @@
   if (type == "chunk") {
     return chunk_finished{ ReadAttempt(aJson) };
   }
+  if (type == "finished" && aJson.value("moved", false)) {
+    return request_moved{ ReadAttempt(aJson) };
+  }
   if (type == "finished") {
     return stream_finished{ ReadAttempt(aJson), aJson.at("tokens").get<std::uint32_t>() };
   }
--- a/src/control/owner_router.cpp
+++ b/src/control/owner_router.cpp
@@ -4,6 +4,9 @@
  */
 #include "control/owner_router.h"
 
+#include <set>
+#include <utility>
+
 namespace dunehook {
 
 namespace {
@@ -14,6 +17,17 @@
 constexpr duration kEventTimeout = 250ms;      ///< Timeout of an event to an owner.
 constexpr duration kOwnerPollInterval = 150ms; ///< Time between checks for changes of owners.
 constexpr int kMaxSendTries = 4;               ///< Owners tried for one event.
+/** A former owner that isn't reached is told for this long; one that stays away is gone by then. */
+constexpr duration kFormerOwnerTime = 5s;
+
+json
+EventMessage(const cell_key& aKey, const decide_event& aEvent)
+{
+  return { { "prefill", aKey.mPrefillPool },
+           { "decode", aKey.mDecodePool },
+           { "link", aKey.mLink },
+           { "event", EventToJson(aEvent) } };
+}
 
 } // namespace
 
@@ -21,23 +35,14 @@
 owner_router::Send(cell_key aKey, decide_event aEvent)
 {
   const attempt_id attempt = AttemptOf(aEvent);
-  // Only these events make an attempt known to an owner; it drops other events of unknown attempts.
-  const bool announcesAttempt = std::holds_alternative<request_arrived>(aEvent) ||
-                                std::holds_alternative<request_adopted>(aEvent);
   for (int tries = 0; tries < kMaxSendTries; ++tries) {
     const member_info owner = mMembers.OwnerOf(ToText(aKey));
-    attempt_entry* const entry = mAttempts.Find(attempt);
-    if (entry != nullptr && announcesAttempt) {
-      entry->mOwner = owner.mIncarnation;
-    }
+    NoteOwner(attempt, owner, aEvent);
     if (owner.mIncarnation == mMembers.Self().mIncarnation) {
       mOwner.Handle(aKey, aEvent);
       co_return boost::outcome_v2::success();
     }
-    const json message{ { "prefill", aKey.mPrefillPool },
-                        { "decode", aKey.mDecodePool },
-                        { "link", aKey.mLink },
-                        { "event", EventToJson(aEvent) } };
+    const json message = EventMessage(aKey, aEvent);
     if (co_await mPeers.Call(owner, "event", message, kEventTimeout)) {
       co_return boost::outcome_v2::success();
     }
@@ -45,6 +50,67 @@
   co_return make_error_code(errc::eNoRunner);
 }
 
+void
+owner_router::NoteOwner(const attempt_id& aAttempt,
+                        const member_info& aOwner,
+                        const decide_event& aEvent)
+{
+  // Only these events make an attempt known to an owner; it drops other events of unknown attempts.
+  const bool announcesAttempt = std::holds_alternative<request_arrived>(aEvent) ||
+                                std::holds_alternative<request_adopted>(aEvent);
+  const bool endsAttempt = std::holds_alternative<stream_finished>(aEvent) ||
+                           std::holds_alternative<request_cancelled>(aEvent);
+  attempt_entry* const entry = mAttempts.Find(aAttempt);
+  if (entry == nullptr || (!announcesAttempt && !endsAttempt)) {
+    return;
+  }
+  if (entry->mOwner && entry->mOwner != aOwner.mIncarnation) {
+    mFormerOwners.push_back(
+      { entry->mOwner, entry->mCell, aAttempt, boot_clock_source{}.Now() + kFormerOwnerTime });
+  }
+  entry->mOwner = aOwner.mIncarnation;
+}
+
+asio::awaitable<void>
+owner_router::TellFormerOwners()
+{
+  const std::vector<former_owner> due = std::exchange(mFormerOwners, {});
+  std::set<incarnation_id> unreached;
+  for (const former_owner& former : due) {
+    bool told = false;
+    if (!unreached.contains(former.mOwner)) {
+      told = co_await TellFormerOwner(former);
+    }
+    if (!told) {
+      unreached.insert(former.mOwner);
+    }
+    if (!told && boot_clock_source{}.Now() < former.mUntil) {
+      mFormerOwners.push_back(former);
+    }
+  }
+}
+
+asio::awaitable<bool>
+owner_router::TellFormerOwner(former_owner aFormer)
+{
+  const attempt_entry* const entry = mAttempts.Find(aFormer.mAttempt);
+  if (entry != nullptr && entry->mOwner == aFormer.mOwner) {
+    co_return true; // It's the owner again.
+  }
+  if (aFormer.mOwner == mMembers.Self().mIncarnation) {
+    mOwner.Forget(aFormer.mCell, aFormer.mAttempt);
+    co_return true;
+  }
+  const member_info* const member = mMembers.Find(aFormer.mOwner);
+  if (member == nullptr) { // It may be heard again.
+    co_return false;
+  }
+  const json message = EventMessage(aFormer.mCell, request_moved{ aFormer.mAttempt });
+  const result<json> answer =
+    co_await mPeers.Call(member_info(*member), "event", message, kEventTimeout);
+  co_return answer.has_value();
+}
+
 asio::awaitable<void>
 owner_router::WatchLoop()
 {
@@ -60,6 +126,7 @@
     for (const attempt_id& attempt : moved) {
       co_await AnnounceToNewOwner(attempt);
     }
+    co_await TellFormerOwners();
   }
 }
 
--- a/src/control/owner_router.h
+++ b/src/control/owner_router.h
@@ -39,6 +39,22 @@
   const cell_owner& OwnedCells() const { return mOwner; }
 
 private:
+  /** A daemon that knows an attempt which another one owns now. */
+  struct former_owner
+  {
+    incarnation_id mOwner; ///< The daemon.
+    cell_key mCell;        ///< The attempt's cell.
+    attempt_id mAttempt;   ///< The attempt.
+    instant mUntil{ 0 };   ///< It's told until then.
+  };
+
+  /** Notes which daemon an event of an attempt goes to. If it's another one than before, that one
+   * is told to forget the attempt: it would hold engines for it for good. */
+  void NoteOwner(const attempt_id& aAttempt, const member_info& aOwner, const decide_event& aEvent);
+  /** Tells former owners, those that aren't reached again later. */
+  asio::awaitable<void> TellFormerOwners();
+  /** @return whether a former owner has been told, or needn't be. */
+  asio::awaitable<bool> TellFormerOwner(former_owner aFormer);
   asio::awaitable<void> WatchLoop();
   asio::awaitable<void> AnnounceToNewOwner(attempt_id aAttempt);
   /** Sends an owner the changes of an attempt since it was announced. Events sent meanwhile may
@@ -48,11 +64,12 @@
                                           attempt_id aAttempt,
                                           request_stage aReportedStage);
 
-  asio::io_context& mIo;       ///< Runs the loop.
-  member_table& mMembers;      ///< Chooses the owner of a cell.
-  peer_directory& mPeers;      ///< Carries events.
-  cell_owner& mOwner;          ///< This daemon's own cells.
-  attempt_registry& mAttempts; ///< Attempts in progress.
+  asio::io_context& mIo;                   ///< Runs the loop.
+  member_table& mMembers;                  ///< Chooses the owner of a cell.
+  peer_directory& mPeers;                  ///< Carries events.
+  cell_owner& mOwner;                      ///< This daemon's own cells.
+  attempt_registry& mAttempts;             ///< Attempts in progress.
+  std::vector<former_owner> mFormerOwners; ///< To be told; each for kFormerOwnerTime at most.
 };
 
 } // namespace dunehook
--- a/src/decide/event.cpp
+++ b/src/decide/event.cpp
@@ -72,7 +72,10 @@
   void operator()(const request_adopted& aEvent)
   {
     request_entry* const known = mCell.FindRequest(aEvent.mRequest.mAttempt);
-    if (aEvent.mIsRepeat && known != nullptr && known->mStage != request_stage::ePrefilling) {
+    // A request that decodes here but waits there has had a chunk of another owner counted here.
+    const bool isKnownSo = known != nullptr && known->mStage != request_stage::ePrefilling &&
+                           known->mStage != request_stage::eDecoding;
+    if (aEvent.mIsRepeat && isKnownSo) {
       RepeatLostChunk(*known);
       return;
     }
@@ -180,6 +183,16 @@
     mCell.mRequests.erase(aEvent.mAttempt);
   }
 
+  void operator()(const request_moved& aEvent)
+  {
+    request_entry* const request = mCell.FindRequest(aEvent.mAttempt);
+    if (request == nullptr) {
+      return;
+    }
+    ReleaseEngines(mCell, *request);
+    mCell.mRequests.erase(aEvent.mAttempt);
+  }
+
   void operator()(const engine_updated& aEvent)
   {
     mCell.mEngines[aEvent.mInfo.mId].mInfo = aEvent.mInfo;
--- a/src/decide/event_type.h
+++ b/src/decide/event_type.h
@@ -83,6 +83,14 @@
   auto operator<=>(const request_cancelled&) const = default;
 };
 
+/** Another daemon owns the request now: this one forgets it. */
+struct request_moved
+{
+  attempt_id mAttempt; ///< The request.
+
+  auto operator<=>(const request_moved&) const = default;
+};
+
 /** A runner was added to the host list, or its properties changed. */
 struct engine_updated
 {
@@ -150,6 +158,7 @@
                                   stream_finished,
                                   work_failed,
                                   request_cancelled,
+                                  request_moved,
                                   engine_updated,
                                   engine_removed,
                                   engine_unreachable,
--- a/tests/unit/decide_test.cpp
+++ b/tests/unit/decide_test.cpp
@@ -313,6 +313,33 @@
   LONGS_EQUAL(0, cell.mCore.State().mInFlightChunks.size());
 }
 
+// Guards against calls without an end: a chunk that another owner had ordered was counted as the
+// last one here, so that the request's frontend waited for an order that never came.
+TEST(decide, ARequestThatWaitsForAChunkAtItsFrontendIsTransferredThoughItCountsAsDecoding)
+{
+  cell_fixture cell(2);
+  cell.Arrive(1);
+  LONGS_EQUAL(1, Count<start_chunk>(cell.FinishPrefill(1)));
+  cell.FinishChunk(1);
+  const request_arrived request{
+    cell_fixture::Attempt(1), "practice", InteractiveTargets(), 200, 60, {}
+  };
+  const request_adopted repeated{ request, request_stage::eTransferring, kPrefill, kDecode, true };
+  LONGS_EQUAL(1, Count<start_chunk>(cell.mCore.Handle(repeated, cell.mNow)));
+}
+
+// Guards against an owner that keeps engines and the link for a request which another one owns.
+TEST(decide, ARequestThatAnotherDaemonOwnsHoldsNoEngine)
+{
+  cell_fixture cell(2);
+  cell.Arrive(1);
+  LONGS_EQUAL(1, Count<start_chunk>(cell.FinishPrefill(1)));
+  const tick_result out = cell.mCore.Handle(request_moved{ cell_fixture::Attempt(1) }, cell.mNow);
+  LONGS_EQUAL(0, Count<cancel_work>(out));
+  LONGS_EQUAL(2, cell.mCore.State().mEngines.at(kDecode).FreeSlots());
+  LONGS_EQUAL(0, cell.mCore.State().mInFlightChunks.size());
+}
+
 TEST(decide, SlotsHeldByOtherRequestsAreNotAssigned)
 {
   cell_fixture cell(2);
--- a/tests/unit/message_test.cpp
+++ b/tests/unit/message_test.cpp
@@ -29,6 +29,7 @@
     stream_finished{ kAttempt, 60 },
     work_failed{ kAttempt, { 5 }, true, false },
     request_cancelled{ kAttempt },
+    request_moved{ kAttempt },
   };
   for (const decide_event& event : events) {
     CHECK_TRUE(EventFromJson(EventToJson(event)).value() == event);
