Fix: [Forward] a daemon that begins to judge gets the proofs of parts that another one has had

Cause, from their lines: each time the verdict came from a daemon that had judged for 1.5 s. It had asked for proofs, but others answered only with what was newer than they had sent, to whomever that was. So the popular part counted as never proven, and three crashes sufficed. Change: a question is answered with what is known, each time; and it's asked again after 1 s in place of 2, since a question may be lost. part_evidence.ADaemonThatBeginsToJudge... failed before.

--- a/src/links/quarantine_link.h
+++ b/src/links/quarantine_link.h
@@ -48,7 +48,7 @@
 /** Crash reports in one datagram: each may name kMaxSharedParts parts. */
 inline constexpr std::size_t kMaxCrashesPerDatagram = 16;
 /** Parts are asked for again after this time: datagrams may be lost, daemons may have started. */
-inline constexpr duration kAskAgainInterval = std::chrono::milliseconds(2000);
+inline constexpr duration kAskAgainInterval = std::chrono::milliseconds(1000);
 /** Maximum number of this daemon's own crashes that are sent again. */
 inline constexpr std::size_t kMaxCrashesResent = 64;
 
--- a/src/quarantine/recent_parts.cpp
+++ b/src/quarantine/recent_parts.cpp
@@ -42,11 +42,8 @@
   std::vector<part_proof> proofs;
   for (const prompt_part part : aParts) {
     recent_part& row = mParts[part];
-    const bool isFirst = row.mAskedUntil <= aNow;
     row.mAskedUntil = aNow + kPartWatchTime;
-    if (isFirst) { // Whoever asks may not have had the former proofs.
-      row.mSent.reset();
-    }
+    row.mSent.reset(); // Whoever asks may not have had the former proofs.
     AddProof(part, row, aNow, proofs);
   }
   EvictOldest();
--- a/tests/unit/part_evidence_test.cpp
+++ b/tests/unit/part_evidence_test.cpp
@@ -277,6 +277,15 @@
   CHECK_TRUE(recent.NoteWentOn({ kFirst }, mNow + seconds(2), mNow).empty());
 }
 
+TEST(part_evidence, ADaemonThatBeginsToJudgeGetsProofsThatAnotherOneHasHad)
+{
+  recent_parts recent;
+  recent.NoteWentOn({ kFirst }, mNow, mNow);
+  LONGS_EQUAL(1, recent.NoteAsked({ kFirst }, mNow).size());
+  mNow += seconds(1);
+  LONGS_EQUAL(1, recent.NoteAsked({ kFirst }, mNow).size());
+}
+
 TEST(part_evidence, PartsAreSentBetweenDaemons)
 {
   run_message message;
