Test: [Review] case 5, chunked bodies aren't counted against a host's memory

While most new connections go to one daemon and clients hand in bodies of 4 MB in chunks, the daemon exceeds memory-mb and is killed (LOST). At fault: caller_listener::ServeOne counts a chunked body as 16 KB.

--- a/review/stage/main.cpp
+++ b/review/stage/main.cpp
@@ -120,7 +120,7 @@
   kind.mPath = "/uploads/";
   kind.mBodyBytes = 4000000;
   kind.mChunked = true;
-  kind.mBytesPerSecond = 2000000;
+  kind.mBytesPerSecond = 1500000;
   kind.mDeadlineMs = 8000;
   kind.mTimeoutMs = 8000;
   kind.mNewConnections = true;
@@ -410,7 +410,7 @@
   const std::int64_t from = NowMs();
   all.Start(Record(), 72, 150.0);
   all.Start(Fetch(), 36, 60.0);
-  all.Start(Upload(), 45, 16.5);
+  all.Start(Upload(), 75, 25.0);
   int to = 0;
   for (const double begin : { 8.0, 20.0, 32.0 }) {
     SleepUntil(from, begin);
@@ -435,6 +435,7 @@
   daemon_settings settings;
   settings.mStore = all.mStore.Address();
   settings.mFolder = aWork;
+  settings.mCount = aCase == "uploads" ? 5 : 3;
   json routes = json::array({ Route(Record(), "lesson-desk"),
                               Route(Fetch(), "lesson-desk"),
                               Route(Upload(), "lesson-desk") });
