--- a/review/stage/runner.cpp
+++ b/review/stage/runner.cpp
@@ -184,7 +184,7 @@
     return AnswerSideCall(aCaller, aCall);
   }
   if (mTrouble != trouble::eNone && mTrouble != trouble::eNoAnswer) {
-    Note(aCall, true);
+    Note(aCall, aCall.Field("X-Stage") != "prefill");
     return SendWithoutEnd(aCaller, Own(aCall));
   }
   if (mSetup.mStage.empty()) {
