--- a/review/stage/main.cpp
+++ b/review/stage/main.cpp
@@ -442,7 +442,8 @@
   routes.push_back(Route(Placement(), "tutor-models"));
   PutManifest(all.mStore, routes);
   const bool engines = aCase == "endless-hold" || aCase == "endless-chunk";
-  AddRunners(all, engines ? 3 : 0, engines ? 6 : 0, 6);
+  const int plain = aCase == "endless-slow" ? 8 : 6;
+  AddRunners(all, engines ? 3 : 0, engines ? 6 : 0, plain);
   daemons fleet(settings, all.mRecord);
   if (!fleet.Start()) {
     Say(all, "the daemons didn't start");
