Fix: [Net] a line of an answer without an end no longer gathers in the connection's buffer

Cause: the buffer of a connection has no largest size. The parser waits for the end of a chunk's line, its extensions, or a trailer, and what it waits with gathers there. The same holds for the client of side calls and the store, for callers' connections and the product's own listeners, and a peer could send 16 MB before it showed the secret.

Change: bytes that aren't parsed yet are an unparsed_bytes of 16 KB at most, and reads of answers take nothing else. Callers' buffers are bounded by the limit of heads. An overlong head, line or trailer is a wrong answer of the runner, not a lost connection, so it's repeated where that is allowed, and isn't taken for a crash.

--- a/src/core/error_type.h
+++ b/src/core/error_type.h
@@ -36,7 +36,7 @@
   eConnectionLost,  ///< The connection ended after something may have been sent.
   eCallerGone,      ///< The caller closed its connection.
   eRunnerRefused,   ///< The runner answered that it takes no work now.
-  eWrongAnswer,     ///< An answer that belongs to another attempt.
+  eWrongAnswer,     ///< Bytes that are no answer to this attempt.
   eKeyMalformed,    ///< An idempotency key without its issue time.
   eKeyExpired,      ///< An idempotency key older than the claim window.
   eKeyClaimed,      ///< Another request holds the idempotency key.
--- a/src/forward/caller_session.cpp
+++ b/src/forward/caller_session.cpp
@@ -37,34 +37,47 @@
   bool mDone = false;                       ///< The exchange has ended.
 };
 
+/** @return whether the other side has closed the connection, and no bytes are left to read. */
+bool
+IsClosedByPeer(tcp::socket& aSocket)
+{
+  char byte = 0;
+  const ssize_t got = ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+/** @return the most bytes that are held before they are parsed: a head, or the line of a chunk or a
+ * trailer, and what follows. */
+std::size_t
+MaxUnparsedBytes(const caller_limits& aLimits)
+{
+  return std::max<std::size_t>(aLimits.mHeaderBytes, kMaxReadAheadBytes) + kReadBytes;
+}
+
 /**
- * Reads available bytes without blocking.
+ * Reads available bytes without blocking, unless the buffer is full.
  * @return false if the caller has closed the connection.
  */
 bool
 ReadAvailable(tcp::socket& aSocket, beast::flat_buffer& aBuffer)
 {
   std::array<char, kReadBytes> bytes;
-  const ssize_t got = ::recv(aSocket.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+  const std::size_t room = aBuffer.max_size() - std::min(aBuffer.max_size(), aBuffer.size());
+  if (room == 0) {
+    return !IsClosedByPeer(aSocket);
+  }
+  const ssize_t got =
+    ::recv(aSocket.native_handle(), bytes.data(), std::min(room, bytes.size()), MSG_DONTWAIT);
   if (got > 0) {
     const auto count = static_cast<std::size_t>(got);
-    const auto room = aBuffer.prepare(count);
-    std::copy_n(bytes.data(), count, static_cast<char*>(room.data()));
+    const auto space = aBuffer.prepare(count);
+    std::copy_n(bytes.data(), count, static_cast<char*>(space.data()));
     aBuffer.commit(count);
     return true;
   }
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
 }
 
-/** @return whether the other side has closed the connection, and no bytes are left to read. */
-bool
-IsClosedByPeer(tcp::socket& aSocket)
-{
-  char byte = 0;
-  const ssize_t got = ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-}
-
 asio::awaitable<void>
 WatchForDisconnect(beast::tcp_stream& aStream,
                    beast::flat_buffer& aBuffer,
@@ -110,7 +123,7 @@
   if (aError == http::error::body_limit) {
     return 413;
   }
-  if (aError == http::error::header_limit) {
+  if (aError == http::error::header_limit || aError == http::error::buffer_overflow) {
     return 431;
   }
   if (aError == beast::error::timeout) {
@@ -396,6 +409,8 @@
   http::request_parser<http::string_body> parser;
   parser.header_limit(mState.mLimits.mHeaderBytes);
   parser.body_limit(mState.mLimits.mBodyBytes);
+  // The limits may be smaller than when the buffered bytes were read.
+  aBuffer.max_size(std::max(MaxUnparsedBytes(mState.mLimits), aBuffer.size() + kReadBytes));
   boost::system::error_code error;
   aStream.expires_after(mState.mLimits.mHeaderTime);
   co_await http::async_read_header(
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -486,11 +486,11 @@
                                    body_framing aFraming,
                                    std::uint32_t aBefore) const
   {
-    if (!aRead) {
+    if (!aRead && aRead.error() != errc::eWrongAnswer) {
       return aRead.error() == errc::eConnectionLost ? run_break::eConnectionLost
                                                     : run_break::eTimedOut;
     }
-    if (mEvents.IsOverlong()) {
+    if (!aRead || mEvents.IsOverlong()) {
       return run_break::eWrongAnswer;
     }
     if (aRead.value() || ProvesEnd(aFraming)) {
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -453,7 +453,7 @@
         mExchange->ResetConnection();
         aAnswer.mSendStatus = send_status::eUnknown;
         aAnswer.mConnectionLost = read.error() == errc::eConnectionLost;
-        aAnswer.mTimedOut = !aAnswer.mConnectionLost;
+        aAnswer.mTimedOut = read.error() == errc::eDeadlinePassed;
         mState.mMetrics.CountAnswerEnd(FramingName(aAnswer.mFraming), false);
         co_await NoteLostResponse(aRunner, aAddress, aAnswer, true);
         co_return;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -58,7 +58,7 @@
   mLimit.Set(aLimit);
   co_await http::async_write(mStream, request, asio::redirect_error(asio::use_awaitable, error));
   if (error) {
-    co_return mLimit.Cause();
+    co_return mLimit.Cause(error);
   }
   mParser.emplace();
   mParser->body_limit(kMaxAnswerBytes);
@@ -66,7 +66,7 @@
     mStream, mBuffer, *mParser, asio::redirect_error(asio::use_awaitable, error));
   mLimit.Clear();
   if (error) {
-    co_return mLimit.Cause();
+    co_return mLimit.Cause(error);
   }
   co_return mParser->get().result_int();
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -90,7 +90,7 @@
 
   beast::tcp_stream mStream;              ///< The socket.
   stream_limit mLimit;                    ///< Time limit of the current operation.
-  beast::flat_buffer mBuffer;             ///< Bytes read but not parsed yet.
+  unparsed_bytes mBuffer;                 ///< Bytes read but not parsed yet.
   std::optional<response_parser> mParser; ///< Parser of the current answer.
   bool mReusable = false;                 ///< True only between two complete answers.
 };
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -243,6 +243,7 @@
   http::request_parser<http::string_body> parser;
   parser.header_limit(mLimits.mHeaderBytes);
   parser.body_limit(mLimits.mBodyBytes);
+  aBuffer.max_size(mLimits.mHeaderBytes + kMaxUnparsedBytes);
   boost::system::error_code error;
   aStream.expires_after(mLimits.mReadTimeout);
   co_await http::async_read(
@@ -254,7 +255,7 @@
     co_await exchange->Respond(413, ErrorBody("body_too_large", "the body is over the limit"));
     co_return false;
   }
-  if (error == http::error::header_limit) {
+  if (IsOverlong(error)) {
     co_await exchange->Respond(431, ErrorBody("header_too_large", "the head is over the limit"));
     co_return false;
   }
--- a/src/net/stream_limit.cpp
+++ b/src/net/stream_limit.cpp
@@ -27,6 +27,12 @@
   co_return std::move(stream);
 }
 
+bool
+IsOverlong(const boost::system::error_code& aError)
+{
+  return aError == http::error::buffer_overflow || aError == http::error::header_limit;
+}
+
 stream_limit::stream_limit(beast::tcp_stream& aStream)
   : mState(std::make_shared<limit_state>(aStream))
 {
@@ -38,6 +44,15 @@
   Clear();
 }
 
+std::error_code
+stream_limit::Cause(const boost::system::error_code& aError) const
+{
+  if (mState->mExpired) {
+    return make_error_code(errc::eDeadlinePassed);
+  }
+  return make_error_code(IsOverlong(aError) ? errc::eWrongAnswer : errc::eConnectionLost);
+}
+
 void
 stream_limit::Set(duration aLimit)
 {
--- a/src/net/stream_limit.h
+++ b/src/net/stream_limit.h
@@ -1,7 +1,8 @@
 /**
  * @file stream_limit.h
- * Time limits of operations on a stream. Beast's own timeouts stop counting while the machine is
- * suspended, so an operation would wait for an answer longer than its caller does.
+ * Limits of operations on a stream: their time, and the bytes that they hold. Beast's own timeouts
+ * stop counting while the machine is suspended, so an operation would wait for an answer longer
+ * than its caller does; and its buffers grow with any line that doesn't end.
  */
 #pragma once
 
@@ -15,6 +16,25 @@
 asio::awaitable<result<beast::tcp_stream>>
 ConnectStream(endpoint aTo, duration aLimit);
 
+/** Most bytes of an answer that are held before they are parsed: its head, or the line of a chunk
+ * with its extensions, or a trailer. Twice the largest head that the parser takes. */
+inline constexpr std::size_t kMaxUnparsedBytes = 16384;
+
+/** Bytes of an answer that were read but not parsed yet. A read that would hold more fails. */
+class unparsed_bytes : public beast::flat_buffer
+{
+public:
+  unparsed_bytes()
+    : beast::flat_buffer(kMaxUnparsedBytes)
+  {
+  }
+};
+
+/** @return whether an answer was given up because a part of it is over its limit, see
+ * kMaxUnparsedBytes. */
+bool
+IsOverlong(const boost::system::error_code& aError);
+
 /** The time limit of one stream, which must outlive it. Closes the stream when it expires. */
 class stream_limit
 {
@@ -28,11 +48,12 @@
   void Set(duration aLimit);
   /** Removes the limit. */
   void Clear();
-  /** @return why an operation on the stream failed: eDeadlinePassed or eConnectionLost. */
-  std::error_code Cause() const
-  {
-    return make_error_code(mState->mExpired ? errc::eDeadlinePassed : errc::eConnectionLost);
-  }
+  /**
+   * @param aError the operation's error.
+   * @return why an operation on the stream failed: eDeadlinePassed, eWrongAnswer for an overlong
+   * head, line or trailer, else eConnectionLost.
+   */
+  std::error_code Cause(const boost::system::error_code& aError) const;
 
 private:
   /** Shared with the timer's handlers, which may run after the stream_limit is destroyed. */
@@ -65,7 +86,7 @@
 asio::awaitable<result<bool>>
 ReadSomeBody(beast::tcp_stream& aStream,
              stream_limit& aLimit,
-             beast::flat_buffer& aBuffer,
+             unparsed_bytes& aBuffer,
              body_parser& aParser,
              std::string& aOut,
              duration aTime)
@@ -83,7 +104,7 @@
     aStream, aBuffer, aParser, asio::redirect_error(asio::use_awaitable, error));
   aLimit.Clear();
   if (error && error != http::error::need_buffer) {
-    co_return aLimit.Cause();
+    co_return aLimit.Cause(error);
   }
   aOut.append(bytes.data(), bytes.size() - body.size);
   co_return !aParser.is_done();
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -15,14 +15,16 @@
 using json = nlohmann::json;
 
 constexpr std::size_t kMaxLineBytes = std::size_t{ 16 } << 20U;
+/** Longest line of a peer that hasn't shown the secret yet. */
+constexpr std::size_t kMaxSecretBytes = 4096;
 
 asio::awaitable<result<std::string>>
-ReadLine(tcp::socket& aSocket, std::string& aBuffer)
+ReadLine(tcp::socket& aSocket, std::string& aBuffer, std::size_t aMaxBytes)
 {
   boost::system::error_code error;
   const std::size_t length =
     co_await asio::async_read_until(aSocket,
-                                    asio::dynamic_buffer(aBuffer, kMaxLineBytes),
+                                    asio::dynamic_buffer(aBuffer, aMaxBytes),
                                     '\n',
                                     asio::redirect_error(asio::use_awaitable, error));
   if (error) {
@@ -152,7 +154,7 @@
   const auto self = shared_from_this();
   std::string buffer;
   for (;;) {
-    const result<std::string> line = co_await ReadLine(*aSocket, buffer);
+    const result<std::string> line = co_await ReadLine(*aSocket, buffer, kMaxLineBytes);
     if (!line) {
       break;
     }
@@ -231,12 +233,12 @@
 peer_listener::Serve(tcp::socket aSocket)
 {
   std::string buffer;
-  const result<std::string> secret = co_await ReadLine(aSocket, buffer);
+  const result<std::string> secret = co_await ReadLine(aSocket, buffer, kMaxSecretBytes);
   if (!secret || !SecretsEqual(secret.value(), mSecret)) {
     co_return;
   }
   for (;;) {
-    const result<std::string> line = co_await ReadLine(aSocket, buffer);
+    const result<std::string> line = co_await ReadLine(aSocket, buffer, kMaxLineBytes);
     if (!line) {
       co_return;
     }
--- a/src/runners/upstream_connection.cpp
+++ b/src/runners/upstream_connection.cpp
@@ -86,7 +86,7 @@
     mStream, mBuffer, *mParser, asio::redirect_error(asio::use_awaitable, error));
   mLimit.Clear();
   if (error) {
-    co_return mLimit.Cause();
+    co_return mLimit.Cause(error);
   }
   co_return &mParser->get();
 }
--- a/src/runners/upstream_connection.h
+++ b/src/runners/upstream_connection.h
@@ -37,7 +37,7 @@
   /**
    * Sends a request and reads the head of the answer. The answer may arrive before the body
    * is sent in full.
-   * @return the answer's head, eConnectionLost or eDeadlinePassed.
+   * @return the answer's head, eConnectionLost, eDeadlinePassed, or eWrongAnswer if it's overlong.
    * @pre no answer is being read.
    */
   asio::awaitable<result<const response_parser::value_type*>> Start(
@@ -47,7 +47,8 @@
   /**
    * Reads some of the answer's body.
    * @param aOut text that the bytes are appended to.
-   * @return whether the body continues; eConnectionLost if the answer was cut off.
+   * @return whether the body continues; eConnectionLost if the answer was cut off, eWrongAnswer if
+   * a line of its framing is overlong.
    * @pre Start() succeeded.
    */
   asio::awaitable<result<bool>> ReadSome(std::string& aOut, duration aLimit);
@@ -80,7 +81,7 @@
 
   beast::tcp_stream mStream;              ///< The socket.
   stream_limit mLimit;                    ///< Time limit of the current operation.
-  beast::flat_buffer mBuffer;             ///< Bytes read but not parsed yet.
+  unparsed_bytes mBuffer;                 ///< Bytes read but not parsed yet.
   std::optional<response_parser> mParser; ///< Parser of the current answer.
   std::shared_ptr<write_state> mWrite;    ///< The current request.
   bool mAnswerComplete = false;           ///< The last answer was read to its end.
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -622,6 +622,9 @@
     if (!mode.empty() && !isSideCall && aRunner.mFaults > 0) {
       --aRunner.mFaults;
     }
+    if (isSideCall && target == "/hold-take" && SideBytes(mode)) {
+      co_return co_await WriteWithoutEnd(aStream, *SideBytes(mode));
+    }
     if (isSideCall) {
       const std::string text = SideAnswer(aRunner, aRequest, target);
       co_return co_await Write(aStream, text);
@@ -639,12 +642,8 @@
       aStream.socket().set_option(asio::socket_base::linger(true, 0));
       co_return false;
     }
-    if (mode == "endless_head" || mode == "endless_body" || mode == "endless_unsigned") {
-      std::string head = mode == "endless_body" ? own : std::string();
-      if (mode == "endless_unsigned") {
-        head = Join("X-Request-Id: ", id, "\r\n");
-      }
-      co_return co_await WriteWithoutEnd(aStream, head);
+    if (const std::optional<endless_bytes> endless = EndlessBytes(mode, own, id)) {
+      co_return co_await WriteWithoutEnd(aStream, *endless);
     }
     if (mode == "hang") { // Until the connection closes.
       char rest = 0;
@@ -688,20 +687,67 @@
     co_return co_await AnswerPlain(aRunner, aStream, aRequest, own, mode);
   }
 
-  /** Sends bytes that are no answer until the caller closes: in a body after a head with
-   * @p aOwn, or in the head if that's empty. */
-  asio::awaitable<bool> WriteWithoutEnd(beast::tcp_stream& aStream, const std::string& aOwn)
+  /** Bytes that are no answer and have no end. */
+  struct endless_bytes
   {
-    const std::string head = aOwn.empty() ? "" : Join(aOwn, "\r\n");
-    bool open = co_await Write(aStream, Join("HTTP/1.1 200 OK\r\n", head));
-    const std::string line = Join("X-Filler: ", std::string(1000, 'x'), "\r\n");
-    std::string filler;
+    std::string mStart;   ///< What comes first.
+    std::string mPiece;   ///< What comes again and again.
+    duration mPause{ 0 }; ///< Pause after each piece.
+  };
+
+  /**
+   * @param aOwn fields that make a head the runner's own.
+   * @return what a runner sends in a mode in place of an answer; nothing if the mode is another
+   * one.
+   */
+  static std::optional<endless_bytes> EndlessBytes(const std::string& aMode,
+                                                   const std::string& aOwn,
+                                                   const std::string& aRequest)
+  {
+    constexpr duration kSlowPause = std::chrono::milliseconds(50);
+    constexpr duration kTrickle = std::chrono::seconds(1);
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string body = Join(status, aOwn, "\r\n");
+    const std::string chunks = Join(status, aOwn, "Transfer-Encoding: chunked\r\n\r\n");
+    const std::string kilobyte(1000, 'x');
+    const std::string filler(kFillerBytes, 'x');
+    const std::string line = Join("X-Filler: ", kilobyte, "\r\n");
+    std::string lines;
     for (int i = 0; i < 64; ++i) {
-      filler += aOwn.empty() ? line : std::string(1000, 'x');
+      lines += line;
     }
+    const std::map<std::string, endless_bytes> known{
+      { "endless_head", { status, lines } },
+      { "endless_body", { body, filler } },
+      { "endless_unsigned", { Join(status, "X-Request-Id: ", aRequest, "\r\n\r\n"), filler } },
+      { "endless_line", { Join(chunks, "5;a="), filler } },
+      { "endless_trailer", { Join(chunks, "5\r\nxxxxx\r\n0\r\n"), lines } },
+      { "slow_body", { body, kilobyte, kSlowPause } },
+      { "slow_line", { Join(chunks, "5;a="), "x", kTrickle } },
+    };
+    const auto found = known.find(aMode);
+    return found == known.end() ? std::nullopt : std::optional(found->second);
+  }
+
+  /** @return the same for a reservation. */
+  static std::optional<endless_bytes> SideBytes(const std::string& aMode)
+  {
+    if (aMode == "endless_hold" || aMode == "slow_hold") {
+      return EndlessBytes(aMode == "endless_hold" ? "endless_body" : "slow_body", "", "");
+    }
+    return std::nullopt;
+  }
+
+  /** Sends bytes that are no answer until the caller closes. */
+  asio::awaitable<bool> WriteWithoutEnd(beast::tcp_stream& aStream, endless_bytes aBytes)
+  {
+    bool open = co_await Write(aStream, aBytes.mStart);
     ++mEndless;
     while (open) {
-      open = co_await Write(aStream, filler);
+      open = co_await Write(aStream, aBytes.mPiece);
+      if (aBytes.mPause > duration{ 0 }) {
+        co_await Sleep(aBytes.mPause);
+      }
     }
     --mEndless;
     co_return false;
--- a/tests/platform/endless_test.cpp
+++ b/tests/platform/endless_test.cpp
@@ -56,6 +56,20 @@
     mBed.SetRunner(aKind + "-2", { { "mode", aMode } });
   }
 
+  /** @return the most memory that the daemon has had; MB. */
+  std::int64_t PeakMb()
+  {
+    std::ifstream status("/proc/" + std::to_string(mBed.Daemon().Pid()) + "/status");
+    std::string word;
+    std::int64_t kilobytes = 0;
+    while (status >> word) {
+      if (word == "VmHWM:") {
+        status >> kilobytes;
+      }
+    }
+    return kilobytes >> 10;
+  }
+
   std::int64_t MemoryMb()
   {
     std::ifstream statm("/proc/" + std::to_string(mBed.Daemon().Pid()) + "/statm");
@@ -84,7 +98,7 @@
       CHECK_TRUE(got.mBody.find("xxxx") == std::string::npos);
     }
     CheckAllClosed();
-    CHECK_TRUE(MemoryMb() - before <= kMaxGrowthMb);
+    CHECK_TRUE(PeakMb() - before <= kMaxGrowthMb);
   }
 
   /** Checks that nobody reads an answer without an end any more. */
@@ -97,6 +111,30 @@
     LONGS_EQUAL(0, mBed.EndlessAnswers());
   }
 
+  /** Sends a request whose body goes on without an end, and checks that it's refused soon. */
+  void CheckCallerIsCutOff(const std::string& aBegin, const std::string& aPiece)
+  {
+    namespace ip = boost::asio::ip;
+    const std::int64_t before = PeakMb();
+    const std::string at = mBed.Callers();
+    const std::size_t colon = at.rfind(':');
+    boost::asio::io_context io;
+    ip::tcp::socket socket(io);
+    const auto port = static_cast<std::uint16_t>(std::stoi(at.substr(colon + 1)));
+    socket.connect({ ip::make_address(at.substr(0, colon)), port });
+    const std::string head = "POST /pages/a HTTP/1.1\r\nHost: calls.example\r\nX-Request-Id: c1\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n" +
+                             aBegin;
+    boost::system::error_code error;
+    boost::asio::write(socket, boost::asio::buffer(head), error);
+    const std::int64_t sent = NowMs();
+    while (!error && NowMs() < sent + kCallLimitMs) {
+      boost::asio::write(socket, boost::asio::buffer(aPiece), error);
+    }
+    CHECK_TRUE(NowMs() - sent <= kMaxAnswerMs);
+    CHECK_TRUE(PeakMb() - before <= kMaxGrowthMb);
+  }
+
   /** Calls a page and drops what comes. @return why the answer ended. */
   boost::system::error_code ReadPageUntilItEnds()
   {
@@ -148,6 +186,51 @@
   CheckBounded("POST", "/turns/a", GenerationHeaders("g", 2000, 10));
 }
 
+/** Guards against the line of a chunk that gathers in the connection's buffer. */
+TEST(endless, AChunkLineOfADecodeEngineIsCutOff)
+{
+  Start("decode", "endless_line");
+  CheckBounded("POST", "/turns/a", GenerationHeaders("g", 2000, 10));
+}
+
+TEST(endless, ATrailerOfADecodeEngineIsCutOff)
+{
+  Start("decode", "endless_trailer");
+  CheckBounded("POST", "/turns/a", GenerationHeaders("g", 2000, 10));
+}
+
+TEST(endless, AChunkLineOfAPrefillEngineIsCutOff)
+{
+  mSoundAnswer = kLastEvent; // Decode engines read prompts themselves.
+  Start("prefill", "endless_line");
+  CheckBounded("POST", "/turns/a", GenerationHeaders("g", 2000, 10));
+}
+
+TEST(endless, AChunkLineOfAPlainRunnerIsCutOff)
+{
+  Start("desk", "endless_line");
+  CheckBounded("GET", "/pages/a", CallerHeaders("p"));
+}
+
+TEST(endless, ATrailerOfAPlainRunnerIsCutOff)
+{
+  Start("desk", "endless_trailer");
+  CheckBounded("GET", "/pages/a", CallerHeaders("p"));
+}
+
+/** Guards against the line of a chunk of a caller's body that gathers in the caller's buffer. */
+TEST(endless, AChunkLineOfACallerIsCutOff)
+{
+  Start("desk", "");
+  CheckCallerIsCutOff("5;a=", std::string(64000, 'x'));
+}
+
+TEST(endless, ATrailerOfACallerIsCutOff)
+{
+  Start("desk", "");
+  CheckCallerIsCutOff("5\r\nxxxxx\r\n0\r\n", "X-Filler: " + std::string(64000, 'x') + "\r\n");
+}
+
 TEST(endless, AHeadOfAPlainRunnerIsCutOff)
 {
   Start("desk", "endless_head");
