Fix: [Forward] a response that is held must be whole in time, not each read of it

A request that may be repeated wasn't.

Cause: ReadBody() gave each read the whole time limit of the request, so a body that goes on a little at a time was read until it had 64 KB. Prompt reads and failures of engines were read in the same way.

Change: a send has one instant until which its response must be whole: the time at which another runner would be tried, or the deadline. A head that came in time gives its body a tenth of a second at least, so that ready answers are still delivered. All reads from runners take an instant.

--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -110,6 +110,7 @@
 
 private:
   duration TimeLeft() const { return mDeadline - mState.Now(); }
+  instant LatestResponse() const { return mDeadline + kResponseSlack; }
 
   /**
    * @param aSends sends to the service in addition to those of a request without failures.
@@ -359,7 +360,7 @@
                                                            mPlace.RunPermit(),
                                                            mFacts.mId,
                                                            true,
-                                                           TimeLeft() + kResponseSlack);
+                                                           LatestResponse());
     if (mExchange->Disconnected()) {
       if (answer.mConnection) {
         answer.mConnection->Abort();
@@ -460,8 +461,8 @@
   asio::awaitable<void> ForwardFailure(upstream_response& aAnswer)
   {
     std::string body;
-    const result<void> read = co_await ReadBody(
-      *aAnswer.mConnection, body, kMaxHeldResponseBytes, TimeLeft() + kResponseSlack);
+    const result<void> read =
+      co_await ReadBody(*aAnswer.mConnection, body, kMaxHeldResponseBytes, LatestResponse());
     ReturnConnection(mState, *mExchange, mPlace.DecodeAddress(), aAnswer.mConnection);
     mState.NoteEngine(mPlace.Choice().mDecode, send_outcome::eFailed);
     if (mStarted) {
@@ -514,7 +515,7 @@
     instant lastAt{ 0 };
     for (;;) {
       std::string bytes;
-      const result<bool> read = co_await upstream.ReadSome(bytes, TimeLeft() + kResponseSlack);
+      const result<bool> read = co_await upstream.ReadSome(bytes, LatestResponse());
       std::string events = mEvents.Feed(bytes);
       const bool ended = read && !read.value();
       const std::optional<run_break> broken = BreakOf(read, aAnswer.mFraming, before);
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -84,6 +84,7 @@
 private:
   bool MayRetry() const { return mRoute.mRepeat == repeat_rule::eRepeatable; }
   duration TimeLeft() const { return mDeadline - mState.Now(); }
+  instant LatestResponse() const { return mDeadline + kResponseSlack; }
   duration MaxRunnerWait() const { return mRoute.mFirstAnswer / kRunnerWaitDivisor; }
 
   /**
@@ -242,12 +243,11 @@
     ++mAttempts;
     ++runner->mUnderWay;
     const bool mayRetryLater = MayRetry() && mSends + 1 < mRoute.mMaxRunners;
-    const duration limit = mayRetryLater ? std::min(TimeLeft() + kResponseSlack,
-                                                    mRoute.mFirstAnswer * kTargetsBeforeRetry)
-                                         : TimeLeft() + kResponseSlack;
+    const instant retryAt = mState.Now() + mRoute.mFirstAnswer * kTargetsBeforeRetry;
+    const instant until = mayRetryLater ? std::min(LatestResponse(), retryAt) : LatestResponse();
     upstream_response answer = co_await SendToRunner<Wire>(
-      mState, *mExchange, address, plan, aPermit, mFacts.mId, !MayRetry(), limit);
-    const bool again = co_await HandleSendResult(aRunner, address, answer, limit);
+      mState, *mExchange, address, plan, aPermit, mFacts.mId, !MayRetry(), until);
+    const bool again = co_await HandleSendResult(aRunner, address, answer, until);
     if (runner_state* const still = mState.mRunners.Find(aRunner)) {
       --still->mUnderWay;
     }
@@ -256,12 +256,13 @@
 
   /**
    * Handles the outcome of a send.
+   * @param aUntil when a response that is held must be whole.
    * @return whether to try another runner.
    */
   asio::awaitable<bool> HandleSendResult(service_runner_id aRunner,
                                          endpoint aAddress,
                                          upstream_response& aAnswer,
-                                         duration aLimit)
+                                         instant aUntil)
   {
     if (mExchange->Disconnected()) {
       NoteOutcome(aRunner, send_outcome::eAbandoned);
@@ -276,7 +277,7 @@
     std::string body;
     if (aAnswer.mConnection) {
       const result<void> read =
-        co_await ReadBody(*aAnswer.mConnection, body, kMaxBufferedBytes, aLimit);
+        co_await ReadBody(*aAnswer.mConnection, body, kMaxBufferedBytes, aUntil);
       NoteOrigin(aAnswer, body);
       if (!read && read.error() == errc::eBodyTooLarge && IsOfRunner(aAnswer)) {
         co_await Stream(aRunner, aAddress, aAnswer, body);
@@ -443,11 +444,7 @@
     while (open && more) {
       open = co_await mExchange->Write(aHeld);
       aHeld.clear();
-      const duration limit = TimeLeft() + kResponseSlack;
-      result<bool> read = make_error_code(errc::eDeadlinePassed);
-      if (limit > duration{ 0 }) { // A response that never ends is always there to be read.
-        read = co_await upstream.ReadSome(aHeld, limit);
-      }
+      const result<bool> read = co_await upstream.ReadSome(aHeld, LatestResponse());
       if (!read) {
         upstream.Abort();
         mExchange->ResetConnection();
--- a/src/forward/prompt_read.h
+++ b/src/forward/prompt_read.h
@@ -71,7 +71,7 @@
     const instant began = mState.Now();
     const duration limit = std::min(aPlan.mTimeLeft, aChoice.mUntilRead + kPrefillSlack);
     std::string body;
-    upstream_response answer = co_await Send(aPlan, aPermit, limit, body);
+    upstream_response answer = co_await Send(aPlan, aPermit, began + limit, body);
     bool broke = answer.mConnectionLost;
     const bool lost =
       answer.mSendStatus == send_status::eUnknown && !answer.mTimedOut && !mExchange.Disconnected();
@@ -89,7 +89,7 @@
     if (retries) {
       LogRetry();
       aPlan.mTimeLeft -= spent; // The engine gets the remaining time, not the original limit.
-      answer = co_await Send(aPlan, aPermit, limit - spent, body);
+      answer = co_await Send(aPlan, aPermit, began + limit, body);
       broke = broke || answer.mConnectionLost;
     }
     if (answer.mSendStatus != send_status::eAnswered || answer.mFacts.mStatus != 200) {
@@ -155,15 +155,15 @@
   /** Sends the request and reads the whole response. */
   asio::awaitable<upstream_response> Send(send_plan aPlan,
                                           send_permit aPermit,
-                                          duration aLimit,
+                                          instant aUntil,
                                           std::string& aBody)
   {
     upstream_response answer = co_await SendToRunner<Wire>(
-      mState, mExchange, mEngineAddress, aPlan, aPermit, mRequestId, false, aLimit);
+      mState, mExchange, mEngineAddress, aPlan, aPermit, mRequestId, false, aUntil);
     if (answer.mConnection) {
       aBody.clear();
       const result<void> read =
-        co_await ReadBody(*answer.mConnection, aBody, kMaxHeldResponseBytes, aLimit);
+        co_await ReadBody(*answer.mConnection, aBody, kMaxHeldResponseBytes, aUntil);
       ReturnConnection(mState, mExchange, mEngineAddress, answer.mConnection);
       if (!read) {
         answer.mSendStatus = send_status::eUnknown;
--- a/src/forward/relay_call.h
+++ b/src/forward/relay_call.h
@@ -205,8 +205,7 @@
     bool more = true;
     while (open && more) {
       std::string bytes;
-      const duration limit = aDeadline - mState.Now() + kResponseSlack;
-      const result<bool> read = co_await aConnection.ReadSome(bytes, limit);
+      const result<bool> read = co_await aConnection.ReadSome(bytes, aDeadline + kResponseSlack);
       if (!read) {
         aConnection.Abort();
         mExchange.ResetConnection();
--- a/src/forward/upstream_send.cpp
+++ b/src/forward/upstream_send.cpp
@@ -75,17 +75,15 @@
 }
 
 asio::awaitable<result<void>>
-ReadBody(upstream_connection& aConnection,
-         std::string& aOut,
-         std::size_t aMaxBytes,
-         duration aLimit)
+ReadBody(upstream_connection& aConnection, std::string& aOut, std::size_t aMaxBytes, instant aUntil)
 {
+  const instant until = std::max(aUntil, boot_clock_source{}.Now() + kBodyGrace);
   bool more = true;
   while (more) {
     if (aOut.size() > aMaxBytes) {
       co_return make_error_code(errc::eBodyTooLarge);
     }
-    const result<bool> read = co_await aConnection.ReadSome(aOut, aLimit);
+    const result<bool> read = co_await aConnection.ReadSome(aOut, until);
     if (!read) {
       co_return read.error();
     }
--- a/src/forward/upstream_send.h
+++ b/src/forward/upstream_send.h
@@ -19,6 +19,9 @@
 /** Time after a request's deadline in which a runner may still report how the request ended. */
 inline constexpr duration kResponseSlack = std::chrono::milliseconds(120);
 
+/** A sound runner's body follows its head at once: a head that came in time gets so long for it. */
+inline constexpr duration kBodyGrace = std::chrono::milliseconds(100);
+
 /** What is known after a send. */
 enum class send_status
 {
@@ -119,7 +122,7 @@
  * Sends a request to a runner and reads the response head.
  * @param aPermit the right to send it; nothing is sent if it's no longer valid.
  * @param aOnlyProven see upstream_pool::Take().
- * @param aLimit longest wait for the response head.
+ * @param aUntil when the wait for the response head ends.
  */
 template<wire_format Wire>
 asio::awaitable<upstream_response>
@@ -130,10 +133,10 @@
              const send_permit& aPermit,
              const std::string& aRequestId,
              bool aOnlyProven,
-             duration aLimit)
+             instant aUntil)
 {
   upstream_response answer;
-  const duration connectTime = std::min(kConnectTime, aLimit);
+  const duration connectTime = std::min(kConnectTime, aUntil - aState.Now());
   result<upstream_ptr> taken =
     co_await aState.mPool.Take(aTo, aOnlyProven, aState.Now(), connectTime);
   if (!taken || aExchange.CheckDisconnected() || !aPermit.IsValid(aState.Now())) {
@@ -148,7 +151,7 @@
   aExchange.OnDisconnect([connection] { connection->Abort(); });
   const upstream_request request = BuildUpstreamRequest<Wire>(aExchange, aPlan);
   const instant sentAt = aState.Now();
-  const auto head = co_await connection->Start(request, aLimit);
+  const auto head = co_await connection->Start(request, aUntil - sentAt);
   answer.mSendStatus = send_status::eUnknown;
   if (!head) {
     answer.mTimedOut = head.error() == errc::eDeadlinePassed;
@@ -209,13 +212,14 @@
 /**
  * Reads the rest of a response body.
  * @param aMaxBytes limit of the body's size.
+ * @param aUntil when the body must be whole; kBodyGrace from now at the earliest.
  * @return success, eBodyTooLarge with the start of the body in @p aOut, or the error that ended it.
  */
 asio::awaitable<result<void>>
 ReadBody(upstream_connection& aConnection,
          std::string& aOut,
          std::size_t aMaxBytes,
-         duration aLimit);
+         instant aUntil);
 
 /**
  * Sends an error response; status 503 tells that the request didn't run.
--- a/src/runners/upstream_connection.cpp
+++ b/src/runners/upstream_connection.cpp
@@ -92,11 +92,10 @@
 }
 
 asio::awaitable<result<bool>>
-upstream_connection::ReadSome(std::string& aOut, duration aLimit)
+upstream_connection::ReadSome(std::string& aOut, instant aUntil)
 {
-  const instant until = boot_clock_source{}.Now() + aLimit;
   result<bool> more =
-    co_await ReadSomeBody<kReadBytes>(mStream, mLimit, mBuffer, *mParser, aOut, until);
+    co_await ReadSomeBody<kReadBytes>(mStream, mLimit, mBuffer, *mParser, aOut, aUntil);
   mAnswerComplete = more && !more.value();
   co_return more;
 }
--- a/src/runners/upstream_connection.h
+++ b/src/runners/upstream_connection.h
@@ -47,11 +47,12 @@
   /**
    * Reads some of the answer's body.
    * @param aOut text that the bytes are appended to.
+   * @param aUntil when the read is given up; a whole body is read with one and the same.
    * @return whether the body continues; eConnectionLost if the answer was cut off, eWrongAnswer if
    * a line of its framing is overlong.
    * @pre Start() succeeded.
    */
-  asio::awaitable<result<bool>> ReadSome(std::string& aOut, duration aLimit);
+  asio::awaitable<result<bool>> ReadSome(std::string& aOut, instant aUntil);
 
   /** Closes the connection at once; a pending operation fails. */
   void Abort();
--- a/tests/platform/endless_test.cpp
+++ b/tests/platform/endless_test.cpp
@@ -31,6 +31,8 @@
 constexpr std::int64_t kStoreMs = 3000;
 /** Time limit of a caller that reads an answer without an end; ms. */
 constexpr std::int64_t kShortDeadlineMs = 1500;
+/** How long after its deadline a request may be without an answer; ms. */
+constexpr std::int64_t kLateMs = 500;
 /** Pause between the reads of such a caller; ms. */
 constexpr std::int64_t kReadPauseMs = 5;
 
@@ -115,6 +117,18 @@
     LONGS_EQUAL(0, mBed.EndlessAnswers());
   }
 
+  /** Checks that a request with a short deadline gets an answer soon after it at the latest. */
+  void CheckAnsweredInTime(const std::string& aMethod, const std::string& aPath, int aStatus)
+  {
+    const headers all{ { "Host", "calls.example" },
+                       { "X-Request-Id", "s" },
+                       { "X-Deadline-Ms", std::to_string(kShortDeadlineMs) } };
+    const std::int64_t sent = NowMs();
+    const answer got = Call(mBed.Callers(), aMethod, aPath, "", all, kCallLimitMs);
+    CHECK_TRUE(NowMs() - sent <= kShortDeadlineMs + kLateMs);
+    LONGS_EQUAL(aStatus, got.mStatus);
+  }
+
   /** Sends a request whose body goes on without an end, and checks that it's refused soon. */
   void CheckCallerIsCutOff(const std::string& aBegin, const std::string& aPiece)
   {
@@ -190,6 +204,36 @@
   CheckBounded("POST", "/turns/a", GenerationHeaders("g", 2000, 10));
 }
 
+/** Guards against a time limit of each read of a body in place of the whole response. */
+TEST(endless, ASlowBodyOfAPlainRunnerIsAnsweredOnceTheRequestsTimeIsOver)
+{
+  Start("desk", "slow_body");
+  CheckAnsweredInTime("POST", "/records/a", 504);
+}
+
+TEST(endless, ASlowChunkLineOfAPlainRunnerIsAnsweredOnceTheRequestsTimeIsOver)
+{
+  Start("desk", "slow_line");
+  CheckAnsweredInTime("POST", "/records/a", 504);
+}
+
+/** Guards against a slow body that takes the whole time of a request which others could serve. */
+TEST(endless, ARequestIsRepeatedBesideARunnerWithASlowBody)
+{
+  Start("desk", "slow_body");
+  mBed.SetRunner("desk-2", { { "mode", "" } });
+  for (int i = 0; i < kCalls; ++i) {
+    CheckAnsweredInTime("GET", "/pages/a", 200);
+  }
+}
+
+TEST(endless, ASlowBodyOfAPrefillEngineLeavesTimeForTheAnswer)
+{
+  mSoundAnswer = kLastEvent; // Decode engines read prompts themselves.
+  Start("prefill", "slow_body");
+  CheckBounded("POST", "/turns/a", GenerationHeaders("g", 2000, 10));
+}
+
 /** Guards against an answer to a side call that gathers in a text. */
 TEST(endless, AnAnswerToAReservationIsCutOff)
 {
