Fix: [Core] JSON and CBOR of others is read with a limit on its nesting

Nobody saw a failure; found by reading for the report of odd entries. A value may nest as deep as it's long, and copies, log lines and comparisons of it call themselves once a level, as the decoder of CBOR does: a deep one would exhaust the stack. Fields of an engine's answer that are of another type threw an exception that ended the daemon of the product's own interface.

Change: ParseJson() and ParseCbor() stop beyond 32 levels; all that reads bytes from outside uses them. ValueOr() reads a field whose type isn't certain. Deep datagrams and entries were dropped before as well, by their size and by a check of their own (epochs.ChangedDatagramsEndNoDaemon, platform_codec.*, both unchanged).

--- a/src/callers/completion_request.cpp
+++ b/src/callers/completion_request.cpp
@@ -5,6 +5,7 @@
 #include "callers/completion_type.h"
 
 #include "core/hash_func.h"
+#include "core/json_func.h"
 
 #include <algorithm>
 #include <bit>
@@ -16,7 +17,7 @@
 {
   using json = nlohmann::json;
   constexpr std::uint32_t kMaxTokensLimit = 1'000'000;
-  const json body = json::parse(aBody, nullptr, false);
+  const json body = ParseJson(aBody);
   if (!body.is_object()) {
     aDetail = "the body isn't a JSON object";
     return make_error_code(errc::eBadRequest);
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -4,6 +4,7 @@
  */
 #include "daemon/operator_api.h"
 
+#include "core/json_func.h"
 #include "core/log_func.h"
 
 #include <charconv>
@@ -148,7 +149,7 @@
 asio::awaitable<void>
 operator_api::Put(exchange_ptr aExchange, resource_key aKey)
 {
-  const json body = json::parse(aExchange->Body(), nullptr, false);
+  const json body = ParseJson(aExchange->Body());
   finding_list findings;
   if (!body.is_object()) {
     findings.push_back({ "body", "must be a JSON object" });
--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -4,6 +4,7 @@
  */
 #include "daemon/router_base.h"
 
+#include "core/json_func.h"
 #include "core/log_func.h"
 
 #include <array>
@@ -45,7 +46,7 @@
 Method(Answer aAnswer)
 {
   return [aAnswer](const std::string& aMessage) -> std::string {
-    const json message = json::parse(aMessage, nullptr, false);
+    const json message = ParseJson(aMessage);
     if (!message.is_object()) {
       return "{}";
     }
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -5,6 +5,7 @@
 #include "membership/member_base.h"
 
 #include "core/hash_func.h"
+#include "core/json_func.h"
 
 #include <nlohmann/json.hpp>
 
@@ -226,7 +227,7 @@
   if (Sign(data, mSecret) != aDatagram.substr(data.size())) {
     return changes;
   }
-  const json members = json::from_cbor(data.begin(), data.end(), true, false);
+  const json members = ParseCbor(data);
   if (!members.is_array()) {
     return changes;
   }
--- a/src/messages/place_message.cpp
+++ b/src/messages/place_message.cpp
@@ -5,6 +5,7 @@
  */
 #include "messages/place_message.h"
 
+#include "core/json_func.h"
 #include "runners/id_list_func.h"
 
 namespace dunehook {
@@ -127,7 +128,7 @@
 DecodePlacing(std::string_view aData)
 {
   try {
-    const json body = json::from_cbor(aData.begin(), aData.end());
+    const json body = ParseCbor(aData);
     const int kind = body.at(0).get<int>();
     if (kind == kQuestionKind) {
       return DecodeQuestion(body);
--- a/src/messages/run_message.cpp
+++ b/src/messages/run_message.cpp
@@ -7,6 +7,7 @@
  */
 #include "messages/run_message.h"
 
+#include "core/json_func.h"
 #include "runners/id_list_func.h"
 
 #include <algorithm>
@@ -588,7 +589,7 @@
 DecodeRunMessage(std::string_view aData, instant aNow)
 {
   try {
-    const json body = json::from_cbor(aData.begin(), aData.end());
+    const json body = ParseCbor(aData);
     run_message message;
     message.mDaemon = body.at(0).get<std::uint64_t>();
     message.mDigest = body.at(1).get<bool>();
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -4,6 +4,8 @@
  */
 #include "peer/peer_link.h"
 
+#include "core/json_func.h"
+
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <openssl/crypto.h>
@@ -158,7 +160,7 @@
     if (!line) {
       break;
     }
-    json response = json::parse(line.value(), nullptr, false);
+    json response = ParseJson(line.value());
     if (!response.is_object() || !response.contains("id") || !response["id"].is_number()) {
       continue;
     }
--- a/src/runners/engine_client.cpp
+++ b/src/runners/engine_client.cpp
@@ -4,6 +4,8 @@
  */
 #include "runners/engine_client.h"
 
+#include "core/json_func.h"
+
 namespace dunehook {
 
 namespace {
@@ -49,7 +51,7 @@
   if (const std::error_code error = ErrorOf(aAnswer.value().mStatus)) {
     return error;
   }
-  json body = json::parse(aAnswer.value().mBody, nullptr, false);
+  json body = ParseJson(aAnswer.value().mBody);
   if (!body.is_object()) {
     return make_error_code(errc::eWrongAnswer);
   }
@@ -69,7 +71,7 @@
 bool
 EchoesAttempt(const json& aBody, const attempt_id& aAttempt)
 {
-  return aBody.value("attempt", std::string()) == ToText(aAttempt);
+  return ValueOr(aBody, "attempt", std::string()) == ToText(aAttempt);
 }
 
 } // namespace
@@ -97,15 +99,15 @@
   if (!aLine.starts_with(kDataPrefix)) {
     return boost::outcome_v2::success();
   }
-  const json event = json::parse(aLine.substr(kDataPrefix.size()), nullptr, false);
-  if (!event.is_object() || event.value("a", std::string()) != mAttempt) {
+  const json event = ParseJson(aLine.substr(kDataPrefix.size()));
+  if (!event.is_object() || ValueOr(event, "a", std::string()) != mAttempt) {
     return make_error_code(errc::eWrongAnswer);
   }
   if (event.contains("done")) {
     mDone = true;
     return boost::outcome_v2::success();
   }
-  aOut.push_back({ event.value("i", std::uint32_t{ 0 }), event.value("t", std::string()) });
+  aOut.push_back({ ValueOr(event, "i", std::uint32_t{ 0 }), ValueOr(event, "t", std::string()) });
   return boost::outcome_v2::success();
 }
 
@@ -147,9 +149,9 @@
     co_return make_error_code(errc::eWrongAnswer);
   }
   mPool.Release(aEngine, connection);
-  co_return prefill_answer{ body.value().value("bytes", std::uint64_t{ 0 }),
-                            body.value().value("cached", std::uint32_t{ 0 }),
-                            body.value().value("tokens", std::uint32_t{ 0 }) };
+  co_return prefill_answer{ ValueOr(body.value(), "bytes", std::uint64_t{ 0 }),
+                            ValueOr(body.value(), "cached", std::uint32_t{ 0 }),
+                            ValueOr(body.value(), "tokens", std::uint32_t{ 0 }) };
 }
 
 asio::awaitable<result<void>>
@@ -207,10 +209,10 @@
 {
   BOOST_OUTCOME_CO_TRY(const json body, co_await Get(std::move(aEngine), "/v1/holds", aLimit));
   std::vector<engine_hold> holds;
-  for (const json& row : body.value("holds", json::array())) {
-    const result<attempt_id> attempt = ParseAttempt(row.value("attempt", std::string()));
+  for (const json& row : ValueOr(body, "holds", json(json::array()))) {
+    const result<attempt_id> attempt = ParseAttempt(ValueOr(row, "attempt", std::string()));
     if (attempt) {
-      holds.push_back({ attempt.value(), row.value("kind", std::string()) == "slot" });
+      holds.push_back({ attempt.value(), ValueOr(row, "kind", std::string()) == "slot" });
     }
   }
   co_return holds;
