Fix: [Store] a key of another writer no longer keeps a daemon from reading the runners

A daemon beside such an entry never became ready, or stopped following the runners: an odd key at the end of a page of the store went into the read of the next page as it was, so that a blank or a line's end in it made a wrong request; and a key that is no UTF-8 made its whole page unreadable.

Change: keys are escaped in requests. The stand-in's store hands the newest records out in pages.

--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -33,6 +33,8 @@
 constexpr duration kSlowStore = std::chrono::milliseconds(10);
 /** Largest page of a read that names no size of its own; KB of 1,024 bytes. */
 constexpr std::size_t kPageKb = 1024;
+/** Most records of a page of the newest. */
+constexpr std::size_t kPageItems = 500;
 /** Time between looks whether a held read goes on. */
 constexpr duration kLookAtMode = std::chrono::milliseconds(5);
 /** Time from the begin of a run that crashes its runner to the crash. */
@@ -48,6 +50,33 @@
   return text;
 }
 
+/** @return a text in quotes; bytes that are no UTF-8 stay as they are. */
+std::string
+Quoted(const std::string& aText)
+{
+  try {
+    return json(aText).dump();
+  } catch (const json::exception&) {
+    return Join("\"", aText, "\"");
+  }
+}
+
+/** @return the value of a query with its escapes resolved. */
+std::string
+Unescaped(const std::string& aText)
+{
+  std::string text;
+  for (std::size_t at = 0; at < aText.size(); ++at) {
+    if (aText[at] == '%' && at + 2 < aText.size()) {
+      text += static_cast<char>(std::stoi(aText.substr(at + 1, 2), nullptr, 16));
+      at += 2;
+    } else {
+      text += aText[at];
+    }
+  }
+  return text;
+}
+
 /** A topic with keys. */
 struct topic
 {
@@ -63,21 +92,30 @@
     mRecords.push_back({ aKey, aValue });
   }
 
-  json Newest() const
+  /** @return the newest records after a key, as JSON; keys stand there as they were written. */
+  std::string Newest(const std::string& aAfter, std::size_t aMost) const
   {
     std::map<std::string, std::size_t> newest;
     for (std::size_t offset = 0; offset < mRecords.size(); ++offset) {
       newest[mRecords[offset].mKey] = offset;
     }
-    json items = json::array();
+    std::string items;
+    std::size_t count = 0;
+    bool more = false;
     for (const auto& [key, offset] : newest) {
-      if (!mRecords[offset].mValue.empty()) {
-        items.push_back({ { "key", key },
-                          { "value", absl::Base64Escape(mRecords[offset].mValue) },
-                          { "offset", offset } });
+      if (mRecords[offset].mValue.empty() || (!aAfter.empty() && key <= aAfter)) {
+        continue;
+      }
+      if (++count > aMost) {
+        more = true;
+        break;
       }
+      items += Join(items.empty() ? "" : ",", R"({"key":)", Quoted(key));
+      items += Join(R"(,"value":")", absl::Base64Escape(mRecords[offset].mValue), "\"");
+      items += Join(R"(,"offset":)", offset, "}");
     }
-    return { { "items", items }, { "more", false }, { "end", mRecords.size() } };
+    const std::string last = Join(R"(],"more":)", more ? "true" : "false", R"(,"end":)");
+    return Join(R"({"items":[)", items, last, mRecords.size(), "}");
   }
 
   /** @return the newest value of a key; empty if it has none. */
@@ -234,7 +272,8 @@
         co_await aExchange->Write("{\"items\":[");
         co_await Sleep(std::chrono::seconds(60));
       }
-      const std::string body = Viewed(wanted, aView).Newest().dump();
+      const std::string after = Unescaped(aExchange->Query("after"));
+      const std::string body = Viewed(wanted, aView).Newest(after, mPageItems);
       co_await aExchange->Respond(200, body, era);
     } else if (path == "/log-read") {
       co_await ServeRead(aExchange, wanted, aView);
@@ -338,7 +377,7 @@
 
   asio::awaitable<void> ServeControl(exchange_ptr aExchange, std::string aWhat)
   {
-    const std::string id = aExchange->Query("id");
+    const std::string id = Unescaped(aExchange->Query("id"));
     const json body = BodyOf(*aExchange);
     json answer = json::object();
     if (aWhat == "config") {
@@ -351,6 +390,7 @@
       GoBack(body);
     } else if (aWhat == "store") {
       mStoreMode = body.value("mode", "");
+      mPageItems = body.value("page_items", kPageItems);
       mSlowStore = std::chrono::milliseconds(body.value("slow_ms", kSlowStore.count() / 1000));
     } else if (aWhat == "runner") {
       answer = SetRunner(id, body);
@@ -963,6 +1003,7 @@
   std::uint64_t mStoreCalls = 0;                                ///< Calls to the store.
   int mHeldReads = 0;                                           ///< Reads that are held.
   std::uint64_t mEra = 1;                                       ///< Rises as the store goes back.
+  std::size_t mPageItems = kPageItems;                          ///< Records of a page.
   std::uint64_t mWholeReads = 0;      ///< Reads of a whole topic, but for quarantines.
   std::uint64_t mQuarantineReads = 0; ///< Reads of all quarantines.
   std::uint64_t mHolds = 0;           ///< Reservations granted.
--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -285,7 +285,13 @@
 void
 fleet_bed::ListRaw(const std::string& aId, const std::string& aText)
 {
-  Control("server?id=" + aId, aText);
+  std::string id;
+  for (const char sign : aId) {
+    char escaped[4] = {};
+    std::snprintf(escaped, sizeof escaped, "%%%02x", static_cast<unsigned char>(sign));
+    id += escaped;
+  }
+  Control("server?id=" + id, aText);
 }
 
 void
@@ -339,6 +345,12 @@
   }
 }
 
+void
+fleet_bed::SetStorePage(std::size_t aItems)
+{
+  Control("store", json{ { "page_items", aItems } }.dump());
+}
+
 void
 fleet_bed::SetStore(const std::string& aMode, int aSlowMs)
 {
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -92,6 +92,8 @@
    * for none.
    * @param aSlowMs what each call takes more at a slow store; 0 for the usual. */
   void SetStore(const std::string& aMode, int aSlowMs = 0);
+  /** Sets how many records a page of the store's newest has at most, and clears its fault. */
+  void SetStorePage(std::size_t aItems);
   /** Lets the store come back from an older copy.
    * @param aLacks how many of the newest records it lacks, by topic: "keyed.op", "keyed.servers",
    * "keyed.dunehook". */
