--- a/src/core/clock_type.h
+++ b/src/core/clock_type.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <chrono>
+#include <cmath>
 #include <concepts>
 #include <ctime>
 
@@ -58,10 +59,18 @@
   return std::chrono::duration<double>(aSpan).count();
 }
 
-/** @return the span of @p aSeconds seconds, rounded down to a microsecond. */
+/** Longest span that FromSeconds() makes, some 30 years: sums of a few fit into a duration. */
+inline constexpr double kLongestSeconds = 1e9;
+
+/** @return the span of @p aSeconds seconds, rounded down to a microsecond; 0 for what is no number,
+ * and kLongestSeconds at most. */
 inline duration
 FromSeconds(double aSeconds)
 {
+  if (!(std::abs(aSeconds) <= kLongestSeconds)) {
+    const double longest = std::copysign(kLongestSeconds, aSeconds);
+    aSeconds = std::isnan(aSeconds) ? 0.0 : longest;
+  }
   return std::chrono::duration_cast<duration>(std::chrono::duration<double>(aSeconds));
 }
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -280,6 +280,55 @@
   CHECK_TRUE(IsRunner(start + ",\"x\":{\"service\":1}}"));
 }
 
+/** Guards against requests to an address where no runner can listen, such as the daemon itself. */
+TEST(platform_codec, AnAddressThatIsNotOneOfASingleHostNamesNoRunner)
+{
+  const auto whole = nlohmann::json::parse(kEntry);
+  for (const char* const address : { "10.0.0.1:0",
+                                     "10.0.0.1:65536",
+                                     "10.0.0.1:99999999999",
+                                     "10.0.0.1:-1",
+                                     "10.0.0.1:",
+                                     "10.0.0.1",
+                                     "",
+                                     "[::1]:80",
+                                     "::1:80",
+                                     "0.0.0.0:80",
+                                     "224.0.0.1:80",
+                                     "255.255.255.255:80" }) {
+    auto changed = whole;
+    changed["address"] = address;
+    CHECK_EQUAL_TEXT(false, IsRunner(changed.dump()), address);
+  }
+}
+
+/** Guards against numbers that are out of range, in fields that are read and in others. */
+TEST(platform_codec, ANumberOutOfRangeNamesNoRunner)
+{
+  const std::string entry = kEntry;
+  const std::string start = entry.substr(0, entry.size() - 1);
+  CHECK_FALSE(IsRunner(start + ",\"x\":1e999}"));
+  CHECK_FALSE(IsRunner(start + ",\"x\":" + std::string(400, '9') + "}"));
+}
+
+/** Guards against ids of a runner that end a line of a later request's head. */
+TEST(platform_codec, AnIdThatCannotStandInAHeadIsNone)
+{
+  CHECK_TRUE(platform::wire::ReadReservation(R"({"hold":"h-1"})").has_value());
+  CHECK_FALSE(platform::wire::ReadReservation(R"({"hold":"h\r\nX-Stage: prefill"})").has_value());
+  CHECK_FALSE(platform::wire::ReadReservation(R"({"hold":""})").has_value());
+  CHECK_FALSE(platform::wire::ReadReservation(std::string(60000, '[')).has_value());
+  CHECK_TRUE(platform::wire::ReadPrefill(R"({"kv-handle":"a","version":1})").has_value());
+  CHECK_FALSE(platform::wire::ReadPrefill(R"({"kv-handle":"a b"})").has_value());
+}
+
+TEST(platform_codec, ASpanOutOfRangeIsTheLongestOne)
+{
+  CHECK(FromSeconds(1e300) == std::chrono::seconds(1000000000));
+  CHECK(FromSeconds(-1e300) == -std::chrono::seconds(1000000000));
+  CHECK(FromSeconds(std::nan("")) == duration{ 0 });
+}
+
 TEST(platform_codec, ANameThatCannotStandInAHeadNamesNoRunner)
 {
   for (const char* const name : { "", "a b", "a\r\nX-Stage: prefill", "\x01", "\xc3\xa4" }) {
