--- a/tests/platform/fleet_bed.cpp
+++ b/tests/platform/fleet_bed.cpp
@@ -523,7 +523,7 @@
            << "\"\n[bounds]\ngrace-s = 8\nretry-budget-ratio = 0.2\n"
            << "budget-window-s = 10\nretry-budget-slack = " << options.mRetryAllowance
            << "\nlease-ms = 1000\n";
-  return settings.str();
+  return (options.mFirstStart ? "bootstrap = true\n" : "") + settings.str();
 }
 
 std::unique_ptr<process>
@@ -541,6 +541,9 @@
 fleet_bed::RestartDaemon(std::size_t aDaemon)
 {
   mDaemons.at(aDaemon).reset();
+  if (std::exchange(mOptions.at(aDaemon).mFirstStart, false)) {
+    std::ofstream(SettingsPath(aDaemon)) << SettingsOf(aDaemon);
+  }
   mDaemons[aDaemon] =
     StartProcess(aDaemon, mFolder + "/daemon-" + std::to_string(aDaemon) + ".out");
 }
--- a/tests/platform/fleet_bed.h
+++ b/tests/platform/fleet_bed.h
@@ -29,6 +29,7 @@
   bool mOwnStoreLink = false;   ///< It reaches the store by a proxy of its own, "store-N".
   bool mOwnRunnerLinks = false; ///< It reaches each runner by a proxy of its own, see CutRunners().
   bool mWaitReady = true;       ///< The start is over once it's ready.
+  bool mFirstStart = false;     ///< It's the first start of all; not so once it starts anew.
   /** Retries that all daemons may make in ten seconds. A daemon begins with none, so that one that
    * has just started has some within a hundredth of a second. */
   int mRetryAllowance = 6000;
