--- a/src/messages/run_message.cpp
+++ b/src/messages/run_message.cpp
@@ -472,13 +472,22 @@
   return message;
 }
 
+/** Place of the streams to be stored among what is told of streams. */
+constexpr std::size_t kToStoreIndex = 3;
+
 json
-EncodeOrigins(const origin_message& aMessage)
+EncodeStreams(const std::vector<stream_origin>& aStreams)
 {
-  json begun = json::array();
-  for (const stream_origin& origin : aMessage.mBegun) {
-    begun.push_back({ origin.mStream.mValue, origin.mSoftware.mValue });
+  json streams = json::array();
+  for (const stream_origin& origin : aStreams) {
+    streams.push_back({ origin.mStream.mValue, origin.mSoftware.mValue });
   }
+  return streams;
+}
+
+json
+EncodeOrigins(const origin_message& aMessage)
+{
   json request;
   if (aMessage.mRequest) {
     request = json::array({ aMessage.mRequest->mStream.mValue,
@@ -491,18 +500,31 @@
                           static_cast<int>(aMessage.mReply->mEvidence.mEvidence),
                           aMessage.mReply->mEvidence.mSoftware.mValue });
   }
-  return json::array({ std::move(begun), std::move(request), std::move(reply) });
+  json toStore = EncodeStreams(aMessage.mToStore);
+  return json::array(
+    { EncodeStreams(aMessage.mBegun), std::move(request), std::move(reply), std::move(toStore) });
+}
+
+std::vector<stream_origin>
+DecodeStreams(const json& aItem)
+{
+  std::vector<stream_origin> streams;
+  for (const json& origin : aItem) {
+    if (streams.size() < kMaxOriginsPerDatagram) {
+      streams.push_back(
+        { { origin.at(0).get<std::uint64_t>() }, { origin.at(1).get<std::uint64_t>() } });
+    }
+  }
+  return streams;
 }
 
 origin_message
 DecodeOrigins(const json& aItem)
 {
   origin_message message;
-  for (const json& origin : aItem.at(0)) {
-    if (message.mBegun.size() < kMaxOriginsPerDatagram) {
-      message.mBegun.push_back(
-        { { origin.at(0).get<std::uint64_t>() }, { origin.at(1).get<std::uint64_t>() } });
-    }
+  message.mBegun = DecodeStreams(aItem.at(0));
+  if (aItem.size() > kToStoreIndex) { // Earlier versions don't send the item.
+    message.mToStore = DecodeStreams(aItem.at(kToStoreIndex));
   }
   const json& request = aItem.at(1);
   if (!request.is_null()) {
