Fix: [Callers] a body in chunks counts for the memory that it takes

Cause: a body without a stated length counted as 16 KB of the memory for bodies, however long it got.

Change: such a body claims its memory as it grows, and is refused with 503 once there is no room: it hasn't run.

--- a/src/forward/caller_session.cpp
+++ b/src/forward/caller_session.cpp
@@ -22,9 +22,11 @@
 constexpr duration kLingerTimeout = std::chrono::milliseconds(500);
 /**
  * Most bytes of a pipelined request that are read while the current one is answered. Also the
- * memory reserved for a body without a stated length.
+ * memory reserved at first for a body without a stated length.
  */
 constexpr std::size_t kMaxReadAheadBytes = 16384;
+/** Status of a request whose body finds no room in memory: it hasn't run. */
+constexpr unsigned kNoRoomStatus = 503;
 /** Bytes per read. */
 constexpr std::size_t kReadBytes = 4096;
 /** Delay after a failed accept, most often for want of file descriptors. */
@@ -401,6 +403,51 @@
   co_return !error;
 }
 
+bool
+body_claim::RaiseTo(std::uint64_t aBytes)
+{
+  const std::uint64_t more = aBytes - std::min(aBytes, mBytes);
+  if (mState.mBodyBytes + more > mState.mMaxBodyBytes) {
+    return false;
+  }
+  mState.mBodyBytes += more;
+  mBytes += more;
+  return true;
+}
+
+asio::awaitable<unsigned>
+caller_listener::ReadBody(beast::tcp_stream& aStream,
+                          beast::flat_buffer& aBuffer,
+                          http::request_parser<http::string_body>& aParser,
+                          body_claim& aClaim,
+                          boost::system::error_code& aError)
+{
+  const auto length = aParser.content_length();
+  if (!aClaim.RaiseTo(length ? *length : kMaxReadAheadBytes)) {
+    co_return kNoRoomStatus;
+  }
+  if (beast::iequals(aParser.get()[http::field::expect], "100-continue")) {
+    static constexpr std::string_view kGoOn = "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(aStream,
+                               asio::buffer(kGoOn.data(), kGoOn.size()),
+                               asio::redirect_error(asio::use_awaitable, aError));
+  }
+  aStream.expires_after(mState.mLimits.mIdleTime);
+  if (length) {
+    co_await http::async_read(
+      aStream, aBuffer, aParser, asio::redirect_error(asio::use_awaitable, aError));
+    co_return aError ? StatusOf(aError) : 0;
+  }
+  while (!aError && !aParser.is_done()) {
+    co_await http::async_read_some(
+      aStream, aBuffer, aParser, asio::redirect_error(asio::use_awaitable, aError));
+    if (!aError && !aClaim.RaiseTo(aParser.get().body().capacity())) {
+      co_return kNoRoomStatus;
+    }
+  }
+  co_return aError ? StatusOf(aError) : 0;
+}
+
 asio::awaitable<bool>
 caller_listener::ServeOne(beast::tcp_stream& aStream,
                           asio::ip::address aCaller,
@@ -419,25 +466,9 @@
   if (!error && IsAmbiguous(parser.get())) {
     refusal = 400;
   }
-  std::uint64_t held = 0;
+  body_claim claim(mState);
   if (!error && refusal == 0 && !parser.is_done()) {
-    held = parser.content_length() ? *parser.content_length() : kMaxReadAheadBytes;
-    if (mState.mBodyBytes + held > mState.mMaxBodyBytes) {
-      held = 0;
-      refusal = 503;
-    } else {
-      mState.mBodyBytes += held;
-      if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        static constexpr std::string_view kGoOn = "HTTP/1.1 100 Continue\r\n\r\n";
-        co_await asio::async_write(aStream,
-                                   asio::buffer(kGoOn.data(), kGoOn.size()),
-                                   asio::redirect_error(asio::use_awaitable, error));
-      }
-      aStream.expires_after(mState.mLimits.mIdleTime);
-      co_await http::async_read(
-        aStream, aBuffer, parser, asio::redirect_error(asio::use_awaitable, error));
-      refusal = error ? StatusOf(error) : 0;
-    }
+    refusal = co_await ReadBody(aStream, aBuffer, parser, claim, error);
   }
   aStream.expires_never();
   const auto exchange =
@@ -452,12 +483,10 @@
     co_await Linger(aStream);
   }
   if (error || refusal != 0) {
-    mState.mBodyBytes -= held;
     co_return false;
   }
   if (!ReadAvailable(aStream.socket(), aBuffer)) { // The daemon was busy or suspended meanwhile.
     LogEvent(log_level::eInfo, "caller_left_unread", {});
-    mState.mBodyBytes -= held;
     co_return false;
   }
   const auto watch = std::make_shared<disconnect_watch>();
@@ -469,7 +498,6 @@
     LogEvent(log_level::eError, "request_failed", { { "what", failure.what() } });
   }
   watch->mDone = true;
-  mState.mBodyBytes -= held;
   boost::system::error_code ignored; // Ends the watch coroutine; the socket may be closed already.
   aStream.socket().cancel(ignored);
   if (!exchange->ResponseComplete()) {
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -39,6 +39,27 @@
   }
 };
 
+/** The part of the memory for bodies that one request takes, for as long as this lives. */
+class body_claim
+{
+public:
+  explicit body_claim(listener_state& aState)
+    : mState(aState)
+  {
+  }
+  ~body_claim() { mState.mBodyBytes -= mBytes; }
+  body_claim(const body_claim&) = delete;
+  body_claim& operator=(const body_claim&) = delete;
+
+  /** Raises the claim to @p aBytes; it isn't lowered. @return whether there's room; if not, it's
+   * unchanged. */
+  bool RaiseTo(std::uint64_t aBytes);
+
+private:
+  listener_state& mState;   ///< Counts the claims of all requests.
+  std::uint64_t mBytes = 0; ///< Part of mState.mBodyBytes.
+};
+
 /** One request of a caller and its response. */
 class caller_exchange
 {
@@ -174,6 +195,16 @@
   asio::awaitable<bool> ServeOne(beast::tcp_stream& aStream,
                                  asio::ip::address aCaller,
                                  beast::flat_buffer& aBuffer);
+  /**
+   * Reads a request's body. What a body without a stated length takes is claimed as it grows.
+   * @return the status to refuse the request with; 0 if the body is whole, or if the connection
+   * ended, as @p aError says.
+   */
+  asio::awaitable<unsigned> ReadBody(beast::tcp_stream& aStream,
+                                     beast::flat_buffer& aBuffer,
+                                     http::request_parser<http::string_body>& aParser,
+                                     body_claim& aClaim,
+                                     boost::system::error_code& aError);
 
   asio::io_context& mIo;   ///< Runs every session.
   tcp::acceptor mAcceptor; ///< The listening socket.
--- a/tests/platform/endless_test.cpp
+++ b/tests/platform/endless_test.cpp
@@ -31,6 +31,13 @@
 constexpr std::int64_t kStoreMs = 3000;
 /** Time limit of a caller that reads an answer without an end; ms. */
 constexpr std::int64_t kShortDeadlineMs = 1500;
+/** A chunk that begins a body, and how many callers send one at once. */
+const std::string kChunkLine = "15f90\r\n";
+constexpr std::size_t kChunkBytes = 90000;
+constexpr int kOpenBodies = 400;
+/** Memory for bodies of a host with 110 MB, a quarter of it, and what their connections take; MB.
+ */
+constexpr std::int64_t kMaxBodiesMb = 28 + 8;
 /** How long after its deadline a request may be without an answer; ms. */
 constexpr std::int64_t kLateMs = 500;
 /** Pause between the reads of such a caller; ms. */
@@ -129,25 +136,34 @@
     LONGS_EQUAL(aStatus, got.mStatus);
   }
 
-  /** Sends a request whose body goes on without an end, and checks that it's refused soon. */
-  void CheckCallerIsCutOff(const std::string& aBegin, const std::string& aPiece)
+  /** Connects to the daemon and sends the head of a request with a body in chunks. */
+  std::unique_ptr<boost::asio::ip::tcp::socket> BeginChunkedRequest(boost::asio::io_context & aIo,
+                                                                    const std::string& aId)
   {
     namespace ip = boost::asio::ip;
-    const std::int64_t before = PeakMb();
     const std::string at = mBed.Callers();
     const std::size_t colon = at.rfind(':');
-    boost::asio::io_context io;
-    ip::tcp::socket socket(io);
+    auto socket = std::make_unique<ip::tcp::socket>(aIo);
     const auto port = static_cast<std::uint16_t>(std::stoi(at.substr(colon + 1)));
-    socket.connect({ ip::make_address(at.substr(0, colon)), port });
-    const std::string head = "POST /pages/a HTTP/1.1\r\nHost: calls.example\r\nX-Request-Id: c1\r\n"
-                             "Transfer-Encoding: chunked\r\n\r\n" +
-                             aBegin;
+    socket->connect({ ip::make_address(at.substr(0, colon)), port });
+    const std::string head =
+      "POST /pages/a HTTP/1.1\r\nHost: calls.example\r\nX-Request-Id: " + aId +
+      "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    boost::asio::write(*socket, boost::asio::buffer(head));
+    return socket;
+  }
+
+  /** Sends a request whose body goes on without an end, and checks that it's refused soon. */
+  void CheckCallerIsCutOff(const std::string& aBegin, const std::string& aPiece)
+  {
+    const std::int64_t before = PeakMb();
+    boost::asio::io_context io;
+    const auto socket = BeginChunkedRequest(io, "c1");
     boost::system::error_code error;
-    boost::asio::write(socket, boost::asio::buffer(head), error);
+    boost::asio::write(*socket, boost::asio::buffer(aBegin), error);
     const std::int64_t sent = NowMs();
     while (!error && NowMs() < sent + kCallLimitMs) {
-      boost::asio::write(socket, boost::asio::buffer(aPiece), error);
+      boost::asio::write(*socket, boost::asio::buffer(aPiece), error);
     }
     CHECK_TRUE(NowMs() - sent <= kMaxAnswerMs);
     CHECK_TRUE(PeakMb() - before <= kMaxGrowthMb);
@@ -290,6 +306,30 @@
   CheckBounded("GET", "/pages/a", CallerHeaders("p"));
 }
 
+/** Guards against bodies in chunks that count as less than they take. */
+TEST(endless, BodiesInChunksAreRefusedBeyondTheMemoryForBodies)
+{
+  Start("desk", "");
+  const std::int64_t before = PeakMb();
+  boost::asio::io_context io;
+  std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> sockets;
+  const std::string chunk = kChunkLine + std::string(kChunkBytes, 'x');
+  for (int i = 0; i < kOpenBodies; ++i) {
+    sockets.push_back(BeginChunkedRequest(io, "b" + std::to_string(i)));
+    boost::system::error_code ignored; // A refused caller's connection may be closed.
+    boost::asio::write(*sockets.back(), boost::asio::buffer(chunk), ignored);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(kStoreMs));
+  int refused = 0;
+  for (const auto& socket : sockets) {
+    boost::system::error_code ignored;
+    refused += socket->available(ignored) > 0 ? 1 : 0;
+  }
+  CHECK_TRUE(PeakMb() - before <= kMaxBodiesMb);
+  CHECK_TRUE(refused > 0);
+  CHECK_TRUE(refused < kOpenBodies);
+}
+
 /** Guards against the line of a chunk of a caller's body that gathers in the caller's buffer. */
 TEST(endless, AChunkLineOfACallerIsCutOff)
 {
