Fix: [Forward] a refusal that names no request is no promise

Who is told that a request hasn't run may send it again.

Cause: a response from status 300 on counted as the runner's own, whatever it named.

Change: a failure is the runner's own if it names the request or has the receipt; else the request may have run. The stand-in's refusals name the request, as the protocol says of each answer.

--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -381,7 +381,7 @@
       co_return co_await HandleInterruptedRun(broken, false);
     }
     const bool success = answer.mFacts.mStatus < 300;
-    if (success && !answer.mFacts.mHasReceipt) {
+    if (!IsOwnAnswer(answer.mFacts)) {
       answer.mConnection->Abort();
       co_return co_await HandleInterruptedRun(run_break::eWrongAnswer, false);
     }
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -279,7 +279,7 @@
       const result<void> read =
         co_await ReadBody(*aAnswer.mConnection, body, kMaxBufferedBytes, aUntil);
       NoteOrigin(aAnswer, body);
-      if (!read && read.error() == errc::eBodyTooLarge && IsOfRunner(aAnswer)) {
+      if (!read && read.error() == errc::eBodyTooLarge && IsOwnAnswer(aAnswer.mFacts)) {
         co_await Stream(aRunner, aAddress, aAnswer, body);
         co_return false;
       }
@@ -297,7 +297,7 @@
       }
       co_return false;
     }
-    if (aAnswer.mSendStatus == send_status::eAnswered && !IsOfRunner(aAnswer)) {
+    if (aAnswer.mSendStatus == send_status::eAnswered && !IsOwnAnswer(aAnswer.mFacts)) {
       aAnswer.mSendStatus = send_status::eUnknown;
     }
     bool again = false;
@@ -311,12 +311,6 @@
     co_return again;
   }
 
-  /** @return whether a response is the runner's own: a success has its receipt. */
-  static bool IsOfRunner(const upstream_response& aAnswer)
-  {
-    return aAnswer.mFacts.mStatus >= 300 || aAnswer.mFacts.mHasReceipt;
-  }
-
   /** Keeps which software began a stream that its caller may take up. */
   void NoteOrigin(const upstream_response& aAnswer, const std::string& aBody) const
   {
--- a/src/forward/upstream_send.h
+++ b/src/forward/upstream_send.h
@@ -31,6 +31,17 @@
   eUnknown,  ///< Something was sent; the request may have run.
 };
 
+/**
+ * @return whether a response is the runner's own: a success has its receipt, a failure names the
+ * request. Any other bytes say nothing of the request, which may have run.
+ * @pre the response names no other request.
+ */
+inline bool
+IsOwnAnswer(const answer_facts& aFacts)
+{
+  return aFacts.mHasReceipt || (aFacts.mStatus >= 300 && !aFacts.mRequestId.empty());
+}
+
 /** The outcome of a send and the response head. */
 struct upstream_response
 {
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -671,7 +671,8 @@
     }
     const std::string expected(aRequest["X-Expect-Instance"]);
     if (!expected.empty() && expected != aRunner.mId) {
-      const std::string text = Whole(421, Join("X-Instance-Id: ", aRunner.mId, "\r\n"), "");
+      const std::string text =
+        Whole(421, Join("X-Request-Id: ", id, "\r\nX-Instance-Id: ", aRunner.mId, "\r\n"), "");
       co_return co_await Write(aStream, text);
     }
     mSeen[number]["run"] = mode != "refuse";
@@ -685,6 +686,10 @@
     if (const std::optional<endless_bytes> endless = EndlessBytes(mode, own, id)) {
       co_return co_await WriteWithoutEnd(aStream, *endless);
     }
+    if (mode == "bare") { // Bytes that look like a refusal, of a request that has run.
+      const std::string text = Whole(503, "", "");
+      co_return co_await Write(aStream, text);
+    }
     if (mode == "hang") { // Until the connection closes.
       char rest = 0;
       boost::system::error_code closed;
@@ -694,7 +699,9 @@
     }
     if (mode == "refuse") {
       const std::string text = Whole(503,
-                                     Join("X-Not-Executed: 1\r\n",
+                                     Join("X-Not-Executed: 1\r\nX-Request-Id: ",
+                                          id,
+                                          "\r\n",
                                           LeaveHeader(aRunner),
                                           RetryHeader(aRunner),
                                           LimitHeader(aRunner)),
--- a/tests/platform/gateway_test.cpp
+++ b/tests/platform/gateway_test.cpp
@@ -342,6 +342,27 @@
   CHECK(mBed.Seen("g1").empty());
 }
 
+/** Guards against bytes that look like a refusal and are passed on as the promise that a request
+ * hasn't run. */
+TEST(gateway, ARefusalThatNamesNoRequestIsNoPromise)
+{
+  mBed.StartUsual();
+  for (const std::string name : { "desk-1", "desk-2", "decode-1", "decode-2" }) {
+    mBed.SetRunner(name, { { "mode", "bare" } });
+  }
+  const answer record = Call(mBed.Callers(), "POST", "/records/a", "x", CallerHeaders("r1"));
+  CHECK_EQUAL(502U, record.mStatus);
+  LONGS_EQUAL(1, mBed.Seen("r1").size());
+  const answer stream =
+    Call(mBed.Callers(), "POST", "/turns/a", "prompt", GenerationHeaders("g1", 2000, 10));
+  CHECK_EQUAL(502U, stream.mStatus);
+  mBed.SetRunner("desk-2", { { "mode", "" } });
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "p" + std::to_string(i);
+    CHECK_EQUAL(200U, Call(mBed.Callers(), "GET", "/pages/a", "", CallerHeaders(id)).mStatus);
+  }
+}
+
 TEST(gateway, AResumableStreamGoesOnAtAnotherEngine)
 {
   mBed.StartUsual();
