Add: [Soak] bytes without an end, odd entries, and the memory that daemons take

From seed 20000 on runners send bytes without an end, fast and slow, in heads, bodies, framing and reservations, and odd entries stand among the runners'. With every seed a daemon that has taken more memory than a host has counts as one that ended by itself. What earlier seeds draw is unchanged.

--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -38,6 +38,11 @@
 /** Seeds from here on play parts of prompts that crash engines in place of requests, and what 2000
  * plays. */
 constexpr unsigned kFirstWithParts = 6000;
+/** Seeds from here on play runners that send bytes without an end, and odd entries among the
+ * runners', with what 1000 plays. */
+constexpr unsigned kFirstWithBytes = 20000;
+/** Memory of a host, which a daemon must not exceed; kB. */
+constexpr std::int64_t kMemoryKb = 110 << 10;
 /** Length of a long cut, and of one in a series; time between the begins of those; in ms. */
 constexpr std::int64_t kLongCutMs = 6000;
 constexpr std::int64_t kSerialCutMs = 500;
@@ -56,6 +61,10 @@
  * most this long after the start, in ms.
  */
 constexpr int kLoadingMs = 2000;
+/** An entry that is a runner's but for its port. */
+const std::string kPortTooLarge =
+  R"({"service":"desk","address":"127.0.0.1:65536","zone":"hall-a","version":"v1","slots":4,)"
+  R"("state":"ready","cold-remaining-ms":0,"sequence":1})";
 /** A planned episode ends so long after its last work: a leaving runner is served until then. */
 constexpr int kDrainMs = 2600;
 
@@ -69,18 +78,19 @@
   , mWorld(aWorld)
   , mRandom(aSeed)
   , mOnly(aOnly)
-  , mMemory(aOnly == fault_kind::eMemory ||
+  , mBytes(aOnly == fault_kind::eAll && aSeed >= kFirstWithBytes)
+  , mMemory(aOnly == fault_kind::eMemory || mBytes ||
             (aOnly == fault_kind::eAll && aSeed >= kFirstWithMemory && aSeed < kFirstWithCuts))
   , mPoisons(
       aOnly == fault_kind::ePoison ||
-      (aOnly == fault_kind::eAll &&
+      (aOnly == fault_kind::eAll && !mBytes &&
        ((aSeed >= kFirstWithPoison && aSeed < kFirstWithLimits) || aSeed >= kFirstWithParts)))
   , mPoisonParts(mPoisons && aSeed >= kFirstWithParts && aOnly == fault_kind::eAll)
   , mLimits(aOnly == fault_kind::eLimit ||
-            (aOnly == fault_kind::eAll && aSeed >= kFirstWithLimits && !mPoisonParts))
+            (aOnly == fault_kind::eAll && !mBytes && aSeed >= kFirstWithLimits && !mPoisonParts))
   , mFramesStreams(aOnly != fault_kind::eAll || aSeed < kFirstWithoutFraming)
   , mCuts(aOnly == fault_kind::eCut ||
-          (aOnly == fault_kind::eAll && aSeed >= kFirstWithCuts && !mPoisonParts))
+          (aOnly == fault_kind::eAll && !mBytes && aSeed >= kFirstWithCuts && !mPoisonParts))
   , mRunners{ "desk-1", "desk-2", "prefill-1", "decode-1", "decode-2" }
 {
 }
@@ -405,7 +415,14 @@
                                                R"({"service":"desk"})",
                                                R"({"service":5,"address":[],"state":"ready"})",
                                                "\xff\xfe" };
-  mBed.ListRaw(aKey, texts[DrawIndex(texts.size())]);
+  static const std::vector<std::string> odd{ std::string(30000, '[') + std::string(30000, ']'),
+                                             R"({"service":"desk","slots":1e999})",
+                                             R"({"service":"desk","slots":)" +
+                                               std::string(400, '9') + "}",
+                                             kPortTooLarge,
+                                             std::string(200000, 'x') };
+  const std::vector<std::string>& drawn = mBytes ? odd : texts;
+  mBed.ListRaw(aKey, drawn[DrawIndex(drawn.size())]);
 }
 
 void
@@ -552,8 +569,13 @@
 {
   static const std::vector<std::string> modes{ "reset",    "hang",      "refuse", "cut",  "error",
                                                "wrong_id", "no_length", "extra",  "hang", "reset" };
+  static const std::vector<std::string> endless{
+    "endless_head", "endless_body", "endless_unsigned", "endless_line", "endless_trailer",
+    "endless_hold", "slow_body",    "slow_line",        "slow_hold",    "bare",
+  };
   const std::string runner = mRunners[DrawIndex(mRunners.size())];
-  const std::string& mode = modes[DrawIndex(modes.size())];
+  const std::vector<std::string>& drawn = mBytes && Draw(2) == 0 ? endless : modes;
+  const std::string& mode = drawn[DrawIndex(drawn.size())];
   const auto [from, until] = DrawSpan();
   const std::int64_t length = until - from;
   aTimes.emplace(from, [this, runner, mode, length] {
@@ -655,9 +677,22 @@
     act();
   }
   CheckAlive();
+  CheckMemory();
   MendAll();
 }
 
+void
+soak_faults::CheckMemory()
+{
+  for (std::size_t daemon = 0; daemon < mWorld.mDaemons.size(); ++daemon) {
+    const std::int64_t peak = mBed.Daemon(daemon).PeakKb();
+    if (peak > kMemoryKb) {
+      mBadEnds.push_back("daemon " + std::to_string(daemon) + " took " + std::to_string(peak) +
+                         " kB");
+    }
+  }
+}
+
 void
 soak_faults::MendAll()
 {
--- a/soak/soak_faults.h
+++ b/soak/soak_faults.h
@@ -120,11 +120,14 @@
   void PutVersion(std::uint64_t aVersion);
   void ReplaceRunner();
   void CheckAlive();
+  /** Looks for daemons that have taken more memory than a host has. */
+  void CheckMemory();
 
   test::fleet_bed& mBed;                        ///< The deployment.
   caller_world& mWorld;                         ///< Shared with the callers.
   std::mt19937 mRandom;                         ///< From the seed.
   fault_kind mOnly;                             ///< Kind of unplanned faults, or eAll.
+  bool mBytes;                                  ///< Bytes without an end and odd entries are.
   bool mMemory;                                 ///< eMemory is among what is played.
   bool mPoisons;                                ///< ePoison is among what is played.
   bool mPoisonParts;                            ///< They are parts of prompts.
--- a/tests/platform/endless_test.cpp
+++ b/tests/platform/endless_test.cpp
@@ -68,15 +68,7 @@
   /** @return the most memory that the daemon has had; MB. */
   std::int64_t PeakMb()
   {
-    std::ifstream status("/proc/" + std::to_string(mBed.Daemon().Pid()) + "/status");
-    std::string word;
-    std::int64_t kilobytes = 0;
-    while (status >> word) {
-      if (word == "VmHWM:") {
-        status >> kilobytes;
-      }
-    }
-    return kilobytes >> 10;
+    return mBed.Daemon().PeakKb() >> 10;
   }
 
   std::int64_t MemoryMb()
@@ -325,7 +317,8 @@
     boost::system::error_code ignored;
     refused += socket->available(ignored) > 0 ? 1 : 0;
   }
-  CHECK_TRUE(PeakMb() - before <= kMaxBodiesMb);
+  const std::int64_t grown = PeakMb() - before;
+  CHECK_TEXT(grown <= kMaxBodiesMb, std::to_string(grown).c_str());
   CHECK_TRUE(refused > 0);
   CHECK_TRUE(refused < kOpenBodies);
 }
--- a/tests/support/testbed.cpp
+++ b/tests/support/testbed.cpp
@@ -276,6 +276,19 @@
   return (handled >> static_cast<unsigned>(aSignal - 1) & 1U) != 0;
 }
 
+std::int64_t
+process::PeakKb() const
+{
+  std::istringstream words(ReadFile("/proc/" + std::to_string(mPid) + "/status"));
+  std::int64_t kilobytes = 0;
+  for (std::string word; words >> word;) {
+    if (word == "VmHWM:") {
+      words >> kilobytes;
+    }
+  }
+  return kilobytes;
+}
+
 bool
 process::Running()
 {
--- a/tests/support/testbed.h
+++ b/tests/support/testbed.h
@@ -110,6 +110,8 @@
   void Signal(int aSignal);
   /** @return whether it catches or ignores a signal; a program that's being loaded doesn't yet. */
   bool Handles(int aSignal) const;
+  /** @return the most memory that it has had, in kB; 0 if it isn't running. */
+  std::int64_t PeakKb() const;
   /** Waits for its end. @return the exit code, or -1 if it didn't end in time. */
   int WaitForExit(int aLimitMs = 10000);
   bool Running();
