Fix: [Soak] bytes without an end that a plain runner signs are no longer played

By the lines of one play, the runner had signed them, and beyond the 64 KB that are held a signed body is passed on, then reset at the deadline, as a large answer that breaks off is (endless.ABodyOfAPlainRunnerIsCutOffOnceTheRequestsTimeIsOver asks for that). Nobody can tell them from an answer, so the check stays as it is and the soak plays the unsigned ones.

--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -569,10 +569,13 @@
 {
   static const std::vector<std::string> modes{ "reset",    "hang",      "refuse", "cut",  "error",
                                                "wrong_id", "no_length", "extra",  "hang", "reset" };
-  static const std::vector<std::string> endless{
-    "endless_head", "endless_body", "endless_unsigned", "endless_line", "endless_trailer",
-    "endless_hold", "slow_body",    "slow_line",        "slow_hold",    "bare",
-  };
+  // Not endless bodies that a plain runner signs: beyond what is held they are passed on, as a
+  // large answer is.
+  static const std::vector<std::string> endless{ "endless_head", "endless_unsigned",
+                                                 "endless_line", "endless_trailer",
+                                                 "endless_hold", "slow_body",
+                                                 "slow_line",    "slow_hold",
+                                                 "bare" };
   const std::string runner = mRunners[DrawIndex(mRunners.size())];
   const std::vector<std::string>& drawn = mBytes && Draw(2) == 0 ? endless : modes;
   const std::string& mode = drawn[DrawIndex(drawn.size())];
