Cleanup: [Net] [Origins] one reader of heads, one loop over a body, one way to share a read

Behaviour stays as it is. - ReadHead() and http_connection::ReadRest() stand for what both clients, the store and the configuration of another daemon each had. - shared_read stands for what the marks and the stored origins each had: a read that serves all requests for a while.

--- a/src/core/json_func.h
+++ b/src/core/json_func.h
@@ -12,7 +12,7 @@
 
 namespace dunehook {
 
-/** Deepest nesting that is read; the deepest value that is expected has seven levels. */
+/** Deepest nesting that is read. */
 inline constexpr std::size_t kMaxNesting = 32;
 
 /** @return the value of a JSON text; discarded if it's none or nests too deep. */
--- a/src/core/text_func.h
+++ b/src/core/text_func.h
@@ -4,8 +4,10 @@
  */
 #pragma once
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -32,4 +34,13 @@
   return absl::StrCat(ForJoin(aParts)...);
 }
 
+/** @return whether a text may stand in a head or a target: visible ASCII, and not empty. */
+inline bool
+IsVisibleAscii(std::string_view aText)
+{
+  return !aText.empty() && std::all_of(aText.begin(), aText.end(), [](char aSign) {
+    return absl::ascii_isgraph(static_cast<unsigned char>(aSign));
+  });
+}
+
 } // namespace dunehook
--- a/src/forward/prompt_read.h
+++ b/src/forward/prompt_read.h
@@ -70,8 +70,9 @@
     aPlan.mPrefillOnly = true;
     const instant began = mState.Now();
     const duration limit = std::min(aPlan.mTimeLeft, aChoice.mUntilRead + kPrefillSlack);
+    const instant until = began + limit;
     std::string body;
-    upstream_response answer = co_await Send(aPlan, aPermit, began + limit, body);
+    upstream_response answer = co_await Send(aPlan, aPermit, until, body);
     bool broke = answer.mConnectionLost;
     const bool lost =
       answer.mSendStatus == send_status::eUnknown && !answer.mTimedOut && !mExchange.Disconnected();
@@ -89,7 +90,7 @@
     if (retries) {
       LogRetry();
       aPlan.mTimeLeft -= spent; // The engine gets the remaining time, not the original limit.
-      answer = co_await Send(aPlan, aPermit, began + limit, body);
+      answer = co_await Send(aPlan, aPermit, until, body);
       broke = broke || answer.mConnectionLost;
     }
     if (answer.mSendStatus != send_status::eAnswered || answer.mFacts.mStatus != 200) {
--- a/src/links/config_follower.h
+++ b/src/links/config_follower.h
@@ -187,11 +187,7 @@
                          co_await connection->Start(call, kPeerResponseTimeout, kMaxConfigBytes));
     std::string text;
     const instant until = mState.Now() + kPeerTransferTimeout;
-    bool more = true;
-    while (more) {
-      const instant pauseEnd = mState.Now() + kPeerIdleTimeout;
-      BOOST_OUTCOME_CO_TRY(more, co_await connection->ReadSome(text, std::min(pauseEnd, until)));
-    }
+    BOOST_OUTCOME_CO_TRY(co_await connection->ReadRest(text, kPeerIdleTimeout, until));
     if (status != 200) {
       co_return make_error_code(errc::eLogUnavailable);
     }
--- a/src/links/origin_archive.h
+++ b/src/links/origin_archive.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "links/origin_link.h"
+#include "links/shared_read.h"
 #include "messages/wire_type.h"
 
 namespace dunehook {
@@ -17,6 +18,8 @@
 inline constexpr std::size_t kMaxOriginsPerBatch = 1024;
 /** A read serves all requests for this long. */
 inline constexpr duration kOriginsReadLifetime = std::chrono::milliseconds(500);
+/** Longest wait for a read that another request has begun. */
+inline constexpr duration kOriginsReadTimeout = std::chrono::milliseconds(1000);
 
 /** Writes the records of streams to the store and reads them back. */
 template<control_store Store>
@@ -27,7 +30,7 @@
     : mState(aState)
     , mStore(aStore)
     , mLink(aLink)
-    , mReadEnded(aState.mIo)
+    , mRead(aState.mIo, kOriginsReadLifetime, kOriginsReadTimeout)
   {
     mLink.SetStoreHandler([this](const std::vector<stream_origin>& aOrigins) { Add(aOrigins); });
   }
@@ -37,20 +40,17 @@
   /** Reads what was stored since the last read, and hands it to the link. */
   asio::awaitable<void> ReadBack()
   {
-    if (mReading) {
-      co_await mReadEnded.Wait(kOriginReadTimeout);
-      co_return;
-    }
-    if (mReadAt != instant{ 0 } && mState.Now() - mReadAt < kOriginsReadLifetime) {
-      co_return;
-    }
-    mReading = true;
+    co_await mRead.Run([this] { return ReadNew(); });
+  }
+
+private:
+  /** @return whether the store answered. */
+  asio::awaitable<bool> ReadNew()
+  {
     const result<origin_reading> read = co_await mStore.ReadOrigins(mNext);
-    mReading = false;
     if (read) {
       mLink.Keep(read.value().mOrigins);
       mNext = read.value().mNext;
-      mReadAt = mState.Now();
     } else {
       mNext.reset(); // The position may be of another copy of the store.
     }
@@ -58,13 +58,9 @@
              "origins_read",
              { { "outcome", read ? "ok" : ErrorName(read.error()) },
                { "streams", read ? read.value().mOrigins.size() : 0 } });
-    mReadEnded.Notify();
+    co_return read.has_value();
   }
 
-private:
-  /** Longest wait for a read that another request has begun. */
-  static constexpr duration kOriginReadTimeout = std::chrono::milliseconds(1000);
-
   void Add(const std::vector<stream_origin>& aOrigins)
   {
     for (const stream_origin& origin : aOrigins) {
@@ -102,9 +98,7 @@
   origin_link& mLink;                    ///< Takes what is read.
   std::vector<stream_origin> mUnwritten; ///< For the next batch.
   std::optional<store_mark> mNext;       ///< Position after the last read; none before.
-  instant mReadAt{ 0 };                  ///< When the last read ended.
-  bool mReading = false;                 ///< A read is under way.
-  wake_list mReadEnded;                  ///< Woken when it has ended.
+  shared_read mRead;                     ///< Reads them back.
 };
 
 } // namespace dunehook
--- a/src/links/software_marker.h
+++ b/src/links/software_marker.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "links/origin_link.h"
+#include "links/shared_read.h"
 #include "messages/wire_type.h"
 
 namespace dunehook {
@@ -35,7 +36,7 @@
     , mStore(aStore)
     , mDaemons(aDaemons)
     , mLink(aLink)
-    , mReadEnded(aState.mIo)
+    , mMarksRead(aState.mIo, kSoftwareMarksLifetime, kOriginReplyTimeout)
   {
   }
 
@@ -45,7 +46,7 @@
    * it isn't marked, or the store doesn't answer. */
   asio::awaitable<std::optional<software_id>> ReadMark(std::string aService)
   {
-    co_await ReadMarks();
+    co_await mMarksRead.Run([this] { return ReadMarks(); });
     std::optional<software_id> mark;
     if (mMarks && mMarks->contains(KeyOf(aService))) {
       mark = mMarks->at(KeyOf(aService));
@@ -54,25 +55,15 @@
   }
 
 private:
-  /** Reads the marks, unless that was done just now; waits for a read that is under way. */
-  asio::awaitable<void> ReadMarks()
+  /** @return whether the store answered. */
+  asio::awaitable<bool> ReadMarks()
   {
-    if (mReading) {
-      co_await mReadEnded.Wait(kOriginReplyTimeout);
-      co_return;
-    }
-    if (mMarks && mState.Now() - mMarksReadAt < kSoftwareMarksLifetime) {
-      co_return;
-    }
-    mReading = true;
     mMarks.reset(); // Who gives up waiting for this read mustn't decide by a former one.
     const result<software_marks> read = co_await mStore.ReadSoftwareMarks();
-    mReading = false;
     if (read) {
       mMarks = read.value();
-      mMarksReadAt = mState.Now();
     }
-    mReadEnded.Notify();
+    co_return read.has_value();
   }
 
   /** Marks services as their versions change, if this daemon is one of the first. */
@@ -142,9 +133,7 @@
   std::optional<software_marks> mKept;  ///< Marks as this daemon keeps them; none if it doesn't.
   std::uint64_t mKeptEra = 0;           ///< Era of the store that mKept was read in.
   std::optional<software_marks> mMarks; ///< Marks as read last; none if the store didn't answer.
-  instant mMarksReadAt{ 0 };            ///< When mMarks were read.
-  bool mReading = false;                ///< They are being read.
-  wake_list mReadEnded;                 ///< Woken when they have been.
+  shared_read mMarksRead;               ///< Reads them.
 };
 
 } // namespace dunehook
--- a/src/log/log_client.cpp
+++ b/src/log/log_client.cpp
@@ -15,7 +15,7 @@
 using json = nlohmann::json;
 
 constexpr duration kCallTimeout = std::chrono::seconds(2);
-/** Largest batch of records, and largest list of hosts; a list of 12,000 hosts has some 2 MB. */
+/** Largest batch of records, and largest list of hosts. */
 constexpr std::uint64_t kMaxBatchBytes = std::uint64_t{ 8 } << 20U;
 constexpr std::uint64_t kMaxHostListBytes = std::uint64_t{ 8 } << 20U;
 constexpr unsigned kStatusOk = 200;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -61,12 +61,7 @@
   }
   mParser.emplace();
   mParser->body_limit(aMaxBody);
-  co_await http::async_read_header(
-    mStream, mBuffer, *mParser, asio::redirect_error(asio::use_awaitable, error));
-  mLimit.Clear();
-  if (error) {
-    co_return mLimit.Cause(error);
-  }
+  BOOST_OUTCOME_CO_TRY(co_await ReadHead(mStream, mLimit, mBuffer, *mParser));
   co_return mParser->get().result_int();
 }
 
@@ -91,11 +86,19 @@
   for (const auto& field : mParser->get()) {
     answer.mHeaders.emplace_back(field.name_string(), field.value());
   }
+  BOOST_OUTCOME_CO_TRY(co_await ReadRest(answer.mBody, aLimit, until));
+  co_return answer;
+}
+
+asio::awaitable<result<void>>
+http_connection::ReadRest(std::string& aOut, duration aPause, instant aUntil)
+{
   bool more = true;
   while (more) {
-    BOOST_OUTCOME_CO_TRY(more, co_await ReadSome(answer.mBody, until));
+    const instant pauseEnd = boot_clock_source{}.Now() + aPause;
+    BOOST_OUTCOME_CO_TRY(more, co_await ReadSome(aOut, std::min(pauseEnd, aUntil)));
   }
-  co_return answer;
+  co_return boost::outcome_v2::success();
 }
 
 void
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -77,12 +77,21 @@
   /**
    * Reads some of the answer's body.
    * @param aOut text that the bytes are appended to.
-   * @param aUntil when the read is given up; a whole body is read with one and the same.
+   * @param aUntil when the read is given up.
    * @return whether more of the body follows, or an error as of Start().
    * @pre Start() succeeded.
    */
   asio::awaitable<result<bool>> ReadSome(std::string& aOut, instant aUntil);
 
+  /**
+   * Reads the rest of the answer's body.
+   * @param aOut text that the bytes are appended to, also those before an error.
+   * @param aPause longest time without any bytes.
+   * @param aUntil when the body must be whole.
+   * @pre Start() succeeded.
+   */
+  asio::awaitable<result<void>> ReadRest(std::string& aOut, duration aPause, instant aUntil);
+
   /**
    * Sends a request and reads the complete answer.
    * @param aLimit time limit of the whole call.
--- a/src/net/stream_limit.cpp
+++ b/src/net/stream_limit.cpp
@@ -59,21 +59,14 @@
 void
 stream_limit::Set(duration aLimit)
 {
-  mState->mTimer.expires_after(std::max(duration{ 0 }, aLimit));
-  StartTimer();
+  SetEnd(boot_clock_source{}.Now() + std::max(duration{ 0 }, aLimit));
 }
 
 void
 stream_limit::SetEnd(instant aUntil)
-{
-  mState->mTimer.expires_at(boot_clock::time_point(aUntil));
-  StartTimer();
-}
-
-void
-stream_limit::StartTimer()
 {
   const std::uint64_t generation = ++mState->mGeneration;
+  mState->mTimer.expires_at(boot_clock::time_point(aUntil));
   mState->mTimer.async_wait([state = mState, generation](const boost::system::error_code& aError) {
     const bool ended = aError || state->mGeneration != generation || state->mStream == nullptr;
     if (!ended) {
@@ -90,4 +83,20 @@
   mState->mTimer.cancel();
 }
 
+asio::awaitable<result<void>>
+ReadHead(beast::tcp_stream& aStream,
+         stream_limit& aLimit,
+         unparsed_bytes& aBuffer,
+         body_parser& aParser)
+{
+  boost::system::error_code error;
+  co_await http::async_read_header(
+    aStream, aBuffer, aParser, asio::redirect_error(asio::use_awaitable, error));
+  aLimit.Clear();
+  if (error) {
+    co_return aLimit.Cause(error);
+  }
+  co_return boost::outcome_v2::success();
+}
+
 } // namespace dunehook
--- a/src/net/stream_limit.h
+++ b/src/net/stream_limit.h
@@ -17,7 +17,7 @@
 ConnectStream(endpoint aTo, duration aLimit);
 
 /** Most bytes of an answer that are held before they are parsed: its head, or the line of a chunk
- * with its extensions, or a trailer. Twice the largest head that the parser takes. */
+ * with its extensions, or a trailer. It holds the largest head that the parser takes. */
 inline constexpr std::size_t kMaxUnparsedBytes = 16384;
 
 /** Bytes of an answer that were read but not parsed yet. A read that would hold more fails. */
@@ -58,9 +58,6 @@
   std::error_code Cause(const boost::system::error_code& aError) const;
 
 private:
-  /** Waits for the timer, and closes the stream when it expires. */
-  void StartTimer();
-
   /** Shared with the timer's handlers, which may run after the stream_limit is destroyed. */
   struct limit_state
   {
@@ -79,6 +76,17 @@
   std::shared_ptr<limit_state> mState; ///< Never null.
 };
 
+/**
+ * Reads an answer's head.
+ * @return success, or why the stream ended.
+ * @pre the limit is set; it's removed.
+ */
+asio::awaitable<result<void>>
+ReadHead(beast::tcp_stream& aStream,
+         stream_limit& aLimit,
+         unparsed_bytes& aBuffer,
+         body_parser& aParser);
+
 /**
  * Reads some of an answer's body.
  * @tparam Most size of the read buffer in bytes; it's held while the read waits.
--- a/src/runners/upstream_connection.cpp
+++ b/src/runners/upstream_connection.cpp
@@ -81,13 +81,7 @@
   if (aRequest.mMethod == http::verb::head) {
     mParser->skip(true);
   }
-  boost::system::error_code error;
-  co_await http::async_read_header(
-    mStream, mBuffer, *mParser, asio::redirect_error(asio::use_awaitable, error));
-  mLimit.Clear();
-  if (error) {
-    co_return mLimit.Cause(error);
-  }
+  BOOST_OUTCOME_CO_TRY(co_await ReadHead(mStream, mLimit, mBuffer, *mParser));
   co_return &mParser->get();
 }
 
--- a/tests/platform/version_test.cpp
+++ b/tests/platform/version_test.cpp
@@ -69,6 +69,13 @@
     mBed.AddRunner("prefill-2", Engine("prefill", "v2", "hall-a"));
   }
 
+  void RemoveFirstVersion()
+  {
+    for (const std::string name : { "prefill-1", "decode-v1-1", "decode-v1-2" }) {
+      mBed.List(name, "");
+    }
+  }
+
   /** Takes up a stream that began through a daemon which this one doesn't hear. @return the status.
    */
   unsigned TakeUpUnknown(const std::string& aRequest)
@@ -298,9 +305,7 @@
   Start(3, "hall-b", "hall-b");
   BeginAtTheFirstVersion();
   std::this_thread::sleep_for(std::chrono::milliseconds(kMarkedMs));
-  for (const std::string name : { "prefill-1", "decode-v1-1", "decode-v1-2" }) {
-    mBed.List(name, "");
-  }
+  RemoveFirstVersion();
   std::this_thread::sleep_for(std::chrono::milliseconds(kListedMs));
   KillAndStart({ 0, 2, 1 });
   TakeUp(1);
@@ -326,9 +331,7 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(kMarkedMs));
   mBed.LetStoreGoBack({ { "keyed.dunehook-software", 10 } });
   std::this_thread::sleep_for(std::chrono::milliseconds(kMarkedMs));
-  for (const std::string name : { "prefill-1", "decode-v1-1", "decode-v1-2" }) {
-    mBed.List(name, "");
-  }
+  RemoveFirstVersion();
   std::this_thread::sleep_for(std::chrono::milliseconds(kListedMs));
   KillAndStart({ 0, 2, 1 });
   TakeUp(1);
@@ -340,9 +343,7 @@
 {
   StartWithOneVersion(3, "hall-b", "hall-b");
   BeginStreams();
-  for (const std::string name : { "prefill-1", "decode-v1-1", "decode-v1-2" }) {
-    mBed.List(name, "");
-  }
+  RemoveFirstVersion();
   AddSecondVersion();
   KillAndStart({ 0, 2, 1 });
   std::this_thread::sleep_for(std::chrono::milliseconds(kHeardMs));
