Fix: [Forward] an answer that breaks off during the upload is no longer passed on as whole

What callers saw: a runner answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel tells an error of a connection once, to whichever operation asks first. The write of the upload waits beside the read of the answer and gets the reset; its handler kept no more than that it isn't done, and used that for reuse only. The next reads saw the buffered bytes and an end that looks orderly, and the parser took an answer that ends with its connection for complete. The same holds where the runner ends its sending side with the upload unread, and for any other error that the write gets, such as a time limit of the kernel. It isn't the route: every reader of an unframed answer beside or after a write had it.

Change: IsWholeAnswer() alone says whether an answer that was read to its end is whole, and ReadSomeBody(), by which both clients read every body, asks it. An answer that only the end of the connection marks is whole if the write of the request was completed without an error, the kernel holds no further error, and the other side has acknowledged the whole request: the end of an answer to a request that was received acknowledges it, so nothing sound is lost. Anything else is a lost connection to all who read: a repeat where that is allowed, else 502, and the failure is noted.

Left as it is: http_connection writes a request before it reads, so a reset during the write loses an early answer there; its calls are small, the outcome is reported as unknown and repeated.

The stand-in can answer with given bytes before it reads a body.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 16384;
+/** A request is sent before its answer is read. */
+constexpr request_write kRequestSent = request_write::eSent;
 
 http::request<http::string_body>
 BuildRequest(const http_call& aCall)
@@ -68,8 +70,8 @@
 asio::awaitable<result<bool>>
 http_connection::ReadSome(std::string& aOut, instant aUntil)
 {
-  result<bool> more =
-    co_await ReadSomeBody<kReadBytes>(mStream, mLimit, mBuffer, *mParser, aOut, aUntil);
+  result<bool> more = co_await ReadSomeBody<kReadBytes>(
+    mStream, mLimit, mBuffer, *mParser, aOut, aUntil, kRequestSent);
   if (more && !more.value()) {
     mReusable = mParser->keep_alive();
   }
--- a/src/net/stream_limit.h
+++ b/src/net/stream_limit.h
@@ -6,7 +6,7 @@
  */
 #pragma once
 
-#include "net/body_framing.h"
+#include "net/answer_end.h"
 
 #include <array>
 
@@ -93,7 +93,9 @@
  * @param aOut text that the bytes are appended to.
  * @param aUntil when the read is given up. Bytes that come without an end are always there to be
  * read, so that no timer of a single read would ever end them.
- * @return whether more of the body follows, or why the stream ended.
+ * @param aWrite the write of the request, which may go on meanwhile.
+ * @return whether more of the body follows, or why the stream ended; eConnectionLost also for an
+ * answer that has ended and isn't whole, see IsWholeAnswer().
  * @pre the parser has read the headers.
  */
 template<std::size_t Most>
@@ -103,7 +105,8 @@
              unparsed_bytes& aBuffer,
              body_parser& aParser,
              std::string& aOut,
-             instant aUntil)
+             instant aUntil,
+             const request_write& aWrite)
 {
   if (aParser.is_done()) {
     co_return false;
@@ -123,6 +126,9 @@
   if (error && error != http::error::need_buffer) {
     co_return aLimit.Cause(error);
   }
+  if (aParser.is_done() && !IsWholeAnswer(aStream.socket(), aParser, aWrite)) {
+    co_return make_error_code(errc::eConnectionLost);
+  }
   aOut.append(bytes.data(), bytes.size() - body.size);
   co_return !aParser.is_done();
 }
--- a/src/runners/upstream_connection.cpp
+++ b/src/runners/upstream_connection.cpp
@@ -71,11 +71,12 @@
   const std::array<asio::const_buffer, 2> bytes{ asio::buffer(mWrite->mHead),
                                                  asio::buffer(body.data(), body.size()) };
   // The operation refers to the stream, so it keeps the connection alive.
-  asio::async_write(
-    mStream,
-    bytes,
-    [state = mWrite, self = shared_from_this()](
-      const boost::system::error_code& aError, std::size_t /*aCount*/) { state->mDone = !aError; });
+  asio::async_write(mStream,
+                    bytes,
+                    [state = mWrite, self = shared_from_this()](
+                      const boost::system::error_code& aError, std::size_t /*aCount*/) {
+                      state->mState = aError ? request_write::eFailed : request_write::eSent;
+                    });
   mParser.emplace();
   mParser->body_limit(boost::none);
   if (aRequest.mMethod == http::verb::head) {
@@ -88,8 +89,8 @@
 asio::awaitable<result<bool>>
 upstream_connection::ReadSome(std::string& aOut, instant aUntil)
 {
-  result<bool> more =
-    co_await ReadSomeBody<kReadBytes>(mStream, mLimit, mBuffer, *mParser, aOut, aUntil);
+  result<bool> more = co_await ReadSomeBody<kReadBytes>(
+    mStream, mLimit, mBuffer, *mParser, aOut, aUntil, mWrite->mState);
   mAnswerComplete = more && !more.value();
   co_return more;
 }
@@ -105,8 +106,8 @@
 bool
 upstream_connection::Reusable() const
 {
-  return !mAborted && mAnswerComplete && mWrite && mWrite->mDone && mParser->keep_alive() &&
-         !mParser->need_eof() && mBuffer.size() == 0;
+  return !mAborted && mAnswerComplete && mWrite && mWrite->mState == request_write::eSent &&
+         mParser->keep_alive() && !mParser->need_eof() && mBuffer.size() == 0;
 }
 
 bool
--- a/src/runners/upstream_connection.h
+++ b/src/runners/upstream_connection.h
@@ -48,8 +48,8 @@
    * Reads some of the answer's body.
    * @param aOut text that the bytes are appended to.
    * @param aUntil when the read is given up; a whole body is read with one and the same.
-   * @return whether the body continues; eConnectionLost if the answer was cut off, eWrongAnswer if
-   * a line of its framing is overlong.
+   * @return whether the body continues; eConnectionLost if the answer was cut off or isn't known to
+   * be whole, eWrongAnswer if a line of its framing is overlong.
    * @pre Start() succeeded.
    */
   asio::awaitable<result<bool>> ReadSome(std::string& aOut, instant aUntil);
@@ -75,9 +75,9 @@
   /** The write of a request; shared with the asynchronous write, which may outlive Start(). */
   struct write_state
   {
-    std::string mHead;                        ///< Owns the bytes on their way.
-    std::shared_ptr<const std::string> mBody; ///< Owns the bytes on their way.
-    bool mDone = false;                       ///< All bytes were written.
+    std::string mHead;                              ///< Owns the bytes on their way.
+    std::shared_ptr<const std::string> mBody;       ///< Owns the bytes on their way.
+    request_write mState = request_write::ePending; ///< How far it is.
   };
 
   beast::tcp_stream mStream;              ///< The socket.
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -11,6 +11,7 @@
 #include "standins/common/standin.h"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/str_replace.h>
 
 #include <deque>
 #include <map>
@@ -25,6 +26,8 @@
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kOffsetBytes = 8;
 constexpr std::uint64_t kTokensPerEvent = 64;
+/** Bytes of a request's body that are noted for the test. */
+constexpr std::size_t kNotedBytes = 65536;
 /** Size of the pieces of an answer without an end. */
 constexpr std::size_t kFillerBytes = 64000;
 /** Time after which a runner resets late. */
@@ -179,6 +182,9 @@
   bool mCutsOnce = false;                ///< Only the first answer to a request is cut.
   std::vector<std::string> mCrashesOnParts{}; ///< Prompts with one of them, not the last, crash it.
   std::string mResumedFraming{}; ///< Framing of streams that go on; empty for mFraming.
+  std::string mRaw{};            ///< Bytes that a raw answer consists of, see RawAnswer().
+  std::string mRawEnd{};         ///< How its connection ends, see EndRaw().
+  duration mRawAfter{ 0 };       ///< Time from the last of its bytes to that end.
 };
 
 /** The stand-in. */
@@ -470,6 +476,13 @@
     runner.mCutByReset = aBody.value("cut_by", "") == "reset";
     runner.mCutsOnce = aBody.value("cuts_once", false);
     runner.mResumedFraming = aBody.value("resumed_framing", "");
+    runner.mRaw = aBody.value("raw", "");
+    runner.mRawEnd = aBody.value("raw_end", "");
+    runner.mRawAfter = std::chrono::milliseconds(aBody.value("raw_after_ms", 0));
+    if (aBody.contains("receive_bytes")) { // Connections take it over from the listening socket.
+      runner.mAcceptor.set_option(
+        asio::socket_base::receive_buffer_size(aBody["receive_bytes"].get<int>()));
+    }
     runner.mCrashesReading = aBody.value("crashes_reading", runner.mCrashesReading);
     runner.mKeepsId = aBody.value("keeps_id", runner.mKeepsId);
     runner.mCrashesOn = aBody.value("crashes_on", runner.mCrashesOn);
@@ -577,14 +590,19 @@
     bool open = true;
     aRunner->mSockets.insert(&stream.socket());
     while (open) {
-      http::request<http::string_body> request;
+      http::request_parser<http::string_body> parser;
+      parser.body_limit(boost::none);
       boost::system::error_code error;
-      co_await http::async_read(
-        stream, buffer, request, asio::redirect_error(asio::use_awaitable, error));
+      co_await http::async_read_header(
+        stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+      if (!error && !AnswersUnread(*aRunner, parser.get())) {
+        co_await http::async_read(
+          stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+      }
       open = !error;
       if (open) {
         ++aRunner->mOpenRuns;
-        open = co_await Answer(aRunner, stream, request);
+        open = co_await Answer(aRunner, stream, parser.get());
         --aRunner->mOpenRuns;
       }
     }
@@ -611,6 +629,42 @@
                 aBody);
   }
 
+  /** @return whether a runner answers a request before it has read the body. */
+  static bool AnswersUnread(const fake_runner& aRunner,
+                            const http::request<http::string_body>& aRequest)
+  {
+    return aRunner.mMode == "raw_unread" && aRequest.count("X-Request-Id") > 0;
+  }
+
+  /** @return the runner's raw answer. @param aOwn fields that make a head its own, for "{own}". */
+  static std::string RawAnswer(const fake_runner& aRunner, const std::string& aOwn)
+  {
+    return absl::StrReplaceAll(aRunner.mRaw, { { "{own}", aOwn } });
+  }
+
+  /**
+   * Sends a raw answer and ends its connection: by "close", which resets it where bytes of the
+   * request aren't read, by "reset", by "half_close", which is followed by a close, or not at all.
+   * @return whether the connection goes on.
+   */
+  asio::awaitable<bool> WriteRaw(fake_runner& aRunner, beast::tcp_stream& aStream, std::string aOwn)
+  {
+    constexpr duration kHalfClosed = std::chrono::milliseconds(300);
+    const std::string end = aRunner.mRawEnd;
+    const duration after = aRunner.mRawAfter;
+    const std::string text = RawAnswer(aRunner, aOwn);
+    const bool open = co_await Write(aStream, text);
+    co_await Sleep(after);
+    boost::system::error_code ignored; // The caller may have closed it.
+    if (end == "reset") {
+      aStream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    } else if (end == "half_close") {
+      aStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+      co_await Sleep(kHalfClosed);
+    }
+    co_return open&& end.empty();
+  }
+
   static std::string LeaveHeader(const fake_runner& aRunner)
   {
     return aRunner.mLeaves ? "Server-Leaving: 1\r\n" : "";
@@ -637,7 +691,7 @@
                       { "method", std::string(aRequest.method_string()) },
                       { "target", std::string(aRequest.target()) },
                       { "headers", headers },
-                      { "body", aRequest.body() },
+                      { "body", aRequest.body().substr(0, kNotedBytes) },
                       { "run", false },
                       { "at_ms", boot_clock_source{}.Now().count() / 1000 } });
     return mSeen.size() - 1;
@@ -667,6 +721,9 @@
     if (isSideCall && target == "/hold-take" && SideBytes(mode)) {
       co_return co_await WriteWithoutEnd(aStream, *SideBytes(mode));
     }
+    if (isSideCall && target == "/hold-take" && mode == "raw_hold") {
+      co_return co_await WriteRaw(aRunner, aStream, std::string());
+    }
     if (isSideCall) {
       const std::string text = SideAnswer(aRunner, aRequest, target);
       co_return co_await Write(aStream, text);
@@ -678,6 +735,9 @@
       co_return co_await Write(aStream, text);
     }
     mSeen[number]["run"] = mode != "refuse";
+    if (mode == "raw" || mode == "raw_unread") {
+      co_return co_await WriteRaw(aRunner, aStream, own);
+    }
     if (mode == "late_reset") {
       co_await Sleep(kLateReset);
     }
--- a/tests/platform/answer_end_test.cpp
+++ b/tests/platform/answer_end_test.cpp
@@ -5,6 +5,7 @@
  * more proof of completeness than the runner gave.
  */
 #include "tests/platform/fleet_bed.h"
+#include "tests/platform/seen_answer.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -21,92 +22,6 @@
 
 namespace {
 
-/** An answer as its caller sees it, whose connection closes after it. */
-struct seen_answer
-{
-  unsigned mStatus = 0;   ///< 0 if there's no whole head.
-  std::string mHead;      ///< Status line and headers.
-  std::string mBody;      ///< Without its framing.
-  bool mProved = false;   ///< Its framing says that it's complete.
-  bool mUnframed = false; ///< It has neither a length nor chunks.
-  bool mReset = false;    ///< Its connection was reset.
-
-  /** @return whether a caller takes it for complete. */
-  bool LooksComplete() const { return mStatus != 0 && (mProved || (mUnframed && !mReset)); }
-};
-
-/** Takes the chunks of a body apart. @return whether the last chunk came. */
-bool
-DecodeChunks(std::string_view aBytes, std::string& aBody)
-{
-  for (;;) {
-    const std::size_t line = aBytes.find("\r\n");
-    if (line == std::string_view::npos) {
-      return false;
-    }
-    const std::size_t size = std::stoul(std::string(aBytes.substr(0, line)), nullptr, 16);
-    aBytes.remove_prefix(line + 2);
-    if (size == 0) {
-      return aBytes == "\r\n";
-    }
-    aBody += aBytes.substr(0, size);
-    if (aBytes.size() < size + 2) {
-      return false;
-    }
-    aBytes.remove_prefix(size + 2);
-  }
-}
-
-seen_answer
-ParseAnswer(const std::string& aBytes, bool aReset)
-{
-  seen_answer seen;
-  seen.mReset = aReset;
-  const std::size_t end = aBytes.find("\r\n\r\n");
-  if (end == std::string::npos) {
-    return seen;
-  }
-  seen.mHead = aBytes.substr(0, end + 2);
-  seen.mStatus = static_cast<unsigned>(std::stoul(seen.mHead.substr(9, 3)));
-  const std::string rest = aBytes.substr(end + 4);
-  static const std::string kLength = "Content-Length: ";
-  const std::size_t length = seen.mHead.find(kLength);
-  if (seen.mHead.find("Transfer-Encoding: chunked") != std::string::npos) {
-    seen.mProved = DecodeChunks(rest, seen.mBody);
-  } else if (length != std::string::npos) {
-    seen.mBody = rest;
-    seen.mProved = rest.size() == std::stoul(seen.mHead.substr(length + kLength.size()));
-  } else {
-    seen.mBody = rest;
-    seen.mUnframed = true;
-  }
-  return seen;
-}
-
-/** Sends a call on a fresh connection that closes after it. */
-seen_answer
-Ask(const std::string& aAddress,
-    const std::string& aMethod,
-    const std::string& aTarget,
-    const headers& aHeaders,
-    bool aKeepAlive = false)
-{
-  const endpoint to = ParseEndpoint(aAddress).value();
-  asio::io_context io(1);
-  tcp::socket socket(io);
-  socket.connect({ asio::ip::make_address(to.mAddress), to.mPort });
-  std::string request = aMethod + " " + aTarget + " HTTP/1.1\r\nContent-Length: 0\r\n";
-  request += aKeepAlive ? "" : "Connection: close\r\n";
-  for (const auto& [name, value] : aHeaders) {
-    request.append(name).append(": ").append(value).append("\r\n");
-  }
-  asio::write(socket, asio::buffer(request + "\r\n"));
-  std::string got;
-  boost::system::error_code error;
-  asio::read(socket, asio::dynamic_buffer(got), error);
-  return ParseAnswer(got, error != asio::error::eof);
-}
-
 const std::vector<std::string> kEvents{ "id: 0\ndata: a\n\n",
                                         "id: 1\ndata: bc\n\n",
                                         "id: 2\ndata: d\n\n" };
@@ -202,16 +117,17 @@
   seen_answer Generate(const std::string& aTarget, bool aKeepAlive = false)
   {
     const int number = ++mCalls;
-    return Ask(mBed.Callers(),
-               "POST",
-               aTarget,
-               GenerationHeaders("g" + std::to_string(number), 1000 + number, 3),
-               aKeepAlive);
+    seen_call call{
+      "POST", aTarget, GenerationHeaders("g" + std::to_string(number), 1000 + number, 3), ""
+    };
+    call.mKeepAlive = aKeepAlive;
+    return AskOnce(mBed.Callers(), call);
   }
 
   seen_answer Plain(const std::string& aMethod, const std::string& aTarget)
   {
-    return Ask(mBed.Callers(), aMethod, aTarget, CallerHeaders("p" + std::to_string(++mCalls)));
+    return AskOnce(mBed.Callers(),
+                   { aMethod, aTarget, CallerHeaders("p" + std::to_string(++mCalls)), "" });
   }
 };
 
@@ -431,7 +347,8 @@
       for (const char* const how : { "close", "reset" }) {
         CutAnswers({ "desk-1", "desk-2" }, bytes, how);
         const std::string id = NextId();
-        const seen_answer got = Ask(mBed.Callers(), "POST", "/records/" + id, CallerHeaders(id));
+        const seen_answer got =
+          AskOnce(mBed.Callers(), { "POST", "/records/" + id, CallerHeaders(id), "" });
         CheckNoSuccess(got, std::string(framing) + " " + how + " at " + std::to_string(bytes));
         CHECK_EQUAL(1U, mBed.Seen(id).size());
       }
@@ -441,7 +358,7 @@
     CutAnswers({ "desk-1", "desk-2" }, bytes, "silence");
     const std::string id = NextId();
     const headers call = Timed(CallerHeaders(id));
-    CheckNoSuccess(Ask(mBed.Callers(), "POST", "/records/" + id, call), "silence");
+    CheckNoSuccess(AskOnce(mBed.Callers(), { "POST", "/records/" + id, call, "" }), "silence");
   }
 }
 
@@ -454,7 +371,7 @@
       CutAnswers({ "decode-1", "decode-2" }, bytes, how);
       const int number = ++mCalls;
       const headers call = GenerationHeaders("g" + std::to_string(number), 1000 + number, 3);
-      const seen_answer got = Ask(mBed.Callers(), "POST", "/turns/a", call);
+      const seen_answer got = AskOnce(mBed.Callers(), { "POST", "/turns/a", call, "" });
       CHECK_TEXT(got.mStatus >= 502, (std::to_string(bytes) + got.mHead + got.mBody).c_str());
     }
   }
@@ -466,7 +383,8 @@
   const std::size_t head = HeadBytes();
   for (std::size_t bytes = 1; bytes < head; bytes += 7) {
     CutAnswers({ "desk-1" }, bytes, "close");
-    const seen_answer got = Ask(mBed.Callers(), "GET", "/pages/a", CallerHeaders(NextId()));
+    const seen_answer got =
+      AskOnce(mBed.Callers(), { "GET", "/pages/a", CallerHeaders(NextId()), "" });
     CHECK_EQUAL(200U, got.mStatus);
     CHECK_TRUE(got.LooksComplete());
   }
