Fix: [Net] an answer whose status isn't one is no answer

What callers see: a runner's answer with status 600 or 999 reached callers as it came, with a reason of our own making. But no such check stood at the other readers: reservations, orders, the store and other daemons took 000 for an answer of theirs.

Cause: each reader judged the statuses that it knows of; none judged whether it's a status.

Change: ReadHead(), by which both clients read every head, gives eWrongAnswer outside 100 to 599 (RFC 9110, section 15). Callers get a repeat's answer or 502; the failure of the runner is noted.

--- a/src/net/stream_limit.cpp
+++ b/src/net/stream_limit.cpp
@@ -6,6 +6,14 @@
 
 namespace dunehook {
 
+namespace {
+
+/** Statuses that an answer may have (RFC 9110, section 15). */
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kLastStatus = 599;
+
+} // namespace
+
 asio::awaitable<result<beast::tcp_stream>>
 ConnectStream(endpoint aTo, duration aLimit)
 {
@@ -96,6 +104,10 @@
   if (error) {
     co_return aLimit.Cause(error);
   }
+  const unsigned status = aParser.get().result_int();
+  if (status < kFirstStatus || status > kLastStatus) {
+    co_return make_error_code(errc::eWrongAnswer);
+  }
   co_return boost::outcome_v2::success();
 }
 
--- a/src/net/stream_limit.h
+++ b/src/net/stream_limit.h
@@ -78,7 +78,7 @@
 
 /**
  * Reads an answer's head.
- * @return success, or why the stream ended.
+ * @return success, or why the stream ended; eWrongAnswer also for a status that isn't one.
  * @pre the limit is set; it's removed.
  */
 asio::awaitable<result<void>>
--- a/src/runners/upstream_connection.h
+++ b/src/runners/upstream_connection.h
@@ -37,7 +37,8 @@
   /**
    * Sends a request and reads the head of the answer. The answer may arrive before the body
    * is sent in full.
-   * @return the answer's head, eConnectionLost, eDeadlinePassed, or eWrongAnswer if it's overlong.
+   * @return the answer's head, eConnectionLost, eDeadlinePassed, or eWrongAnswer if it's overlong
+   * or no head of an answer.
    * @pre no answer is being read.
    */
   asio::awaitable<result<const response_parser::value_type*>> Start(
--- a/tests/platform/broken_answer_test.cpp
+++ b/tests/platform/broken_answer_test.cpp
@@ -5,6 +5,7 @@
  */
 #include "tests/platform/fleet_bed.h"
 #include "tests/platform/seen_answer.h"
+#include "tests/support/odd_heads.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -276,3 +277,109 @@
     }
   }
 }
+
+TEST_GROUP(odd_heads)
+{
+  fleet_bed mBed; ///< The deployment.
+  int mCalls = 0; ///< Calls so far; each has an id and a prompt of its own.
+
+  void Start()
+  {
+    platform_daemon_options options;
+    options.mRetryAllowance = 1000000; // More is repeated here than requests pay for.
+    mBed.StartUsual(options);
+  }
+
+  /** Has runners answer each request with a text. */
+  void SetAnswer(const std::vector<std::string>& aRunners,
+                 const std::string& aText,
+                 const std::string& aMode = "raw")
+  {
+    for (const std::string& runner : aRunners) {
+      mBed.SetRunner(runner, { { "mode", aMode }, { "raw", aText }, { "raw_end", "close" } });
+    }
+  }
+
+  std::string LastId() const
+  {
+    return "o" + std::to_string(mCalls);
+  }
+
+  seen_answer Ask(const std::string& aMethod, const std::string& aTarget)
+  {
+    ++mCalls;
+    const bool generates = aTarget == "/turns/" || aTarget == "/resumed/";
+    const headers all =
+      generates ? GenerationHeaders(LastId(), 1000 + mCalls, 3) : CallerHeaders(LastId());
+    return AskOnce(mBed.Callers(), { aMethod, aTarget + LastId(), all, "" });
+  }
+
+  /** Checks that callers get a failure in place of each odd answer, also after interim ones. */
+  void CheckNotPassedOn(const std::vector<std::string>& aRunners,
+                        const std::string& aMethod,
+                        const std::string& aTarget,
+                        const std::string& aBody)
+  {
+    for (const char* const before :
+         { "", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" }) {
+      for (const std::string& odd : OddAnswers("{own}", aBody)) {
+        SetAnswer(aRunners, before + odd);
+        const seen_answer got = Ask(aMethod, aTarget);
+        const std::string what = before + odd + "-> " + got.mHead + got.mBody;
+        CHECK_EQUAL_TEXT(502U, got.mStatus, what.c_str());
+        CHECK_TRUE_TEXT(got.mBody.find(aBody) == std::string::npos, what.c_str());
+        CHECK_TRUE_TEXT(got.mHead.find("Odd") == std::string::npos, what.c_str());
+      }
+    }
+  }
+
+  /** Checks that a generation is served without what an odd answer holds. */
+  void CheckServedWithout(const std::string& aText)
+  {
+    const seen_answer got = Ask("POST", "/turns/");
+    CHECK_EQUAL(200U, got.mStatus);
+    for (const json& seen : mBed.Seen(LastId())) {
+      CHECK_TRUE(seen.dump().find(aText) == std::string::npos);
+    }
+  }
+};
+
+TEST(odd_heads, APlainAnswerWithoutASoundHeadIsNotPassedOn)
+{
+  Start();
+  CheckNotPassedOn({ "desk-1", "desk-2" }, "POST", "/records/", "runners body");
+}
+
+TEST(odd_heads, AFailedRepeatWithoutASoundHeadIsNotPassedOn)
+{
+  Start();
+  CheckNotPassedOn({ "desk-1", "desk-2" }, "GET", "/pages/", "runners body");
+}
+
+TEST(odd_heads, AStreamWithoutASoundHeadIsNotPassedOn)
+{
+  Start();
+  CheckNotPassedOn({ "decode-1", "decode-2" }, "POST", "/turns/", kEvents);
+}
+
+TEST(odd_heads, APromptReadWithoutASoundHeadIsNotHandedOver)
+{
+  Start();
+  for (const std::string& odd :
+       OddAnswers("{own}", R"({"kv-handle":"h-odd","tokens":1,"version":1})")) {
+    SetAnswer({ "prefill-1" }, odd);
+    CheckServedWithout("h-odd");
+  }
+}
+
+TEST(odd_heads, AReservationWithoutASoundHeadIsNotUsed)
+{
+  Start();
+  for (const std::string& odd : OddAnswers("", R"({"hold":"hold-odd"})")) {
+    for (const char* const engine : { "decode-1", "decode-2" }) {
+      SetAnswer({ "decode-1", "decode-2" }, "", "");
+      SetAnswer({ engine }, odd, "raw_hold");
+      CheckServedWithout("hold-odd");
+    }
+  }
+}
--- a/tests/unit/cut_head_test.cpp
+++ b/tests/unit/cut_head_test.cpp
@@ -1,10 +1,11 @@
 /**
  * @file cut_head_test.cpp
- * An answer that ends inside its head is no answer, wherever and however it's cut off, on a fresh
- * or a kept connection, and whatever came before it. Every call to a runner, the store or another
- * daemon is read by one of these two clients.
+ * An answer that ends inside its head, or whose head isn't one, is no answer, wherever and however
+ * it's cut off, on a fresh or a kept connection, and whatever came before it. Every call to a
+ * runner, the store or another daemon is read by one of these two clients.
  */
 #include "runners/upstream_connection.h"
+#include "tests/support/odd_heads.h"
 #include "tests/support/raw_server.h"
 
 #include <CppUTest/TestHarness.h>
@@ -150,6 +151,21 @@
 return answered;
 }
 
+/** Sends each answer whose head isn't one, on fresh and kept connections. */
+template<typename Ask>
+void
+CheckOddHeads(Ask aAsk)
+{
+  const std::string own = "X-Request-Id: r1\r\nX-Server-Stamp: stamp\r\n";
+  for (const std::string& answer : test::OddAnswers(own, "body")) {
+    for (const cut_by cut : { cut_by::eClose, cut_by::eReset, cut_by::eSilence }) {
+      for (const int whole : { 0, 1 }) {
+        LONGS_EQUAL_TEXT(whole, CountAnswered(aAsk, answer, cut, whole), answer.c_str());
+      }
+    }
+  }
+}
+
 /** Cuts each head at each of its bytes, on fresh and kept connections. */
 template<typename Ask>
 void
@@ -181,6 +197,16 @@
   CheckAllCuts(AskServer);
 }
 
+TEST(cut_heads, ARunnersAnswerWhoseHeadIsNoHeadIsNoAnswer)
+{
+  CheckOddHeads(AskRunner);
+}
+
+TEST(cut_heads, AnAnswerOfTheStoreOrADaemonWhoseHeadIsNoHeadIsNoAnswer)
+{
+  CheckOddHeads(AskServer);
+}
+
 TEST(cut_heads, AHeadThatEndsAfterAnInterimAnswerIsNoAnswer)
 {
   for (const char* const interim :
