Fix: [Forward] what is held of answers that don't end is bounded as a sum

What callers saw: engines whose events don't end took a daemon's memory until it was killed, and with it the requests of all its callers.

Cause: an event may take 1 MB, and a plain answer is held up to 64 KB, each of any number of requests. Beside it std::string::clear() kept the memory of what was passed on, for as long as a large plain answer or a stream took.

Change: held_answers counts what all requests hold, an eighth of the memory that the settings state in all. The run counts as failed at its runner; as for any broken run it goes on elsewhere where it may, else its caller gets 502, or a reset if it has part of the answer. Plain answers are passed on after 4 KB from half of the room on. A line and two gauges tell of it. The memory of what was passed on is freed.

Not counted: whole events that wait for a caller who doesn't read.

--- a/src/forward/event_splitter.cpp
+++ b/src/forward/event_splitter.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+/** Memory of events that is kept for the next ones, in bytes. */
+constexpr std::size_t kMostKeptBytes = 4096;
 constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
 
 } // namespace
@@ -40,6 +42,9 @@
   }
   std::string events = mPartialEvent.substr(0, whole);
   mPartialEvent.erase(0, whole);
+  if (whole > kMostKeptBytes) {
+    mPartialEvent.shrink_to_fit();
+  }
   mScanned -= whole;
   mLineStart -= whole;
   return events;
@@ -49,6 +54,7 @@
 event_splitter::DropPartialEvent()
 {
   mPartialEvent.clear();
+  mPartialEvent.shrink_to_fit(); // The stream may go on for long.
   mSinceEvent = 0;
   mScanned = 0;
   mLineStart = 0;
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -25,10 +25,6 @@
  * one event for as long. Requests have latency targets of a few hundred milliseconds.
  */
 inline constexpr duration kStallThreshold = std::chrono::milliseconds(200);
-/** Request bodies may take the process's memory divided by this. */
-inline constexpr std::uint64_t kBodyMemoryDivisor = 4;
-/** The same for bodies of requests that other daemons relay, in addition. */
-inline constexpr std::uint64_t kRelayedBodyMemoryDivisor = 8;
 /** Other daemons are asked to relay only if heard within the silence after which they count as
  * gone, divided by this. */
 inline constexpr int kRelayPeerSilenceDivisor = 2;
@@ -264,6 +260,8 @@
     values["connections"] = static_cast<double>(sessions.mOpenConnections);
     values["requests_under_way"] = static_cast<double>(sessions.mActiveRequests);
     values["body_bytes"] = static_cast<double>(sessions.mBodyBytes);
+    values["answer_bytes_held"] = static_cast<double>(mState.mHeldAnswers.Bytes());
+    values["answers_over_memory"] = static_cast<double>(mState.mHeldAnswers.GivenUp());
     values["log_lines_dropped"] = static_cast<double>(mLogTotals.mDropped);
     values["log_bytes"] = static_cast<double>(mLogTotals.mBytes);
     values["requests_quarantined"] = static_cast<double>(mState.mCrashes.CountQuarantined(now));
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -8,11 +8,10 @@
 #pragma once
 
 #include "forward/crash_watch.h"
-#include "forward/event_splitter.h"
 #include "forward/generation_place.h"
+#include "forward/held_events.h"
 #include "forward/prompt_read.h"
 #include "forward/relay_call.h"
-#include "forward/run_break.h"
 
 #include <absl/strings/str_join.h>
 
@@ -55,6 +54,7 @@
     , mTrial(aState, mCrashWatch)
     , mPlace(aState, *mExchange, mFacts, aRoute.mRank, mTrial)
     , mPromptRead(aState, *mExchange, mFacts.mId)
+    , mEvents(aState.mHeldAnswers)
   {
     mDemand.mRun = { HashBytes(mFacts.mId) | 1U };
     mDemand.mService = aService.mName;
@@ -462,7 +462,7 @@
   {
     std::string body;
     const result<void> read =
-      co_await ReadBody(*aAnswer.mConnection, body, kMaxHeldResponseBytes, LatestResponse());
+      co_await ReadBody(mState, aAnswer.mConnection, body, kMaxHeldResponseBytes, LatestResponse());
     ReturnConnection(mState, *mExchange, mPlace.DecodeAddress(), aAnswer.mConnection);
     mState.NoteEngine(mPlace.Choice().mDecode, send_outcome::eFailed);
     if (mStarted) {
@@ -477,32 +477,6 @@
     co_await mExchange->Respond(aAnswer.mFacts.mStatus, aAnswer.mHead, body, aAnswer.mFraming);
   }
 
-  /**
-   * @param aRead the outcome of the last read.
-   * @param aBefore events of earlier runs.
-   * @return why the run has broken off, if it has. A response that ends with its connection is
-   * complete only between two events.
-   */
-  std::optional<run_break> BreakOf(const result<bool>& aRead,
-                                   body_framing aFraming,
-                                   std::uint32_t aBefore) const
-  {
-    if (!aRead && aRead.error() != errc::eWrongAnswer) {
-      return aRead.error() == errc::eConnectionLost ? run_break::eConnectionLost
-                                                    : run_break::eTimedOut;
-    }
-    if (!aRead || mEvents.IsOverlong()) {
-      return run_break::eWrongAnswer;
-    }
-    if (aRead.value() || ProvesEnd(aFraming)) {
-      return std::nullopt;
-    }
-    if (mEvents.InsideEvent()) {
-      return run_break::eEndedInsideEvent;
-    }
-    return mEvents.Count() == aBefore ? std::optional(run_break::eEndedBeforeEvent) : std::nullopt;
-  }
-
   /**
    * Forwards a stream.
    * @return whether it broke and may be resumed elsewhere.
@@ -511,14 +485,15 @@
   {
     upstream_connection& upstream = *aAnswer.mConnection;
     const std::uint32_t before = mEvents.Count();
+    mEvents.BeginRun(aAnswer.mConnection);
     instant firstAt{ 0 };
     instant lastAt{ 0 };
     for (;;) {
       std::string bytes;
       const result<bool> read = co_await upstream.ReadSome(bytes, LatestResponse());
-      std::string events = mEvents.Feed(bytes);
+      std::string events = mEvents.Feed(bytes, mState.Now());
       const bool ended = read && !read.value();
-      const std::optional<run_break> broken = BreakOf(read, aAnswer.mFraming, before);
+      const std::optional<run_break> broken = mEvents.BreakOf(read, aAnswer.mFraming, before);
       if (ended && !broken) {
         events += mEvents.PartialEvent();
         mEvents.DropPartialEvent();
@@ -804,7 +779,7 @@
   suspect_trial mTrial;                       ///< Its trial, if it's suspected.
   generation_place<Wire> mPlace;              ///< The chosen engines and their reservation.
   prompt_read<Wire> mPromptRead;              ///< The prefill and its result.
-  event_splitter mEvents;                     ///< Splits the events, over all runs.
+  held_events mEvents;                        ///< Splits the events, over all runs.
   std::uint32_t mEventsInPrompt = 0;          ///< Events already added to the demand's prompt.
   std::uint32_t mSends = 0;                   ///< Decode engines that may have run the request.
   std::uint64_t mRunsElsewhere = 0;           ///< The same by way of the daemon that relays it.
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -277,7 +277,7 @@
     std::string body;
     if (aAnswer.mConnection) {
       const result<void> read =
-        co_await ReadBody(*aAnswer.mConnection, body, kMaxBufferedBytes, aUntil);
+        co_await ReadBody(mState, aAnswer.mConnection, body, kMaxBufferedBytes, aUntil);
       NoteOrigin(aAnswer, body);
       if (!read && read.error() == errc::eBodyTooLarge && IsOwnAnswer(aAnswer.mFacts)) {
         co_await Stream(aRunner, aAddress, aAnswer, body);
@@ -438,6 +438,7 @@
     while (open && more) {
       open = co_await mExchange->Write(aHeld);
       aHeld.clear();
+      aHeld.shrink_to_fit(); // A large response may take long.
       const result<bool> read = co_await upstream.ReadSome(aHeld, LatestResponse());
       if (!read) {
         upstream.Abort();
--- a/src/forward/prompt_read.h
+++ b/src/forward/prompt_read.h
@@ -164,7 +164,7 @@
     if (answer.mConnection) {
       aBody.clear();
       const result<void> read =
-        co_await ReadBody(*answer.mConnection, aBody, kMaxHeldResponseBytes, aUntil);
+        co_await ReadBody(mState, answer.mConnection, aBody, kMaxHeldResponseBytes, aUntil);
       ReturnConnection(mState, mExchange, mEngineAddress, answer.mConnection);
       if (!read) {
         answer.mSendStatus = send_status::eUnknown;
--- a/src/forward/run_break.h
+++ b/src/forward/run_break.h
@@ -16,6 +16,7 @@
   eEndedBeforeEvent, ///< A response that ends with its connection had no event.
   eTimedOut,         ///< The time limit passed.
   eWrongAnswer,      ///< The response isn't the runner's own to this request.
+  eOverMemory,       ///< There was no room for the rest of an event.
 };
 
 /** @return whether the runner closed or lost the connection, as one that crashes does. */
@@ -41,6 +42,8 @@
       return "timed_out";
     case run_break::eWrongAnswer:
       return "wrong_answer";
+    case run_break::eOverMemory:
+      return "over_memory";
   }
   return "unknown";
 }
--- a/src/forward/upstream_send.cpp
+++ b/src/forward/upstream_send.cpp
@@ -75,19 +75,28 @@
 }
 
 asio::awaitable<result<void>>
-ReadBody(upstream_connection& aConnection, std::string& aOut, std::size_t aMaxBytes, instant aUntil)
+ReadBody(forward_state& aState,
+         upstream_ptr aConnection,
+         std::string& aOut,
+         std::size_t aMaxBytes,
+         instant aUntil)
 {
-  const instant until = std::max(aUntil, boot_clock_source{}.Now() + kBodyGrace);
+  const instant until = std::max(aUntil, aState.Now() + kBodyGrace);
+  held_answer held(aState.mHeldAnswers, [aConnection] { aConnection->Abort(); });
   bool more = true;
   while (more) {
-    if (aOut.size() > aMaxBytes) {
+    if (aOut.size() > std::min(aMaxBytes, aState.mHeldAnswers.MostOfPassable())) {
       co_return make_error_code(errc::eBodyTooLarge);
     }
-    const result<bool> read = co_await aConnection.ReadSome(aOut, until);
+    const result<bool> read = co_await aConnection->ReadSome(aOut, until);
+    more = read && read.value();
+    held.Set(more ? aOut.capacity() : 0, aState.Now());
+    if (held.IsGivenUp()) {
+      co_return make_error_code(errc::eWrongAnswer);
+    }
     if (!read) {
       co_return read.error();
     }
-    more = read.value();
   }
   co_return boost::outcome_v2::success();
 }
--- a/src/forward/upstream_send.h
+++ b/src/forward/upstream_send.h
@@ -222,12 +222,14 @@
 
 /**
  * Reads the rest of a response body.
- * @param aMaxBytes limit of the body's size.
+ * @param aMaxBytes limit of the body's size; it's lower while there's little room for answers.
  * @param aUntil when the body must be whole; kBodyGrace from now at the earliest.
- * @return success, eBodyTooLarge with the start of the body in @p aOut, or the error that ended it.
+ * @return success, eBodyTooLarge with the start of the body in @p aOut, eWrongAnswer if there was
+ * no room for it, or the error that ended it.
  */
 asio::awaitable<result<void>>
-ReadBody(upstream_connection& aConnection,
+ReadBody(forward_state& aState,
+         upstream_ptr aConnection,
          std::string& aOut,
          std::size_t aMaxBytes,
          instant aUntil);
--- a/src/state/forward_state.h
+++ b/src/state/forward_state.h
@@ -15,7 +15,9 @@
 #include "runners/upstream_connection.h"
 #include "state/gateway_metrics.h"
 #include "state/gateway_settings.h"
+#include "state/held_answers.h"
 #include "state/limit_log.h"
+#include "state/memory_share.h"
 
 #include "core/log_func.h"
 #include "quarantine/crash_ledger.h"
@@ -69,6 +71,7 @@
   forward_state(asio::io_context& aIo, gateway_settings aSettings)
     : mIo(aIo)
     , mSettings(std::move(aSettings))
+    , mHeldAnswers(mSettings.mMemoryBytes / kHeldAnswerMemoryDivisor)
     , mPlacement(mSettings.mPlacement)
     , mPlaceQueue(mPlacement,
                   mRunners,
@@ -387,6 +390,7 @@
 
   asio::io_context& mIo;                      ///< Event loop of the daemon.
   gateway_settings mSettings;                 ///< Settings of this daemon.
+  held_answers mHeldAnswers;                  ///< Answers of runners that aren't whole yet.
   std::shared_ptr<const route_table> mRoutes; ///< Null until a configuration is known.
   runner_table mRunners;                      ///< All runners.
   refused_table mRefused;                     ///< Prompts that any daemon refused recently.
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -28,6 +28,9 @@
 constexpr std::uint64_t kTokensPerEvent = 64;
 /** Bytes of a request's body that are noted for the test. */
 constexpr std::size_t kNotedBytes = 65536;
+/** Bytes of a body and of a head that begin, and go no further. */
+constexpr std::size_t kBegunBytes = 60000;
+constexpr std::size_t kBegunHeadBytes = 7000;
 /** Size of the pieces of an answer without an end. */
 constexpr std::size_t kFillerBytes = 64000;
 /** Time after which a runner resets late. */
@@ -824,6 +827,7 @@
   {
     constexpr duration kSlowPause = std::chrono::milliseconds(50);
     constexpr duration kTrickle = std::chrono::seconds(1);
+    constexpr std::size_t kLineBytes = 20000;
     const std::string status = "HTTP/1.1 200 OK\r\n";
     const std::string body = Join(status, aOwn, "\r\n");
     const std::string chunks = Join(status, aOwn, "Transfer-Encoding: chunked\r\n\r\n");
@@ -834,6 +838,9 @@
     for (int i = 0; i < 64; ++i) {
       lines += line;
     }
+    const std::string oneLine = Chunk(std::string(kLineBytes, 'x'));
+    const std::string dataLines = Chunk(Join("data: ", std::string(kLineBytes, 'x'), "\n"));
+    const std::string begun(kBegunBytes, 'x');
     const std::map<std::string, endless_bytes> known{
       { "endless_head", { status, lines } },
       { "endless_body", { body, filler } },
@@ -842,11 +849,21 @@
       { "endless_trailer", { Join(chunks, "5\r\nxxxxx\r\n0\r\n"), lines } },
       { "slow_body", { body, kilobyte, kSlowPause } },
       { "slow_line", { Join(chunks, "5;a="), "x", kTrickle } },
+      { "endless_event", { chunks, Chunk(filler) } },
+      { "slow_event", { chunks, oneLine, kSlowPause } },
+      { "slow_lines", { chunks, dataLines, kSlowPause } },
+      { "begun_body", { Join(body, begun), "", kTrickle } },
+      { "begun_head", { Join(status, begun.substr(0, kBegunHeadBytes)), "", kTrickle } },
     };
     const auto found = known.find(aMode);
     return found == known.end() ? std::nullopt : std::optional(found->second);
   }
 
+  static std::string Chunk(const std::string& aBytes)
+  {
+    return Join(absl::Hex(aBytes.size()), "\r\n", aBytes, "\r\n");
+  }
+
   /** @return the same for a reservation. */
   static std::optional<endless_bytes> SideBytes(const std::string& aMode)
   {
--- a/tests/platform/broken_answer_test.cpp
+++ b/tests/platform/broken_answer_test.cpp
@@ -3,14 +3,12 @@
  * Tests with real processes that an answer which breaks off while its request is still being sent,
  * or whose head is no head, isn't passed on, wherever a runner sends it.
  */
-#include "tests/platform/fleet_bed.h"
+#include "tests/platform/bed_config.h"
 #include "tests/platform/seen_answer.h"
 #include "tests/support/odd_heads.h"
 
 #include <CppUTest/TestHarness.h>
 
-#include <absl/strings/escaping.h>
-
 using namespace dunehook;
 using namespace dunehook::test;
 
@@ -68,13 +66,7 @@
   /** Puts a configuration that allows uploads, and waits until it's in force. */
   void AllowLargeBodies()
   {
-    const answer read = Call(mBed.StoreAddress(), "GET", "/log-newest?topic=keyed.op&part=0");
-    std::string text;
-    absl::Base64Unescape(read.Json()["items"][0]["value"].get<std::string>(), &text);
-    json config = json::parse(text);
-    config["version"] = 2;
-    config["limits"]["max-body-bytes"] = kMaxBodyBytes;
-    Call(mBed.StoreAddress(), "POST", "/control/config", config.dump());
+    EditConfig(mBed, [](json& aConfig) { aConfig["limits"]["max-body-bytes"] = kMaxBodyBytes; });
     CHECK(Eventually([this] { return Upload("/pages/probe").mStatus == 200; }));
   }
 
