Fix: [Net] a connection with bytes after a whole answer isn't used again for side calls

A runner, the store or another daemon sends more after a whole answer; the next call on that connection takes these bytes for its own answer: a reservation or a read of the store that is another's.

Cause: http_connection judged reuse by the answer's own words only. The bytes are in its buffer by then, where the look at the idle socket doesn't find them. upstream_connection has always asked.

Evidence: unfinished_requests.AConnectionWithBytesAfterAWholeAnswerIsNotReused fails before for the client of side calls, the store and other daemons; a connection without such bytes is used again by both clients as before.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -73,7 +73,7 @@
   result<bool> more = co_await ReadSomeBody<kReadBytes>(
     mStream, mLimit, mBuffer, *mParser, aOut, aUntil, kRequestSent);
   if (more && !more.value()) {
-    mReusable = mParser->keep_alive();
+    mReusable = mParser->keep_alive() && mBuffer.size() == 0;
   }
   co_return more;
 }
--- a/tests/unit/broken_answer_test.cpp
+++ b/tests/unit/broken_answer_test.cpp
@@ -198,6 +198,23 @@
   }
 }
 
+TEST(unfinished_requests, AConnectionWithBytesAfterAWholeAnswerIsNotReused)
+{
+  const std::string another = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
+  for (const std::string& text : kProvedAnswers) {
+    for (const std::string& more : { another, std::string("x"), std::string("\r\n") }) {
+      const server_answer answer{ text + more, end_by::eSilence, 0ms, true };
+      CHECK_TRUE(Play(AskRunner, answer, "").mWhole);
+      CHECK_FALSE(Play(AskRunner, answer, "").mReusable);
+      CHECK_TRUE(Play(AskServer, answer, "").mWhole);
+      CHECK_FALSE(Play(AskServer, answer, "").mReusable);
+    }
+    const server_answer whole{ text, end_by::eSilence, 0ms, true };
+    CHECK_TRUE(Play(AskRunner, whole, "").mReusable);
+    CHECK_TRUE(Play(AskServer, whole, "").mReusable);
+  }
+}
+
 TEST(unfinished_requests, AnEarlyAnswerThatProvesItsEndIsWholeAndItsConnectionIsNotReused)
 {
   const std::string body(kLargeBodyBytes, 'x');
