Fix: [Forward] a request that outlasts a planned stop gets an answer

What callers saw: in a planned stop in calm, plain requests that a runner was still at work on at the end of the grace got no answer: their connections closed, also those of requests that may not be repeated. Shown for requests of 9 s with a time limit of 12 s, sent 0.3 s before and 2.3 s after the SIGTERM: no answer at 7.5 s.

Cause: the event loop ended at the stop's time limit, with whatever still waited for a runner.

Change: at that limit the pending operations of all connections to runners and to relaying daemons end as at a request's deadline, so that each request takes its usual way out: 504 (it may have run), or a reset if part of the answer is out; no repetition is begun, and no runner is blamed for it.

Evidence: stop_answers.ARequestThatOutlastsThePlannedStopIsAnswered fails before: status 0 in place of 502 or 504; after: four of four are answered and each record ran once.

Already handled, test kept: 40 callers on kept and new connections, half of them writes, answers after 0.05, 0.4 or 0.9 s, one SIGTERM: no request that ran is cut, and requests are taken for some time after the signal (stop_answers.NoRequestThatRanIsCutInAPlannedStopInCalm passed before).

--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -7,6 +7,7 @@
 
 #include "forward/generation_call.h"
 #include "forward/plain_call.h"
+#include "forward/stop_end.h"
 #include "links/origin_store.h"
 #include "links/permit_link.h"
 #include "links/placer_link.h"
@@ -557,11 +558,12 @@
       }
     }
     mOrigins.HandOver();
-    LogEvent(
-      log_level::eInfo,
-      "stopped",
-      { { "busy", mListener->State().mActiveRequests + mRelayListener->State().mActiveRequests },
-        { "ms", (mState.Now() - aSince).count() / 1000 } });
+    const std::size_t busy = co_await EndRunning(mState, [this] {
+      return mListener->State().mActiveRequests + mRelayListener->State().mActiveRequests;
+    });
+    LogEvent(log_level::eInfo,
+             "stopped",
+             { { "busy", busy }, { "ms", (mState.Now() - aSince).count() / 1000 } });
     mState.mIo.stop();
   }
 
--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -109,7 +109,7 @@
   }
 
 private:
-  duration TimeLeft() const { return mDeadline - mState.Now(); }
+  duration TimeLeft() const { return mState.TimeLeft(mDeadline); }
   instant LatestResponse() const { return mDeadline + kResponseSlack; }
 
   /**
@@ -573,7 +573,7 @@
       mState.mRunners.NoteOutcome(mPlace.Choice().mDecode, send_outcome::eAbandoned, mState.Now());
       co_return false;
     }
-    bool atFault = true;
+    bool atFault = !mState.IsStopOver();
     if (IsConnectionLoss(aBreak)) {
       atFault = co_await mCrashWatch.ReportConnectionLost(
         mPlace.Choice().mDecode, mPlace.DecodeAddress(), aProgressed);
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -83,7 +83,7 @@
 
 private:
   bool MayRetry() const { return mRoute.mRepeat == repeat_rule::eRepeatable; }
-  duration TimeLeft() const { return mDeadline - mState.Now(); }
+  duration TimeLeft() const { return mState.TimeLeft(mDeadline); }
   instant LatestResponse() const { return mDeadline + kResponseSlack; }
   duration MaxRunnerWait() const { return mRoute.mFirstAnswer / kRunnerWaitDivisor; }
 
--- a/src/runners/upstream_connection.cpp
+++ b/src/runners/upstream_connection.cpp
@@ -103,6 +103,12 @@
   mStream.close();
 }
 
+void
+upstream_connection::Expire()
+{
+  mLimit.Set(duration{ 0 });
+}
+
 bool
 upstream_connection::Reusable() const
 {
@@ -133,7 +139,18 @@
 }
 
 asio::awaitable<result<upstream_ptr>>
-upstream_pool::Take(const endpoint& aTo, bool aOnlyProven, instant aNow, duration aLimit)
+upstream_pool::Take(endpoint aTo, bool aOnlyProven, instant aNow, duration aLimit)
+{
+  upstream_ptr taken = TakeIdle(aTo, aOnlyProven, aNow);
+  if (!taken) {
+    BOOST_OUTCOME_CO_TRY(taken, co_await upstream_connection::Connect(aTo, aLimit));
+  }
+  mTaken.insert(taken);
+  co_return taken;
+}
+
+upstream_ptr
+upstream_pool::TakeIdle(const endpoint& aTo, bool aOnlyProven, instant aNow)
 {
   auto& idle = mIdle[aTo];
   while (!idle.empty()) {
@@ -144,11 +161,21 @@
     }
     idle.pop_back();
     if (idleTime < connection->mKeepFor && !connection->Stale()) {
-      co_return connection;
+      return connection;
     }
     connection->Abort();
   }
-  co_return co_await upstream_connection::Connect(aTo, aLimit);
+  return nullptr;
+}
+
+void
+upstream_pool::ExpireTaken()
+{
+  for (const auto& taken : mTaken) {
+    if (const upstream_ptr connection = taken.lock()) {
+      connection->Expire();
+    }
+  }
 }
 
 void
@@ -193,6 +220,7 @@
     });
   }
   std::erase_if(mIdle, [](const auto& aRow) { return aRow.second.empty(); });
+  std::erase_if(mTaken, [](const auto& aTaken) { return aTaken.expired(); });
 }
 
 } // namespace dunehook
--- a/src/runners/upstream_connection.h
+++ b/src/runners/upstream_connection.h
@@ -8,6 +8,8 @@
 
 #include "net/http_client.h"
 
+#include <set>
+
 namespace dunehook {
 
 /** A request as it's sent to a runner: the encoded head, and the caller's body. */
@@ -57,6 +59,8 @@
 
   /** Closes the connection at once; a pending operation fails. */
   void Abort();
+  /** The pending operation fails with eDeadlinePassed. */
+  void Expire();
 
   /** @return whether the connection can carry another request. */
   bool Reusable() const;
@@ -110,7 +114,7 @@
    * that can't be sent again if the connection turns out to be closed.
    * @return a pooled or new connection.
    */
-  asio::awaitable<result<upstream_ptr>> Take(const endpoint& aTo,
+  asio::awaitable<result<upstream_ptr>> Take(endpoint aTo,
                                              bool aOnlyProven,
                                              instant aNow,
                                              duration aLimit);
@@ -120,12 +124,19 @@
   void Drop(const endpoint& aTo);
   /** Closes connections that were idle for too long. */
   void Prune(instant aNow);
+  /** The pending operations of all connections that were taken fail with eDeadlinePassed. */
+  void ExpireTaken();
   /** @param aMost limit on idle connections to one runner. */
   void SetMaxIdle(std::size_t aMost) { mMaxIdle = aMost; }
 
 private:
+  /** @return an idle connection that can be used, or null. */
+  upstream_ptr TakeIdle(const endpoint& aTo, bool aOnlyProven, instant aNow);
+
   std::size_t mMaxIdle = 8;                                     ///< Limit for each runner.
   std::unordered_map<endpoint, std::deque<upstream_ptr>> mIdle; ///< Newest at the back.
+  /** Connections that were taken; some may be idle again, or closed. */
+  std::set<std::weak_ptr<upstream_connection>, std::owner_less<>> mTaken;
 };
 
 } // namespace dunehook
--- a/src/state/forward_state.h
+++ b/src/state/forward_state.h
@@ -82,6 +82,13 @@
   }
 
   instant Now() const { return boot_clock_source{}.Now(); }
+  /** @return whether the time limit of a graceful stop has passed: nothing is begun any more. */
+  bool IsStopOver() const { return mStopping && Now() >= mStopDeadline; }
+  /** @return the time until a request's deadline; none once a graceful stop is over. */
+  duration TimeLeft(instant aDeadline) const
+  {
+    return IsStopOver() ? std::min(duration{ 0 }, aDeadline - Now()) : aDeadline - Now();
+  }
   /** @return a random number from 0 to below 1. */
   double RandomFraction() { return std::uniform_real_distribution<double>(0.0, 1.0)(mRandom); }
   /** @return this daemon's retry budget for a service. */
