--- a/tests/platform/broken_answer_test.cpp
+++ b/tests/platform/broken_answer_test.cpp
@@ -212,9 +212,10 @@
 TEST(broken_answers, APromptReadWhoseUploadFailsIsNotHandedOver)
 {
   Start();
-  const std::string result = R"({"kv-handle":"h-broken","tokens":1,"version":1})";
+  const std::string answer =
+    kOkHead + "\r\n" + R"({"kv-handle":"h-broken","tokens":1,"version":1})";
   for (const early_end& end : kEarlyEnds) {
-    mBed.SetRunner("prefill-1", end.Faults(kOkHead + "\r\n" + result));
+    mBed.SetRunner("prefill-1", end.Faults(answer));
     for (int i = 0; i < kPlays; ++i) {
       const seen_answer got = Upload("/turns/");
       CHECK_EQUAL_TEXT(200U, got.mStatus, end.Text().c_str()); // Decode engines read it themselves.
--- a/tests/platform/held_answer_test.cpp
+++ b/tests/platform/held_answer_test.cpp
@@ -79,6 +79,7 @@
   seen_answers AskAtOnce(int aCalls, bool aGenerates, Meanwhile aMeanwhile)
   {
     std::vector<std::future<seen_answer>> calls;
+    calls.reserve(aCalls);
     for (int i = 0; i < aCalls; ++i) {
       calls.push_back(std::async(std::launch::async, [this, i, aGenerates] {
         const std::string id = "h" + std::to_string(i);
@@ -89,6 +90,7 @@
     }
     aMeanwhile();
     seen_answers answers;
+    answers.reserve(calls.size());
     for (auto& call : calls) {
       answers.push_back(call.get());
     }
--- a/tests/support/odd_heads.h
+++ b/tests/support/odd_heads.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include "core/text_func.h"
+
 #include <string>
 #include <vector>
 
@@ -15,7 +17,7 @@
 {
   std::vector<std::string> lines;
   for (const char* const status : { "000", "099", "600", "999", "20", "2000", "2x0", "" }) {
-    lines.push_back("HTTP/1.1 " + std::string(status) + " OK\r\n");
+    lines.push_back(Join("HTTP/1.1 ", status, " OK\r\n"));
   }
   return lines;
 }
@@ -51,18 +53,19 @@
 OddAnswers(const std::string& aOwn, const std::string& aBody)
 {
   const std::string status = "HTTP/1.1 200 OK\r\n";
-  const std::string length = "Content-Length: " + std::to_string(aBody.size()) + "\r\n";
+  const std::string length = Join("Content-Length: ", aBody.size(), "\r\n");
+  const std::string end = "\r\n" + aBody;
   std::vector<std::string> answers;
   for (const std::string& line : OddStatusLines()) {
-    answers.push_back(line + aOwn + length + "\r\n" + aBody);
+    answers.push_back(Join(line, aOwn, length, end));
   }
   for (const std::string& field : OddFields()) {
-    answers.push_back(status + field + aOwn + length + "\r\n" + aBody);
-    answers.push_back(status + aOwn + field + length + "\r\n" + aBody);
-    answers.push_back(status + aOwn + length + field + "\r\n" + aBody);
+    answers.push_back(Join(status, field, aOwn, length, end));
+    answers.push_back(Join(status, aOwn, field, length, end));
+    answers.push_back(Join(status, aOwn, length, field, end));
   }
-  answers.push_back(status + " " + length + aOwn + "\r\n" + aBody);
-  answers.push_back(status + aOwn + " " + length + "\r\n" + aBody);
+  answers.push_back(Join(status, " ", length, aOwn, end));
+  answers.push_back(Join(status, aOwn, " ", length, end));
   return answers;
 }
 
