--- a/src/forward/generation_call.h
+++ b/src/forward/generation_call.h
@@ -461,8 +461,12 @@
   asio::awaitable<void> ForwardFailure(upstream_response& aAnswer)
   {
     std::string body;
-    const result<void> read =
-      co_await ReadBody(mState, aAnswer.mConnection, body, kMaxHeldResponseBytes, LatestResponse());
+    const result<void> read = co_await ReadBody(mState,
+                                                aAnswer.mConnection,
+                                                large_body::eRejected,
+                                                body,
+                                                kMaxHeldResponseBytes,
+                                                LatestResponse());
     ReturnConnection(mState, *mExchange, mPlace.DecodeAddress(), aAnswer.mConnection);
     mState.NoteEngine(mPlace.Choice().mDecode, send_outcome::eFailed);
     if (mStarted) {
--- a/src/forward/held_events.cpp
+++ b/src/forward/held_events.cpp
@@ -37,7 +37,8 @@
 std::optional<run_break>
 held_events::BreakOf(const result<bool>& aRead, body_framing aFraming, std::uint32_t aBefore) const
 {
-  if (mHeld && mHeld->IsGivenUp()) {
+  const bool ended = aRead && !aRead.value();
+  if (!ended && mHeld && mHeld->IsGivenUp()) {
     return run_break::eOverMemory;
   }
   if (!aRead && aRead.error() != errc::eWrongAnswer) {
--- a/src/forward/plain_call.h
+++ b/src/forward/plain_call.h
@@ -276,8 +276,8 @@
     ++mSends;
     std::string body;
     if (aAnswer.mConnection) {
-      const result<void> read =
-        co_await ReadBody(mState, aAnswer.mConnection, body, kMaxBufferedBytes, aUntil);
+      const result<void> read = co_await ReadBody(
+        mState, aAnswer.mConnection, large_body::ePassedOn, body, kMaxBufferedBytes, aUntil);
       NoteOrigin(aAnswer, body);
       if (!read && read.error() == errc::eBodyTooLarge && IsOwnAnswer(aAnswer.mFacts)) {
         co_await Stream(aRunner, aAddress, aAnswer, body);
--- a/src/forward/prompt_read.h
+++ b/src/forward/prompt_read.h
@@ -163,8 +163,8 @@
       mState, mExchange, mEngineAddress, aPlan, aPermit, mRequestId, false, aUntil);
     if (answer.mConnection) {
       aBody.clear();
-      const result<void> read =
-        co_await ReadBody(mState, answer.mConnection, aBody, kMaxHeldResponseBytes, aUntil);
+      const result<void> read = co_await ReadBody(
+        mState, answer.mConnection, large_body::eRejected, aBody, kMaxHeldResponseBytes, aUntil);
       ReturnConnection(mState, mExchange, mEngineAddress, answer.mConnection);
       if (!read) {
         answer.mSendStatus = send_status::eUnknown;
--- a/src/forward/upstream_send.cpp
+++ b/src/forward/upstream_send.cpp
@@ -77,6 +77,7 @@
 asio::awaitable<result<void>>
 ReadBody(forward_state& aState,
          upstream_ptr aConnection,
+         large_body aLarge,
          std::string& aOut,
          std::size_t aMaxBytes,
          instant aUntil)
@@ -85,13 +86,16 @@
   held_answer held(aState.mHeldAnswers, [aConnection] { aConnection->Abort(); });
   bool more = true;
   while (more) {
-    if (aOut.size() > std::min(aMaxBytes, aState.mHeldAnswers.MostOfPassable())) {
+    const bool crowded =
+      aLarge == large_body::ePassedOn && aOut.size() > aState.mHeldAnswers.MostOfPassable();
+    if (crowded || aOut.size() > aMaxBytes) {
       co_return make_error_code(errc::eBodyTooLarge);
     }
     const result<bool> read = co_await aConnection->ReadSome(aOut, until);
     more = read && read.value();
     held.Set(more ? aOut.capacity() : 0, aState.Now());
-    if (held.IsGivenUp()) {
+    const bool whole = read && !more;
+    if (!whole && held.IsGivenUp()) {
       co_return make_error_code(errc::eWrongAnswer);
     }
     if (!read) {
--- a/src/forward/upstream_send.h
+++ b/src/forward/upstream_send.h
@@ -220,9 +220,17 @@
   aState.mPool.Give(aTo, aConnection, aState.Now());
 }
 
+/** What becomes of a body that is too large to be held. */
+enum class large_body
+{
+  ePassedOn, ///< It's passed on as it comes.
+  eRejected, ///< It isn't used.
+};
+
 /**
  * Reads the rest of a response body.
- * @param aMaxBytes limit of the body's size; it's lower while there's little room for answers.
+ * @param aLarge one that is passed on is held for shorter while there's little room for answers.
+ * @param aMaxBytes limit of the body's size.
  * @param aUntil when the body must be whole; kBodyGrace from now at the earliest.
  * @return success, eBodyTooLarge with the start of the body in @p aOut, eWrongAnswer if there was
  * no room for it, or the error that ended it.
@@ -230,6 +238,7 @@
 asio::awaitable<result<void>>
 ReadBody(forward_state& aState,
          upstream_ptr aConnection,
+         large_body aLarge,
          std::string& aOut,
          std::size_t aMaxBytes,
          instant aUntil);
--- a/src/state/held_answers.cpp
+++ b/src/state/held_answers.cpp
@@ -6,8 +6,6 @@
 
 #include "core/log_func.h"
 
-#include <algorithm>
-
 namespace dunehook {
 
 held_answer&
@@ -65,6 +63,9 @@
 void
 held_answer::Clear()
 {
+  if (mBytes == 0) {
+    return;
+  }
   mAll.mAnswers.erase(this);
   mAll.mBytes -= mBytes;
   mBytes = 0;
--- a/src/state/held_answers.h
+++ b/src/state/held_answers.h
@@ -55,7 +55,7 @@
   std::uint64_t mMost;             ///< Bytes that they may take together.
   std::uint64_t mBytes = 0;        ///< Sum of what mAnswers hold.
   std::uint64_t mGivenUp = 0;      ///< Answers that were given up.
-  std::set<held_answer*> mAnswers; ///< All that hold something.
+  std::set<held_answer*> mAnswers; ///< Those that hold something, and no others.
 };
 
 /** What is held of one answer, or of one event of a stream, for as long as this lives. */
