--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -185,8 +185,8 @@
   bool mCutsOnce = false;                ///< Only the first answer to a request is cut.
   std::vector<std::string> mCrashesOnParts{}; ///< Prompts with one of them, not the last, crash it.
   std::string mResumedFraming{}; ///< Framing of streams that go on; empty for mFraming.
-  std::string mRaw{};            ///< Bytes that a raw answer consists of, see RawAnswer().
-  std::string mRawEnd{};         ///< How its connection ends, see EndRaw().
+  std::string mRaw{};            ///< Bytes that a raw answer consists of, see WriteRaw().
+  std::string mRawEnd{};         ///< How its connection ends, see WriteRaw().
   duration mRawAfter{ 0 };       ///< Time from the last of its bytes to that end.
 };
 
@@ -639,15 +639,10 @@
     return aRunner.mMode == "raw_unread" && aRequest.count("X-Request-Id") > 0;
   }
 
-  /** @return the runner's raw answer. @param aOwn fields that make a head its own, for "{own}". */
-  static std::string RawAnswer(const fake_runner& aRunner, const std::string& aOwn)
-  {
-    return absl::StrReplaceAll(aRunner.mRaw, { { "{own}", aOwn } });
-  }
-
   /**
    * Sends a raw answer and ends its connection: by "close", which resets it where bytes of the
    * request aren't read, by "reset", by "half_close", which is followed by a close, or not at all.
+   * @param aOwn fields that make a head the runner's own; they take the place of "{own}".
    * @return whether the connection goes on.
    */
   asio::awaitable<bool> WriteRaw(fake_runner& aRunner, beast::tcp_stream& aStream, std::string aOwn)
@@ -655,7 +650,7 @@
     constexpr duration kHalfClosed = std::chrono::milliseconds(300);
     const std::string end = aRunner.mRawEnd;
     const duration after = aRunner.mRawAfter;
-    const std::string text = RawAnswer(aRunner, aOwn);
+    const std::string text = absl::StrReplaceAll(aRunner.mRaw, { { "{own}", aOwn } });
     const bool open = co_await Write(aStream, text);
     co_await Sleep(after);
     boost::system::error_code ignored; // The caller may have closed it.
--- a/tests/platform/broken_answer_test.cpp
+++ b/tests/platform/broken_answer_test.cpp
@@ -48,6 +48,15 @@
                                          { "close", 50 },
                                          { "half_close", 0 } };
 
+/** @return options of a daemon that repeats more than the requests here pay for. */
+platform_daemon_options
+ManyRetries()
+{
+  platform_daemon_options options;
+  options.mRetryAllowance = 1000000;
+  return options;
+}
+
 } // namespace
 
 TEST_GROUP(broken_answers)
@@ -57,9 +66,7 @@
 
   void Start()
   {
-    platform_daemon_options options;
-    options.mRetryAllowance = 1000000; // More is repeated here than requests pay for.
-    mBed.StartUsual(options);
+    mBed.StartUsual(ManyRetries());
     AllowLargeBodies();
   }
 
@@ -80,9 +87,8 @@
     mBed.AddRunner("decode-1", { "tutor", "decode" });
     mBed.AddRunner("decode-2", { "tutor", "decode" });
     mBed.PutConfig(1);
-    platform_daemon_options options;
+    platform_daemon_options options = ManyRetries();
     options.mOwnRunnerLinks = true;
-    options.mRetryAllowance = 1000000; // More is repeated here than requests pay for.
     mBed.StartDaemons({ options, options });
     AllowLargeBodies();
     mBed.CutRunners(0, "refuse");
@@ -278,9 +284,7 @@
 
   void Start()
   {
-    platform_daemon_options options;
-    options.mRetryAllowance = 1000000; // More is repeated here than requests pay for.
-    mBed.StartUsual(options);
+    mBed.StartUsual(ManyRetries());
   }
 
   /** Has runners answer each request with a text. */
--- a/tests/unit/broken_answer_test.cpp
+++ b/tests/unit/broken_answer_test.cpp
@@ -1,8 +1,8 @@
 /**
  * @file broken_answer_test.cpp
  * Both clients take no answer for whole that ends with its connection before the server has got the
- * whole request, and none whose head is no head. Every call to a runner, the store or another
- * daemon is read by one of them.
+ * whole request, and use no connection again that isn't between two answers. Every call to a
+ * runner, the store or another daemon is read by one of them.
  */
 #include "runners/upstream_connection.h"
 #include "tests/support/raw_server.h"
